--- /dev/null
+++ b/packages/core/src/fit.ts
@@ -0,0 +1,178 @@
+import type { WorkerView } from "./inventory.ts";
+import { Adjacency, type Shape } from "./shape.ts";
+
+/** Workers chosen for the parts of a job, one for each part. */
+export type Placement = readonly WorkerView[];
+
+/** Free accelerators that a placement may use on a worker. */
+export type Capacity = (worker: WorkerView) => number;
+
+/**
+ * Finds the placement that leaves the most whole workers and racks free.
+ *
+ * @param shape accelerators needed
+ * @param racks usable workers by rack
+ * @param capacity accelerators that may be used on a worker
+ * @returns one worker for each part, or `undefined` when the shape does not fit
+ */
+export function findPlacement(
+  shape: Shape,
+  racks: Iterable<readonly WorkerView[]>,
+  capacity: Capacity,
+): Placement | undefined {
+  switch (shape.adjacent) {
+    case Adjacency.worker:
+      return findOnOneWorker(shape, racks, capacity);
+    case Adjacency.rack:
+      return findInOneRack(shape, racks, capacity);
+    case Adjacency.none:
+      return findAnywhere(shape, racks, capacity);
+  }
+}
+
+/**
+ * Tells whether a shape fits workers that run nothing.
+ *
+ * @param shape accelerators needed
+ * @param racks workers by rack
+ * @returns whether the shape could ever be placed
+ */
+export function couldEverFit(
+  shape: Shape,
+  racks: Iterable<readonly WorkerView[]>,
+): boolean {
+  const everything: Capacity = (worker) => worker.accelerators;
+  return findPlacement(shape, racks, everything) !== undefined;
+}
+
+function findOnOneWorker(
+  shape: Shape,
+  racks: Iterable<readonly WorkerView[]>,
+  capacity: Capacity,
+): Placement | undefined {
+  const needed = shape.parts * shape.accelerators;
+  const best = bestWorker(racks, needed, capacity);
+  return best && new Array<WorkerView>(shape.parts).fill(best);
+}
+
+function bestWorker(
+  racks: Iterable<readonly WorkerView[]>,
+  needed: number,
+  capacity: Capacity,
+): WorkerView | undefined {
+  let best: WorkerView | undefined;
+  let bestScore = Infinity;
+  for (const rack of racks) {
+    const rackFree = sumCapacity(rack, capacity);
+    for (const worker of rack) {
+      const left = capacity(worker) - needed;
+      if (left < 0) continue;
+      const score = scoreWorker(worker, left, rackFree);
+      if (score >= bestScore) continue;
+      best = worker;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+/** Broken workers go before whole ones, tight fits before loose ones, full racks before empty ones. */
+function scoreWorker(
+  worker: WorkerView,
+  left: number,
+  rackFree: number,
+): number {
+  const breaksWhole = worker.free === worker.accelerators && left > 0 ? 1 : 0;
+  return breaksWhole * 1e9 + left * 1e5 + Math.min(rackFree, 99_999);
+}
+
+function findInOneRack(
+  shape: Shape,
+  racks: Iterable<readonly WorkerView[]>,
+  capacity: Capacity,
+): Placement | undefined {
+  let best: Placement | undefined;
+  let bestLeft = Infinity;
+  for (const rack of racks) {
+    const left = sumCapacity(rack, capacity);
+    if (left >= bestLeft) continue;
+    const placement = packParts(shape, rack, capacity);
+    if (placement === undefined) continue;
+    best = placement;
+    bestLeft = left;
+  }
+  return best;
+}
+
+/** Racks that are already broken give their capacity first. */
+function findAnywhere(
+  shape: Shape,
+  racks: Iterable<readonly WorkerView[]>,
+  capacity: Capacity,
+): Placement | undefined {
+  if (shape.parts === 1) {
+    const best = bestWorker(racks, shape.accelerators, capacity);
+    return best && [best];
+  }
+  const within = findInOneRack(shape, racks, capacity);
+  if (within !== undefined) return within;
+  const ordered = [...racks]
+    .map((rack) => ({ rack, free: sumCapacity(rack, capacity) }))
+    .sort((a, b) => a.free - b.free)
+    .flatMap(({ rack }) => rack);
+  return packParts(shape, ordered, capacity);
+}
+
+/** Fills the workers with the least room first, so that whole workers stay free. */
+function packParts(
+  shape: Shape,
+  workers: readonly WorkerView[],
+  capacity: Capacity,
+): Placement | undefined {
+  const candidates = workers
+    .map((worker) => ({
+      worker,
+      room: Math.floor(capacity(worker) / shape.accelerators),
+      left: capacity(worker) % shape.accelerators,
+    }))
+    .filter(({ room }) => room > 0)
+    .sort((a, b) => a.room - b.room || a.left - b.left);
+  const total = candidates.reduce((sum, { room }) => sum + room, 0);
+  if (total < shape.parts) return undefined;
+  const placement: WorkerView[] = [];
+  for (const { worker, room } of chooseTightest(candidates, shape.parts)) {
+    const count = Math.min(room, shape.parts - placement.length);
+    for (let part = 0; part < count; part++) placement.push(worker);
+  }
+  return placement;
+}
+
+interface Candidate {
+  worker: WorkerView;
+  room: number;
+}
+
+/** Takes broken workers first and skips those whose parts fit into the larger ones anyway. */
+function chooseTightest(
+  candidates: readonly Candidate[],
+  parts: number,
+): readonly Candidate[] {
+  const exact = candidates.find(({ room }) => room === parts);
+  if (exact !== undefined) return [exact];
+  const broken = candidates.filter(({ worker }) =>
+    worker.free < worker.accelerators
+  );
+  const whole = candidates.filter(({ worker }) =>
+    worker.free === worker.accelerators
+  );
+  return [...broken, ...whole.reverse()];
+}
+
+function sumCapacity(
+  workers: readonly WorkerView[],
+  capacity: Capacity,
+): number {
+  let sum = 0;
+  for (const worker of workers) sum += capacity(worker);
+  return sum;
+}
--- /dev/null
+++ b/packages/core/src/inventory.ts
@@ -0,0 +1,259 @@
+import type { Milliseconds } from "@rattanhill/shared";
+import {
+  type LeaseDescriptor,
+  type LeaseReport,
+  LeaseState,
+  type WorkerReport,
+} from "./lease.ts";
+
+/** A lease as the placer sees it: reported by its worker, or asked for and not yet reported. */
+export interface LeaseView extends LeaseReport {
+  /** Worker that gives it. */
+  worker: string;
+  /** Time at which the placer first saw it, by its own clock. */
+  seenAt: Milliseconds;
+}
+
+/** A worker as the placer sees it. */
+export interface WorkerView {
+  name: string;
+  address: string;
+  rack: string;
+  boot: string;
+  accelerators: number;
+  /** Accelerators that no lease holds. */
+  free: number;
+  /** Whether new work may be placed on it. */
+  isUsable: boolean;
+  leases: ReadonlyMap<string, LeaseView>;
+}
+
+/** The workers of one availability zone and what runs on them. */
+export interface Inventory {
+  /** Takes a worker's report; reports older than the newest known are ignored. */
+  report(report: WorkerReport, now: Milliseconds): void;
+  /** Removes a worker that is gone or cannot be asked. */
+  remove(worker: string): void;
+  /** Excludes a worker from new placements, or admits it again. */
+  setBlocked(worker: string, isBlocked: boolean): void;
+  /** Sets capacity aside for a hold that was asked for. */
+  expect(worker: string, lease: LeaseDescriptor, now: Milliseconds): void;
+  /** Notes that a hold was granted at the given point of the worker's changes. */
+  confirm(worker: string, lease: string, sequence: number): void;
+  /** Gives back the capacity of a hold that was refused or withdrawn. */
+  forget(worker: string, lease: string): void;
+  /** @returns the worker of that name */
+  find(worker: string): WorkerView | undefined;
+  /** @returns workers by name, in the order of rack and name */
+  workers(): readonly WorkerView[];
+  /** @returns workers by rack */
+  racks(): ReadonlyMap<string, readonly WorkerView[]>;
+  /** @returns accelerators used by an account; only leases of at least the given priority count */
+  used(account: string, minimumPriority?: number): number;
+}
+
+interface MutableWorker extends WorkerView {
+  sequence: number;
+  leaving: boolean;
+  isBlocked: boolean;
+  leases: Map<string, LeaseView>;
+  /** Sequence at which a granted hold appears in reports; `undefined` while it is asked for. */
+  expected: Map<string, number | undefined>;
+}
+
+/**
+ * Creates an empty inventory.
+ *
+ * @returns the inventory
+ */
+export function createInventory(): Inventory {
+  const byName = new Map<string, MutableWorker>();
+  let sorted: WorkerView[] | undefined;
+  let byRack: Map<string, WorkerView[]> | undefined;
+  const usage = createUsageIndex();
+
+  const change = (worker: MutableWorker, action: () => void): void => {
+    usage.subtract(worker);
+    action();
+    refresh(worker);
+    usage.add(worker);
+  };
+  const invalidate = () => {
+    sorted = undefined;
+    byRack = undefined;
+  };
+  const workers = () => sorted ??= [...byName.values()].sort(compareWorkers);
+
+  return {
+    report: (report, now) => {
+      let worker = byName.get(report.worker);
+      if (worker !== undefined && worker.boot !== report.boot) {
+        usage.subtract(worker);
+        worker = undefined;
+      }
+      if (worker === undefined) {
+        worker = newWorker(report, byName.get(report.worker)?.isBlocked);
+        byName.set(report.worker, worker);
+        invalidate();
+      } else if (report.sequence < worker.sequence) return;
+      const known = worker;
+      change(known, () => applyReport(known, report, now));
+    },
+    remove: (name) => {
+      const worker = byName.get(name);
+      if (worker === undefined) return;
+      usage.subtract(worker);
+      byName.delete(name);
+      invalidate();
+    },
+    setBlocked: (name, isBlocked) => {
+      const worker = byName.get(name);
+      if (worker === undefined) return;
+      worker.isBlocked = isBlocked;
+      refresh(worker);
+    },
+    expect: (name, lease, now) => {
+      const worker = byName.get(name);
+      if (worker === undefined) return;
+      change(worker, () => {
+        worker.leases.set(lease.lease, heldLease(name, lease, now));
+        worker.expected.set(lease.lease, undefined);
+      });
+    },
+    confirm: (name, lease, sequence) => {
+      const worker = byName.get(name);
+      if (worker === undefined || !worker.expected.has(lease)) return;
+      if (sequence > worker.sequence) worker.expected.set(lease, sequence);
+      else worker.expected.delete(lease);
+    },
+    forget: (name, lease) => {
+      const worker = byName.get(name);
+      if (worker === undefined || !worker.leases.has(lease)) return;
+      change(worker, () => {
+        worker.leases.delete(lease);
+        worker.expected.delete(lease);
+      });
+    },
+    find: (name) => byName.get(name),
+    workers,
+    racks: () => byRack ??= groupByRack(workers()),
+    used: usage.used,
+  };
+}
+
+function newWorker(
+  report: WorkerReport,
+  isBlocked: boolean = false,
+): MutableWorker {
+  return {
+    name: report.worker,
+    address: report.address,
+    rack: report.rack,
+    boot: report.boot,
+    accelerators: report.accelerators,
+    free: report.accelerators,
+    isUsable: !report.leaving,
+    leaving: report.leaving,
+    isBlocked,
+    sequence: -1,
+    leases: new Map(),
+    expected: new Map(),
+  };
+}
+
+function applyReport(
+  worker: MutableWorker,
+  report: WorkerReport,
+  now: Milliseconds,
+): void {
+  worker.address = report.address;
+  worker.accelerators = report.accelerators;
+  worker.leaving = report.leaving;
+  worker.sequence = report.sequence;
+  const next = new Map<string, LeaseView>();
+  for (const lease of report.leases) {
+    const seenAt = worker.leases.get(lease.lease)?.seenAt ?? now;
+    next.set(lease.lease, { ...lease, worker: worker.name, seenAt });
+    worker.expected.delete(lease.lease);
+  }
+  for (const [lease, sequence] of worker.expected) {
+    const isPending = sequence === undefined || sequence > report.sequence;
+    const known = worker.leases.get(lease);
+    if (isPending && known !== undefined) next.set(lease, known);
+    else worker.expected.delete(lease);
+  }
+  worker.leases = next;
+}
+
+function refresh(worker: MutableWorker): void {
+  let free = worker.accelerators;
+  for (const lease of worker.leases.values()) free -= lease.accelerators;
+  worker.free = free;
+  worker.isUsable = !worker.leaving && !worker.isBlocked;
+}
+
+function heldLease(
+  worker: string,
+  lease: LeaseDescriptor,
+  seenAt: Milliseconds,
+): LeaseView {
+  return {
+    ...lease,
+    worker,
+    seenAt,
+    state: LeaseState.held,
+    runningMs: 0,
+    sinceCheckpointMs: 0,
+  };
+}
+
+function compareWorkers(a: WorkerView, b: WorkerView): number {
+  if (a.rack !== b.rack) return a.rack < b.rack ? -1 : 1;
+  return a.name < b.name ? -1 : 1;
+}
+
+function groupByRack(
+  workers: readonly WorkerView[],
+): Map<string, WorkerView[]> {
+  const racks = new Map<string, WorkerView[]>();
+  for (const worker of workers) {
+    const members = racks.get(worker.rack);
+    if (members === undefined) racks.set(worker.rack, [worker]);
+    else members.push(worker);
+  }
+  return racks;
+}
+
+interface UsageIndex {
+  add(worker: WorkerView): void;
+  subtract(worker: WorkerView): void;
+  used(account: string, minimumPriority?: number): number;
+}
+
+function createUsageIndex(): UsageIndex {
+  const byAccount = new Map<string, Map<number, number>>();
+  const apply = (worker: WorkerView, sign: 1 | -1): void => {
+    for (const { account, priority, accelerators } of worker.leases.values()) {
+      let byPriority = byAccount.get(account);
+      if (byPriority === undefined) {
+        byPriority = new Map();
+        byAccount.set(account, byPriority);
+      }
+      const total = (byPriority.get(priority) ?? 0) + sign * accelerators;
+      if (total === 0) byPriority.delete(priority);
+      else byPriority.set(priority, total);
+      if (byPriority.size === 0) byAccount.delete(account);
+    }
+  };
+  return {
+    add: (worker) => apply(worker, 1),
+    subtract: (worker) => apply(worker, -1),
+    used: (account, minimumPriority = 0) => {
+      let total = 0;
+      for (const [priority, used] of byAccount.get(account) ?? []) {
+        if (priority >= minimumPriority) total += used;
+      }
+      return total;
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/mod.ts
@@ -0,0 +1,1 @@
+export * from "./settings_file.ts";
--- /dev/null
+++ b/packages/entry/src/access.ts
@@ -0,0 +1,40 @@
+import { createHash, timingSafeEqual } from "node:crypto";
+import type { AccountRule, Rules } from "@rattanhill/core";
+
+/** Tells which account a bearer key belongs to. */
+export interface Access {
+  /** Takes new rules into force. */
+  configure(rules: Rules): void;
+  /** @returns the account of an `Authorization` header, or `undefined` */
+  authenticate(header: string | undefined): AccountRule | undefined;
+}
+
+const BEARER = /^Bearer ([\x21-\x7e]{1,512})$/i;
+
+/**
+ * Creates the check of bearer keys. Only digests of keys are known here.
+ *
+ * @returns the check, knowing no account
+ */
+export function createAccess(): Access {
+  let byDigest = new Map<string, AccountRule>();
+  return {
+    configure: ({ accounts }) => {
+      byDigest = new Map();
+      for (const account of accounts.values()) {
+        for (const digest of account.keyDigests) byDigest.set(digest, account);
+      }
+    },
+    authenticate: (header) => {
+      const key = BEARER.exec(header ?? "")?.[1];
+      if (key === undefined) return undefined;
+      const digest = createHash("sha256").update(key).digest();
+      const hex = digest.toString("hex");
+      const account = byDigest.get(hex);
+      const known = account?.keyDigests.find((known) => known === hex);
+      if (account === undefined || known === undefined) return undefined;
+      const isEqual = timingSafeEqual(digest, Buffer.from(known, "hex"));
+      return isEqual ? account : undefined;
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry/src/actors.ts
@@ -0,0 +1,59 @@
+import { dispatch, type Ref, spawn, start, stop as stopRef } from "nact";
+import { describeError, type EventLog, Events } from "@rattanhill/shared";
+
+/** An actor that receives messages of one type, in order. */
+export interface Actor<Message> {
+  /** Queues a message. */
+  send(message: Message): void;
+  /** Ends the actor; queued messages are dropped. */
+  stop(): void;
+}
+
+/** Creates the actors of one process. */
+export interface ActorSystem {
+  /**
+   * Creates an actor.
+   *
+   * @param name unique name
+   * @param receive handles one message; an error is logged and the next message is handled
+   * @returns the actor
+   */
+  spawn<Message>(
+    name: string,
+    receive: (message: Message) => void | Promise<void>,
+  ): Actor<Message>;
+  /** Ends all actors. */
+  stop(): void;
+}
+
+/**
+ * Creates an actor system.
+ *
+ * @param log receives errors of actors
+ * @returns the system
+ */
+export function createActorSystem(log: EventLog): ActorSystem {
+  const system = start();
+  return {
+    spawn: <Message>(
+      name: string,
+      receive: (message: Message) => void | Promise<void>,
+    ) => {
+      const handle = async (_: undefined, message: Message) => {
+        try {
+          await receive(message);
+        } catch (error) {
+          const text = describeError(error);
+          log(Events.unexpectedError, { actor: name, error: text });
+        }
+        return undefined;
+      };
+      const ref: Ref<unknown> = spawn(system, handle, name);
+      return {
+        send: (message) => dispatch(ref, message as unknown),
+        stop: () => stopRef(ref),
+      };
+    },
+    stop: () => stopRef(system),
+  };
+}
--- /dev/null
+++ b/packages/entry/src/callers_server.ts
@@ -0,0 +1,254 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import {
+  describeError,
+  ErrorCode,
+  type EventLog,
+  Events,
+  type Milliseconds,
+} from "@rattanhill/shared";
+import { Outcome } from "@rattanhill/core";
+import {
+  type AnswerBody,
+  MAXIMUM_BODY_BYTES,
+  MAXIMUM_HEADER_BYTES,
+  PROBLEM_MEDIA_TYPE,
+  requestBodySchema,
+} from "@rattanhill/protocol";
+import type { Access } from "./access.ts";
+import { describeProblem, describeResult, RequestProblem } from "./problems.ts";
+import type { RequestService, RequestView } from "./request_service.ts";
+import type { AccountRule } from "@rattanhill/core";
+
+/** Options of {@link createCallersServer}. */
+export interface CallersServerOptions {
+  access: Access;
+  service: RequestService;
+  log: EventLog;
+  /** @returns whether the entry is shutting down */
+  isLeaving(): boolean;
+  connections: number;
+}
+
+const HEADERS_TIMEOUT_MS: Milliseconds = 10_000;
+const BODY_TIMEOUT_MS: Milliseconds = 30_000;
+const KEEP_ALIVE_MS: Milliseconds = 30_000;
+const MAXIMUM_WAIT_MS: Milliseconds = 60_000;
+const REQUEST_PATH = /^\/v1\/requests\/([A-Za-z0-9-]{1,64})$/;
+
+/**
+ * Creates the HTTP server for callers. It is not listening yet.
+ *
+ * @param options service and access check
+ * @returns the server
+ */
+export function createCallersServer(options: CallersServerOptions): Server {
+  const server = createServer({
+    maxHeaderSize: MAXIMUM_HEADER_BYTES,
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    requestTimeout: BODY_TIMEOUT_MS,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+  }, (message, response) => {
+    answer(options, message, response).catch((error) => {
+      refuse(options, response, toProblem(options, error));
+    });
+  });
+  server.maxConnections = options.connections;
+  return server;
+}
+
+async function answer(
+  options: CallersServerOptions,
+  message: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const account = options.access.authenticate(message.headers.authorization);
+  if (account === undefined) {
+    throw new RequestProblem(401, "the bearer key is missing or not known", {
+      code: ErrorCode.requestUnauthorized,
+    });
+  }
+  const url = new URL(message.url ?? "/", "http://entry");
+  const view = await route(options, message, { account, url });
+  sendView(options, response, view);
+}
+
+async function route(
+  { service }: CallersServerOptions,
+  message: IncomingMessage,
+  { account, url }: { account: AccountRule; url: URL },
+): Promise<RequestView> {
+  if (url.pathname === "/v1/requests") {
+    if (message.method !== "POST") throw notAllowed();
+    return await submit(service, message, account);
+  }
+  const id = REQUEST_PATH.exec(url.pathname)?.[1];
+  if (id === undefined) {
+    throw new RequestProblem(404, `no resource ${url.pathname}`, {
+      code: ErrorCode.requestNotFound,
+    });
+  }
+  if (message.method === "DELETE") return await service.cancel(account, id);
+  if (message.method !== "GET") throw notAllowed();
+  return await service.read(account, id, readWait(url));
+}
+
+async function submit(
+  service: RequestService,
+  message: IncomingMessage,
+  account: AccountRule,
+): Promise<RequestView> {
+  const type = message.headers["content-type"] ?? "application/json";
+  if (!/^application\/json\b/i.test(type)) {
+    throw new RequestProblem(415, `expected JSON, found ${type}`);
+  }
+  const text = await readBody(message);
+  const body = requestBodySchema.safeParse(parseJson(text));
+  if (!body.success) {
+    const faults = body.error.issues.map((issue) =>
+      `${issue.path.join(".") || "body"}: ${issue.message}`
+    );
+    throw new RequestProblem(400, faults.join("; "));
+  }
+  const key = message.headers["idempotency-key"];
+  const prefer = message.headers.prefer;
+  return await service.submit({
+    account,
+    key: Array.isArray(key) ? key.join(",") : key,
+    body: body.data,
+    text,
+    isAsync: String(prefer ?? "").includes("respond-async"),
+  });
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    throw new RequestProblem(400, "the body is not JSON");
+  }
+}
+
+async function readBody(message: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of message) {
+    size += (chunk as Buffer).length;
+    if (size > MAXIMUM_BODY_BYTES) {
+      const text = `the body is larger than ${MAXIMUM_BODY_BYTES} bytes`;
+      throw new RequestProblem(413, text);
+    }
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks).toString("utf8");
+}
+
+function readWait(url: URL): Milliseconds {
+  const text = url.searchParams.get("wait") ?? "0";
+  const wait = Number(text);
+  if (Number.isInteger(wait) && wait >= 0) {
+    return Math.min(wait, MAXIMUM_WAIT_MS);
+  }
+  throw new RequestProblem(400, `wait must be milliseconds, found ${text}`);
+}
+
+function notAllowed(): RequestProblem {
+  return new RequestProblem(405, "the method is not allowed here");
+}
+
+function toProblem(
+  { log }: CallersServerOptions,
+  error: unknown,
+): RequestProblem {
+  if (error instanceof RequestProblem) return error;
+  log(Events.unexpectedError, { step: "callers", error: describeError(error) });
+  return new RequestProblem(500, "internal error", {
+    code: ErrorCode.internal,
+  });
+}
+
+function refuse(
+  options: CallersServerOptions,
+  response: ServerResponse,
+  problem: RequestProblem,
+): void {
+  if (response.headersSent || response.destroyed) return;
+  const { status, retryAfterMs } = problem;
+  options.log(Events.requestRefused, { status, reason: problem.message });
+  const headers = { "content-type": PROBLEM_MEDIA_TYPE };
+  const body = describeProblem(problem);
+  // The rest of an oversize body is not read.
+  if (status === 413) response.setHeader("connection", "close");
+  send(options, response, { status, headers, body, retryAfterMs });
+}
+
+function sendView(
+  options: CallersServerOptions,
+  response: ServerResponse,
+  { id, result, phase }: RequestView,
+): void {
+  const headers = { "content-type": "application/json" };
+  if (result === undefined) {
+    const body = { id, state: phase ?? "placing" };
+    const location = { ...headers, location: `/v1/requests/${id}` };
+    return send(options, response, { status: 202, headers: location, body });
+  }
+  if (result.outcome === Outcome.done) {
+    const body: AnswerBody = {
+      id,
+      outcome: result.outcome,
+      answer: readAnswer(result.answers),
+      attempts: result.attempts,
+    };
+    return send(options, response, { status: 200, headers, body });
+  }
+  const body = describeResult(id, result);
+  const { status } = body;
+  const { retryAfterMs } = result;
+  const problem = { "content-type": PROBLEM_MEDIA_TYPE };
+  send(options, response, { status, headers: problem, body, retryAfterMs });
+}
+
+interface Reply {
+  status: number;
+  headers: Record<string, string>;
+  body: object;
+  retryAfterMs?: Milliseconds;
+}
+
+function send(
+  { isLeaving }: CallersServerOptions,
+  response: ServerResponse,
+  { status, headers, body, retryAfterMs }: Reply,
+): void {
+  if (response.headersSent || response.destroyed) return;
+  const isRetryable = status === 429 || status === 503;
+  const text = JSON.stringify(
+    isRetryable ? { ...body, retryAfterMs: retryAfterMs ?? 0 } : body,
+  );
+  if (isRetryable) {
+    const seconds = Math.max(1, Math.ceil((retryAfterMs ?? 0) / 1_000));
+    response.setHeader("retry-after", seconds);
+  }
+  if (isLeaving()) response.setHeader("connection", "close");
+  response.writeHead(status, {
+    ...headers,
+    "content-length": Buffer.byteLength(text),
+  });
+  response.end(text);
+}
+
+function readAnswer(answers: readonly string[]): unknown {
+  const values = answers.map((answer) => {
+    try {
+      return JSON.parse(answer);
+    } catch {
+      return answer;
+    }
+  });
+  return values.length === 1 ? values[0] : values;
+}
--- /dev/null
+++ b/packages/entry/src/entry.ts
@@ -0,0 +1,574 @@
+import type { Server } from "node:http";
+import process from "node:process";
+import { Metadata } from "@grpc/grpc-js";
+import {
+  type Clock,
+  createEventLog,
+  createIdentifier,
+  createSystemClock,
+  describeError,
+  ErrorCode,
+  type EventLog,
+  Events,
+  type Milliseconds,
+  pause,
+  UnavailableError,
+} from "@rattanhill/shared";
+import {
+  chooseZone,
+  type ConfigState,
+  createMembership,
+  EndReason,
+  type EntryInfo,
+  NO_RULES,
+  parseRules,
+  type RequestSpec,
+  type Rules,
+  type ZoneView,
+} from "@rattanhill/core";
+import {
+  type ConfigReply,
+  encodeSpec,
+  type FindReply__Output,
+  type HeartbeatMessage,
+  type PlaceReply,
+  type PlaceReply__Output,
+} from "@rattanhill/protocol";
+import { createPlatformClient } from "@rattanhill/platform";
+import { createAccess } from "./access.ts";
+import { createActorSystem } from "./actors.ts";
+import { createAdopter } from "./adopter.ts";
+import { createCallersServer } from "./callers_server.ts";
+import { createLogAppender, type LogAppender } from "./log_appender.ts";
+import { createLogFollower, type LogFollower } from "./log_follower.ts";
+import { createMetrics } from "./metrics.ts";
+import { createOperatorsServer } from "./operators_server.ts";
+import { createPeerHandlers } from "./peer_handlers.ts";
+import { createPeers } from "./peers.ts";
+import { createPlacerHost } from "./placer_host.ts";
+import { createRequestHost } from "./request_host.ts";
+import { createRequestRegistry } from "./request_registry.ts";
+import { createRequestService } from "./request_service.ts";
+import type { EntrySettings } from "./settings.ts";
+import { createTaskCommands } from "./task_commands.ts";
+import { createWorkerLinks } from "./worker_links.ts";
+
+/** A running entry. */
+export interface Entry {
+  /** Starts all servers and readers. @returns the ports that were bound */
+  start(): Promise<{ callers: number; operators: number; peers: number }>;
+  /** Shuts down gracefully: no request in progress is cut off. */
+  drain(): Promise<void>;
+}
+
+/** Options of {@link createEntry}. */
+export interface EntryOptions {
+  settings: EntrySettings;
+  clock?: Clock;
+  log?: EventLog;
+}
+
+const LIST_INTERVAL_MS: Milliseconds = 1_000;
+const SCAN_INTERVAL_MS: Milliseconds = 500;
+const DRAIN_POLL_MS: Milliseconds = 50;
+const FIND_TIMEOUT_MS: Milliseconds = 300;
+const CONFIG_TIMEOUT_MS: Milliseconds = 1_000;
+const CONFIG_DIVERSION_MS: Milliseconds = 500;
+const NEVER_FITS_AFTER_MS: Milliseconds = 5_000; // a fresh entry has not heard of all workers
+const NO_CAPACITY_RETRY_MS: Milliseconds = 1_000;
+
+/**
+ * Creates an entry: the one program that runs on every entry VM.
+ *
+ * @param options settings and host operations
+ * @returns the entry, not yet started
+ */
+export function createEntry(options: EntryOptions): Entry {
+  const { settings } = options;
+  const { timing, limits, zone, translate } = settings;
+  const clock = options.clock ?? createSystemClock();
+  const log = options.log ?? createEventLog(`entry:${settings.name}`);
+  const startedAt = clock.now();
+  const info: EntryInfo = {
+    id: `${zone}/${settings.name}/${createIdentifier()}`,
+    name: settings.name,
+    address: `${settings.host}:${settings.ports.peers}`,
+    zone,
+    startedAt: clock.wallTime(),
+    leaving: false,
+  };
+  let rules: Rules = NO_RULES;
+  let ordinals = 0;
+  let wasLead = false;
+  let isFetchingConfig = false;
+  let hasConfigSource = false;
+  const timers: NodeJS.Timeout[] = [];
+  const nextOrdinal = () => ++ordinals;
+
+  const actors = createActorSystem(log);
+  const access = createAccess();
+  const platform = createPlatformClient({
+    address: settings.platform.address,
+    timeoutMs: timing.platformTimeoutMs,
+    translate,
+  });
+  const membership = createMembership({
+    self: () => info,
+    zoneSuspicionMs: timing.suspicionMs,
+    remoteSuspicionMs: timing.remoteSuspicionMs,
+    forgetMs: timing.claimWindowMs,
+  });
+  const isLead = () => membership.lead(zone)?.id === info.id;
+
+  const registry = createRequestRegistry({
+    retentionMs: timing.answerRetentionMs,
+    endedLimit: limits.endedRequests,
+  });
+  const metrics = createMetrics({
+    requests_active: () => registry.activeCount(),
+    requests_placing: () => placerHost.placer.summarize().waiting,
+    accelerators_free: () => placerHost.placer.summarize().free,
+    fragmentation_ratio: () => placerHost.placer.summarize().ratio,
+    config_version: () => follower.config().version,
+    peers_alive: () => membership.alive().length,
+    log_available: () => Number(follower.isAvailable()),
+    memory_resident_bytes: () => process.memoryUsage().rss,
+  });
+
+  const configChanged = (config: ConfigState): void => {
+    const parsed = parseRules(config.text);
+    if (parsed.rules === undefined) return;
+    rules = parsed.rules;
+    access.configure(rules);
+    placerHost.placer.configure(rules);
+    placerHost.decideSoon();
+  };
+
+  const follower: LogFollower = createLogFollower({
+    platform,
+    log,
+    listener: {
+      configChanged,
+      ledgerFolded: (record, verdict) => {
+        appender.folded(record.id, verdict);
+        if (record.kind !== "adopt" || verdict !== "accepted") return;
+        if (record.from !== info.id) return;
+        const own = registry.findKey(record.account, record.key);
+        own?.send({ kind: "taken-over", owner: record.owner });
+      },
+    },
+  });
+  const appender: LogAppender = createLogAppender({
+    platform,
+    follower,
+    log,
+    timeoutMs: timing.platformTimeoutMs,
+  });
+
+  const links = createWorkerLinks({
+    zone,
+    owner: info.id,
+    timing,
+    translate,
+    clock,
+    log,
+    isLead,
+    reported: (report) => {
+      placerHost.placer.report(report, clock.now());
+      placerHost.decideSoon();
+    },
+    silent: (worker) => placerHost.placer.lose(worker),
+  });
+  const placerHost = createPlacerHost({
+    zone,
+    timing,
+    clock,
+    actors,
+    links: () => links,
+  });
+
+  const heartbeat = (): HeartbeatMessage => ({
+    ...info,
+    configVersion: follower.config().version,
+    summary: isLead() ? placerHost.placer.summarize() : undefined,
+  });
+
+  const membershipChanged = (): void => {
+    const leads = isLead();
+    if (leads === wasLead) return;
+    wasLead = leads;
+    log(Events.leadChanged, { lead: membership.lead(zone)?.id ?? "" });
+    if (leads) links.refresh();
+  };
+
+  const peers = createPeers({
+    host: settings.host,
+    port: settings.ports.peers,
+    seeds: settings.peers,
+    translate,
+    timing,
+    clock,
+    log,
+    membership,
+    self: () => info,
+    heartbeat,
+    handlers: createPeerHandlers({
+      placerHost,
+      registry,
+      config: () => follower.config(),
+    }),
+    foundNewerConfig: (address, version) => {
+      hasConfigSource = true;
+      if (version > follower.config().version) void fetchConfig(address);
+    },
+    membershipChanged,
+  });
+
+  /** The log is given a head start, since it brings the same version with its order. */
+  const fetchConfig = async (address: string): Promise<void> => {
+    if (isFetchingConfig) return;
+    isFetchingConfig = true;
+    try {
+      if (follower.isAvailable()) await pause(CONFIG_DIVERSION_MS);
+      const reply = await peers.call<ConfigReply>(
+        address,
+        (client, callOptions, callback) =>
+          client.FetchConfig({}, new Metadata(), callOptions, callback),
+        { step: "peer.config", timeoutMs: CONFIG_TIMEOUT_MS },
+      );
+      const { version = 0, text = "", author = "", id = "" } = reply;
+      if (parseRules(text).faults.length > 0) return;
+      follower.offerConfig({ version, text, author, id });
+    } catch (error) {
+      log(Events.unexpectedError, {
+        step: "peer.config",
+        error: describeError(error),
+      });
+    } finally {
+      isFetchingConfig = false;
+    }
+  };
+
+  const zoneView = (): ZoneView => {
+    const summaries = new Map(peers.summaries());
+    if (isLead()) summaries.set(zone, placerHost.placer.summarize());
+    return {
+      own: zone,
+      summaries,
+      isReachable: (name) => membership.lead(name) !== undefined,
+      rules,
+    };
+  };
+
+  const place = async (
+    spec: RequestSpec,
+    attempt: number,
+    avoid: readonly string[],
+  ): Promise<PlaceReply & { peer: string }> => {
+    const choice = chooseZone(spec, zoneView());
+    if ("refusal" in choice) {
+      const isSettled = clock.now() - startedAt > NEVER_FITS_AFTER_MS;
+      const reason = choice.refusal === "never-fits" && isSettled
+        ? EndReason.neverFits
+        : EndReason.noCapacity;
+      return { reason, retryAfterMs: NO_CAPACITY_RETRY_MS, peer: "self" };
+    }
+    const lead = membership.lead(choice.zone);
+    if (lead === undefined) {
+      throw new UnavailableError(ErrorCode.peerUnreachable, "no lead", {
+        step: "place",
+        peer: choice.zone,
+      });
+    }
+    const placing = { spec, attempt, owner: info.id, avoid };
+    if (lead.id === info.id) {
+      return { ...await placerHost.place(placing), peer: info.name };
+    }
+    const reply = await peers.call<PlaceReply__Output>(
+      lead.address,
+      (client, callOptions, callback) =>
+        client.Place(
+          { ...placing, spec: encodeSpec(spec), avoid: [...avoid] },
+          new Metadata(),
+          callOptions,
+          callback,
+        ),
+      { step: "peer.place", timeoutMs: spec.deadlineMs + PLACE_GRACE_MS },
+    );
+    return { ...reply, peer: lead.name };
+  };
+
+  const withdraw = (id: string, attempt: number): void => {
+    if (placerHost.withdraw(id, attempt)) return;
+    const lead = membership.lead(zone);
+    if (lead === undefined || lead.id === info.id) return;
+    peers.call(
+      lead.address,
+      (client, callOptions, callback) =>
+        client.Withdraw({ id, attempt }, new Metadata(), callOptions, callback),
+      { step: "peer.withdraw", timeoutMs: FIND_TIMEOUT_MS },
+    ).catch(() => {}); // a hold that is granted all the same is given back or lapses
+  };
+
+  const find = (
+    address: string,
+    query: { account: string; key?: string; id?: string; waitMs: Milliseconds },
+  ): Promise<FindReply__Output> =>
+    peers.call<FindReply__Output>(
+      address,
+      (client, callOptions, callback) =>
+        client.Find(query, new Metadata(), callOptions, callback),
+      { step: "peer.find", timeoutMs: query.waitMs + FIND_TIMEOUT_MS },
+    );
+
+  const findElsewhere = (
+    query: { account: string; key?: string; id?: string; waitMs: Milliseconds },
+  ): Promise<FindReply__Output | undefined> =>
+    firstFound(membership.alive().map((peer) => find(peer.address, query)));
+
+  const cancelElsewhere = (
+    account: string,
+    id: string,
+  ): Promise<FindReply__Output | undefined> =>
+    firstFound(
+      membership.alive().map((peer) =>
+        peers.call<FindReply__Output>(
+          peer.address,
+          (client, callOptions, callback) =>
+            client.Cancel(
+              { account, id },
+              new Metadata(),
+              callOptions,
+              callback,
+            ),
+          { step: "peer.cancel", timeoutMs: CANCEL_TIMEOUT_MS },
+        )
+      ),
+    );
+
+  const adopter = createAdopter({
+    owner: info.id,
+    zone,
+    clock,
+    timing,
+    membership,
+    follower,
+    appender,
+    registry,
+    links,
+    host: () => host,
+    nextOrdinal,
+    find,
+  });
+  const host = createRequestHost({
+    owner: info.id,
+    clock,
+    log,
+    actors,
+    metrics,
+    registry,
+    follower,
+    appender,
+    tasks: createTaskCommands({ timing, clock, log, links }),
+    nextOrdinal,
+    place,
+    withdraw,
+    join: (spec, payload) => adopter.join(spec, payload),
+  });
+  const service = createRequestService({
+    owner: info.id,
+    clock,
+    log,
+    timing,
+    limits,
+    follower,
+    appender,
+    registry,
+    host,
+    adopter,
+    nextOrdinal,
+    rules: () => rules,
+    isLeaving: () => info.leaving,
+    joined: metrics.joined,
+    findElsewhere,
+    cancelElsewhere,
+  });
+
+  const notReady = (): string | undefined => {
+    if (info.leaving) return "leaving";
+    if (follower.config().version > 0) return undefined;
+    return hasConfigSource || follower.isAvailable()
+      ? "no rules are published"
+      : "neither the log nor a peer has answered";
+  };
+
+  const explain = async (id: string): Promise<string | undefined> => {
+    const own = placerHost.placer.explain(id);
+    if (own !== undefined) return own;
+    const replies = await Promise.allSettled(
+      membership.alive().map((peer) =>
+        peers.call<{ found?: boolean; explanation?: string }>(
+          peer.address,
+          (client, callOptions, callback) =>
+            client.Explain({ id }, new Metadata(), callOptions, callback),
+          { step: "peer.explain", timeoutMs: FIND_TIMEOUT_MS },
+        )
+      ),
+    );
+    const found = replies.find((reply) =>
+      reply.status === "fulfilled" && reply.value.found
+    );
+    return found?.status === "fulfilled" ? found.value.explanation : undefined;
+  };
+
+  const describeState = () => ({
+    entry: info,
+    uptimeMs: clock.now() - startedAt,
+    lead: membership.lead(zone)?.id,
+    peers: membership.all(),
+    log: follower.describe(),
+    appends: appender.pending(),
+    adoptions: adopter.pending(),
+    summaries: zoneView().summaries,
+    workers: links.describe(),
+    requests: [...registry.active()].map(({ spec, state, admittedAt }) => ({
+      ...spec,
+      phase: state.phase,
+      attempt: state.attempt,
+      parts: state.parts,
+      ageMs: clock.now() - admittedAt,
+    })),
+    memory: process.memoryUsage(),
+  });
+
+  const callersServer = createCallersServer({
+    access,
+    service,
+    log,
+    isLeaving: () => info.leaving,
+    connections: limits.connections,
+  });
+  const operatorsServer = createOperatorsServer({
+    notReady,
+    metrics: metrics.expose,
+    state: describeState,
+    status: () => ({
+      zone,
+      lead: membership.lead(zone)?.name,
+      summary: placerHost.placer.summarize(),
+      workers: placerHost.placer.workers().map(({ leases, ...worker }) => ({
+        ...worker,
+        leases: [...leases.values()],
+      })),
+    }),
+    explain,
+    drain: () => void drain(),
+  });
+
+  const listVms = async (): Promise<void> => {
+    try {
+      const { vms } = await platform.listVms();
+      links.list(vms);
+      peers.learn(
+        vms.filter(({ kind }) => kind === "entry").map(({ address }) =>
+          address
+        ),
+      );
+    } catch {
+      // The list lags anyway; the next one comes soon.
+    }
+  };
+
+  const every = (interval: Milliseconds, work: () => void): void => {
+    timers.push(setInterval(work, interval));
+  };
+
+  let draining: Promise<void> | undefined;
+  const drain = (): Promise<void> => draining ??= shutDown();
+
+  const shutDown = async (): Promise<void> => {
+    log(Events.drainStarted, { entry: info.id });
+    info.leaving = true;
+    await peers.announce();
+    membershipChanged();
+    placerHost.abandon();
+    const closed = Promise.all([
+      closeServer(callersServer),
+      closeServer(operatorsServer),
+    ]);
+    while (hasWork()) await pause(DRAIN_POLL_MS);
+    callersServer.closeIdleConnections();
+    operatorsServer.closeAllConnections();
+    await closed;
+    for (const timer of timers) clearInterval(timer);
+    placerHost.stop();
+    follower.stop();
+    appender.stop();
+    await Promise.all([peers.stop(), links.stop(), platform.close()]);
+    actors.stop();
+    log(Events.processStopped, { entry: info.id });
+  };
+
+  /** Accepted jobs go on under the entry that adopts them; everybody else waits for an answer. */
+  const hasWork = (): boolean => {
+    callersServer.closeIdleConnections();
+    for (const { spec } of registry.active()) {
+      if (!spec.isJob) return true;
+    }
+    return appender.pending() > 0 && follower.isAvailable();
+  };
+
+  return {
+    start: async () => {
+      log(Events.processStarted, { entry: info.id });
+      const bound = await peers.start();
+      info.address = `${settings.host}:${bound}`;
+      const { callers, operators } = settings.ports;
+      const ports = {
+        peers: bound,
+        callers: await listen(callersServer, settings.host, callers),
+        operators: await listen(operatorsServer, settings.host, operators),
+      };
+      follower.start();
+      void listVms();
+      every(LIST_INTERVAL_MS, () => void listVms());
+      every(SCAN_INTERVAL_MS, () => {
+        adopter.scan();
+        registry.sweep(clock.now());
+        follower.maintain(appender.appendConfig);
+      });
+      membershipChanged();
+      log(Events.processReady, { entry: info.id });
+      return ports;
+    },
+    drain,
+  };
+}
+
+const PLACE_GRACE_MS: Milliseconds = 1_000;
+const CANCEL_TIMEOUT_MS: Milliseconds = 6_000;
+
+function firstFound(
+  calls: readonly Promise<FindReply__Output>[],
+): Promise<FindReply__Output | undefined> {
+  const found = calls.map(async (call) => {
+    const reply = await call;
+    if (!reply.found) throw new Error("not found");
+    return reply;
+  });
+  return Promise.any(found).catch(() => undefined);
+}
+
+function listen(server: Server, host: string, port: number): Promise<number> {
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, () => {
+      const address = server.address();
+      resolve(typeof address === "object" ? address?.port ?? port : port);
+    });
+  });
+}
+
+function closeServer(server: Server): Promise<void> {
+  return new Promise((resolve) => server.close(() => resolve()));
+}
--- /dev/null
+++ b/packages/entry/src/log_appender.ts
@@ -0,0 +1,152 @@
+import {
+  describeError,
+  type EventLog,
+  Events,
+  type Milliseconds,
+  UncertainError,
+} from "@rattanhill/shared";
+import {
+  type ConfigRecord,
+  type LedgerRecord,
+  LedgerVerdict,
+} from "@rattanhill/core";
+import { encodeRecord, Streams } from "@rattanhill/protocol";
+import type { PlatformClient } from "@rattanhill/platform";
+import type { LogFollower } from "./log_follower.ts";
+
+/** What became of an appended record. */
+export type AppendResult = LedgerVerdict | "failed";
+
+/** Options of an append. */
+export interface AppendOptions {
+  /** Called when a record whose append had failed took effect after all. */
+  late?(): void;
+}
+
+/** Appends records to the log, one batch at a time. */
+export interface LogAppender {
+  /**
+   * Appends a record of the request stream.
+   *
+   * @returns the verdict once the record was read back, or `failed` when it
+   * was not read back; a failed record may still appear later
+   */
+  append(record: LedgerRecord, options?: AppendOptions): Promise<AppendResult>;
+  /** Appends a record again and again until it was read back. */
+  appendUntilDone(record: LedgerRecord): void;
+  /** Appends a configuration record; it is not read back here. */
+  appendConfig(stream: string, record: ConfigRecord): void;
+  /** Tells that a record was read from the log. */
+  folded(id: string, verdict: LedgerVerdict): void;
+  /** @returns records that wait for their append or their reading back */
+  pending(): number;
+  /** Ends repeated appends. */
+  stop(): void;
+}
+
+/** Options of {@link createLogAppender}. */
+export interface AppenderOptions {
+  platform: PlatformClient;
+  follower: LogFollower;
+  log: EventLog;
+  /** Time within which a record must be read back. */
+  timeoutMs: Milliseconds;
+}
+
+const BATCH_RECORDS = 100;
+const QUEUE_RECORDS = 10_000;
+const REPEAT_MS: Milliseconds = 1_000;
+
+/**
+ * Creates the appender of one entry.
+ *
+ * @param options platform, follower and time limit
+ * @returns the appender
+ */
+export function createLogAppender(options: AppenderOptions): LogAppender {
+  const { platform, follower, log, timeoutMs } = options;
+  const waiting = new Map<string, (result: AppendResult) => void>();
+  const failed = new Map<string, () => void>();
+  let queue: LedgerRecord[] = [];
+  let isSending = false;
+  let isStopped = false;
+
+  const settle = (id: string, result: AppendResult): void => {
+    waiting.get(id)?.(result);
+    waiting.delete(id);
+  };
+
+  const sendBatches = async (): Promise<void> => {
+    if (isSending) return;
+    isSending = true;
+    while (queue.length > 0) {
+      const batch = queue.slice(0, BATCH_RECORDS);
+      queue = queue.slice(BATCH_RECORDS);
+      await sendBatch(batch);
+    }
+    isSending = false;
+  };
+
+  const sendBatch = async (batch: readonly LedgerRecord[]): Promise<void> => {
+    try {
+      await platform.append(Streams.requests, batch.map(encodeRecord));
+    } catch (error) {
+      const isUncertain = error instanceof UncertainError;
+      log(Events.appendUncertain, {
+        records: batch.length,
+        error: describeError(error),
+      });
+      // The records may stand in the log although the answer was lost: read back before giving up.
+      if (isUncertain) await follower.waitForEnd(timeoutMs);
+      for (const { id } of batch) settle(id, "failed");
+    }
+  };
+
+  const append = (
+    record: LedgerRecord,
+    { late }: AppendOptions = {},
+  ): Promise<AppendResult> => {
+    if (!follower.isAvailable() || queue.length >= QUEUE_RECORDS) {
+      return Promise.resolve("failed");
+    }
+    return new Promise((resolve) => {
+      const timer = setTimeout(
+        () => settle(record.id, "failed"),
+        timeoutMs * 2,
+      );
+      waiting.set(record.id, (result) => {
+        clearTimeout(timer);
+        if (result === "failed" && late !== undefined) {
+          failed.set(record.id, late);
+        }
+        resolve(result);
+      });
+      queue.push(record);
+      void sendBatches();
+    });
+  };
+
+  const appendUntilDone = async (record: LedgerRecord): Promise<void> => {
+    while (!isStopped) {
+      if (await append(record) !== "failed") return;
+      await new Promise((resolve) => setTimeout(resolve, REPEAT_MS));
+    }
+  };
+
+  return {
+    append,
+    appendUntilDone: (record) => void appendUntilDone(record),
+    appendConfig: (stream, record) => {
+      platform.append(stream, [encodeRecord(record)]).catch((error) =>
+        log(Events.appendUncertain, { records: 1, error: describeError(error) })
+      );
+    },
+    folded: (id, verdict) => {
+      settle(id, verdict);
+      if (verdict === LedgerVerdict.accepted) failed.get(id)?.();
+      failed.delete(id);
+    },
+    pending: () => waiting.size,
+    stop: () => isStopped = true,
+  };
+}
--- /dev/null
+++ b/packages/entry/src/mod.ts
@@ -0,0 +1,2 @@
+export * from "./entry.ts";
+export * from "./settings.ts";
--- /dev/null
+++ b/packages/entry/src/peers.ts
@@ -0,0 +1,297 @@
+import {
+  type CallOptions,
+  type ClientOptions,
+  credentials,
+  Metadata,
+  Server,
+  ServerCredentials,
+  type ServiceError,
+  status,
+} from "@grpc/grpc-js";
+import {
+  type Clock,
+  describeError,
+  ErrorCode,
+  type EventLog,
+  Events,
+  type Milliseconds,
+  UnavailableError,
+  UncertainError,
+} from "@rattanhill/shared";
+import type { EntryInfo, Membership, ZoneSummary } from "@rattanhill/core";
+import {
+  decodeHeartbeat,
+  type HeartbeatMessage,
+  type HeartbeatMessage__Output,
+  type PeerClient,
+  type PeerHandlers,
+  PeerService,
+} from "@rattanhill/protocol";
+import type { ServedHandlers } from "./peer_handlers.ts";
+import type { EntryTiming } from "./settings.ts";
+
+/** Names of the peer service's operations. */
+export type PeerMethod = keyof PeerHandlers & keyof PeerClient & string;
+
+/** Other entries: who they are and how to call them. */
+export interface Peers {
+  /** Starts serving and sending heartbeats. @returns the port of the server */
+  start(): Promise<number>;
+  /**
+   * Calls an entry.
+   *
+   * @param address address of the entry
+   * @param invoke makes the call with the given client
+   * @param options operation named in errors and its time limit
+   * @throws UnavailableError or UncertainError
+   */
+  call<Reply>(
+    address: string,
+    invoke: PeerInvocation<Reply>,
+    options: { step: string; timeoutMs: Milliseconds },
+  ): Promise<Reply>;
+  /** Adds addresses to send heartbeats to. */
+  learn(addresses: Iterable<string>): void;
+  /** Sends heartbeats at once, for example when leaving. */
+  announce(): Promise<void>;
+  /** @returns the newest summary of each zone */
+  summaries(): ReadonlyMap<string, ZoneSummary>;
+  /** Ends the server after the calls in progress. */
+  stop(): Promise<void>;
+}
+
+/** Makes one unary call. */
+export type PeerInvocation<Reply> = (
+  client: PeerClient,
+  options: CallOptions,
+  callback: (error: ServiceError | null, reply?: Reply) => void,
+) => { cancel(): void };
+
+/** Options of {@link createPeers}. */
+export interface PeersOptions {
+  host: string;
+  port: number;
+  seeds: readonly string[];
+  translate: Readonly<Record<string, string>>;
+  timing: EntryTiming;
+  clock: Clock;
+  log: EventLog;
+  membership: Membership;
+  /** @returns this entry's description; its identifier never changes */
+  self(): EntryInfo;
+  /** @returns the heartbeat to send */
+  heartbeat(): HeartbeatMessage;
+  handlers: ServedHandlers;
+  /** A peer has a newer configuration. */
+  foundNewerConfig(address: string, version: number): void;
+  /** Which entries are alive has changed. */
+  membershipChanged(): void;
+}
+
+/**
+ * Creates the link of one entry to the others.
+ *
+ * @param options address, time limits and handlers
+ * @returns the link, not yet started
+ */
+export function createPeers(options: PeersOptions): Peers {
+  const { timing, clock, log, membership } = options;
+  const server = new Server();
+  const clients = new Map<string, PeerClient>();
+  const addresses = new Set<string>(options.seeds);
+  const failures = new Map<string, number>();
+  const zoneOf = new Map<string, string>();
+  const summaries = new Map<string, ZoneSummary>();
+  const timers = new Map<string, NodeJS.Timeout>();
+  const calls = new Map<string, Set<() => void>>();
+  let sweep: NodeJS.Timeout | undefined;
+  let isStopped = false;
+
+  const clientOf = (address: string): PeerClient => {
+    let client = clients.get(address);
+    if (client === undefined) {
+      const target = options.translate[address] ?? address;
+      client = new PeerService(
+        target,
+        credentials.createInsecure(),
+        CLIENT_OPTIONS,
+      );
+      clients.set(address, client);
+    }
+    return client;
+  };
+  /** A connection that went silent is left; the next call opens another. */
+  const leaveConnection = (address: string): void => {
+    clients.get(address)?.close();
+    clients.delete(address);
+  };
+
+  const call: Peers["call"] = (address, invoke, { step, timeoutMs }) =>
+    new Promise((resolve, reject) => {
+      const deadline = Date.now() + timeoutMs;
+      const cancel = () => running.cancel();
+      const running = invoke(
+        clientOf(address),
+        { deadline },
+        (error, reply) => {
+          calls.get(address)?.delete(cancel);
+          if (error === null && reply !== undefined) return resolve(reply);
+          const isTimeout = error?.code === status.DEADLINE_EXCEEDED;
+          if (isTimeout) leaveConnection(address);
+          const context = { step, peer: address, cause: error };
+          const text = error?.details ?? "no reply";
+          reject(
+            error?.code === status.UNAVAILABLE
+              ? new UnavailableError(ErrorCode.peerUnreachable, text, context)
+              : new UncertainError(ErrorCode.peerUnreachable, text, context),
+          );
+        },
+      );
+      const open = calls.get(address) ?? new Set();
+      calls.set(address, open.add(cancel));
+    });
+
+  /** Calls to a peer that is taken for dead end at once, so that others can be asked. */
+  const peerLost = (peer: EntryInfo, error?: unknown): void => {
+    const text = error === undefined ? undefined : describeError(error);
+    log(Events.peerLost, { peer: peer.id, error: text });
+    for (const cancel of calls.get(peer.address) ?? []) cancel();
+    leaveConnection(peer.address);
+  };
+
+  const receive = (message: HeartbeatMessage__Output): void => {
+    const { info, configVersion, summary } = decodeHeartbeat(message);
+    if (info.id === options.self().id) return;
+    learn([info.address]);
+    zoneOf.set(info.address, info.zone);
+    const isNew = membership.heard(info, clock.now());
+    if (summary !== undefined) summaries.set(summary.zone, summary);
+    if (isNew) {
+      log(Events.peerFound, { peer: info.id, zone: info.zone });
+    }
+    options.membershipChanged();
+    options.foundNewerConfig(info.address, configVersion);
+  };
+
+  const beat = async (address: string): Promise<void> => {
+    try {
+      const timeoutMs = timing.suspicionMs / 2;
+      const message = await call<HeartbeatMessage__Output>(
+        address,
+        (client, callOptions, callback) =>
+          client.Heartbeat(
+            options.heartbeat(),
+            new Metadata(),
+            callOptions,
+            callback,
+          ),
+        { step: "peer.heartbeat", timeoutMs },
+      );
+      failures.delete(address);
+      receive(message);
+    } catch (error) {
+      noteFailure(address, error);
+    }
+  };
+
+  const noteFailure = (address: string, error: unknown): void => {
+    const count = (failures.get(address) ?? 0) + 1;
+    failures.set(address, count);
+    const isRefused = error instanceof UnavailableError;
+    if (!isRefused || count < REFUSALS_BEFORE_SUSPICION) return;
+    for (const peer of membership.alive()) {
+      if (peer.address !== address || !membership.suspect(peer.id)) continue;
+      peerLost(peer, error);
+      options.membershipChanged();
+    }
+  };
+
+  const schedule = (address: string): void => {
+    if (isStopped) return;
+    const isNear = zoneOf.get(address) === options.self().zone ||
+      !zoneOf.has(address);
+    const interval = isNear ? timing.heartbeatMs : timing.remoteHeartbeatMs;
+    const isGone = (failures.get(address) ?? 0) > FAILURES_BEFORE_SLOWDOWN;
+    const delay = isGone ? interval * SLOWDOWN : interval;
+    timers.set(
+      address,
+      setTimeout(() => void beat(address).then(() => schedule(address)), delay),
+    );
+  };
+
+  const learn = (found: Iterable<string>): void => {
+    for (const address of found) {
+      if (address === options.self().address) continue;
+      const isKnown = addresses.has(address) && timers.has(address);
+      addresses.add(address);
+      if (isKnown || isStopped || sweep === undefined) continue;
+      timers.set(address, setTimeout(() => {}, 0));
+      void beat(address).then(() => schedule(address));
+    }
+  };
+
+  const expire = (): void => {
+    const lost = membership.expire(clock.now());
+    for (const peer of lost) peerLost(peer);
+    if (lost.length > 0) options.membershipChanged();
+  };
+
+  const handlers: PeerHandlers = {
+    ...options.handlers,
+    Heartbeat: ({ request }, callback) => {
+      receive(request);
+      callback(null, options.heartbeat());
+    },
+  } as PeerHandlers;
+
+  return {
+    start: async () => {
+      server.addService(PeerService.service, handlers);
+      const port = await new Promise<number>((resolve, reject) => {
+        server.bindAsync(
+          `${options.host}:${options.port}`,
+          ServerCredentials.createInsecure(),
+          (error, bound) => error === null ? resolve(bound) : reject(error),
+        );
+      });
+      sweep = setInterval(expire, timing.heartbeatMs);
+      learn([...addresses]);
+      return port;
+    },
+    call,
+    learn,
+    announce: async () => {
+      await Promise.all(membership.alive().map((peer) => beat(peer.address)));
+    },
+    summaries: () => summaries,
+    stop: async () => {
+      isStopped = true;
+      clearInterval(sweep);
+      for (const timer of timers.values()) clearTimeout(timer);
+      await new Promise<void>((resolve) => {
+        const force = setTimeout(() => {
+          server.forceShutdown();
+          resolve();
+        }, SERVER_STOP_MS);
+        server.tryShutdown(() => {
+          clearTimeout(force);
+          resolve();
+        });
+      });
+      for (const client of clients.values()) client.close();
+    },
+  };
+}
+
+const REFUSALS_BEFORE_SUSPICION = 2;
+const FAILURES_BEFORE_SLOWDOWN = 20;
+const SLOWDOWN = 5; // addresses that do not answer are tried less often
+const SERVER_STOP_MS: Milliseconds = 500;
+const CLIENT_OPTIONS: ClientOptions = {
+  "grpc.enable_retries": 0,
+  "grpc.initial_reconnect_backoff_ms": 100,
+  "grpc.min_reconnect_backoff_ms": 100,
+  "grpc.max_reconnect_backoff_ms": 500,
+  // A new client must open a new connection.
+  "grpc.use_local_subchannel_pool": 1,
+};
--- /dev/null
+++ b/packages/entry/src/placer_host.ts
@@ -0,0 +1,240 @@
+import {
+  type Clock,
+  createIdentifier,
+  ErrorCode,
+  type Milliseconds,
+  RefusedError,
+  UnavailableError,
+} from "@rattanhill/shared";
+import {
+  type ClaimedPart,
+  createPlacer,
+  EndReason,
+  type HoldPlan,
+  type Placer,
+  type PlaceRefusal,
+  type RequestSpec,
+} from "@rattanhill/core";
+import type { PlaceReply } from "@rattanhill/protocol";
+import type { ActorSystem } from "./actors.ts";
+import type { EntryTiming } from "./settings.ts";
+import type { WorkerLinks } from "./worker_links.ts";
+
+/** A request for capacity in this zone. */
+export interface Placing {
+  spec: RequestSpec;
+  attempt: number;
+  owner: string;
+  avoid: readonly string[];
+}
+
+/** The placer of the zone with its timers and workers. */
+export interface PlacerHost {
+  placer: Placer;
+  /** Waits until the request is held or refused. @throws when this placer stops */
+  place(placing: Placing): Promise<PlaceReply>;
+  /** Ends a wait. @returns whether the request was waiting */
+  withdraw(id: string, attempt: number): boolean;
+  /** Sends every waiting request back to its owner, who asks the next lead. */
+  abandon(): void;
+  /** Decides soon about what waits. */
+  decideSoon(): void;
+  stop(): void;
+}
+
+/** Options of {@link createPlacerHost}. */
+export interface PlacerHostOptions {
+  zone: string;
+  timing: EntryTiming;
+  clock: Clock;
+  actors: ActorSystem;
+  links(): WorkerLinks;
+}
+
+interface Waiter {
+  attempt: number;
+  settle(reply: PlaceReply): void;
+  /** Tells the owner to ask the zone's next lead. */
+  abandon(): void;
+}
+
+const DECIDE_INTERVAL_MS: Milliseconds = 100;
+
+/**
+ * Creates the host of the zone's placer.
+ *
+ * @param options zone, clock and links to the workers
+ * @returns the host
+ */
+export function createPlacerHost(options: PlacerHostOptions): PlacerHost {
+  const { zone, timing, clock, actors } = options;
+  const waiters = new Map<string, Waiter>();
+  let isDeciding = false;
+
+  const settle = (id: string, attempt: number, reply: PlaceReply): boolean => {
+    const waiter = waiters.get(id);
+    if (waiter?.attempt !== attempt) return false;
+    waiters.delete(id);
+    waiter.settle(reply);
+    return true;
+  };
+
+  const refuse = (
+    id: string,
+    attempt: number,
+    { reason, retryAfterMs }: PlaceRefusal,
+  ): void => {
+    settle(id, attempt, { parts: [], reason, retryAfterMs });
+  };
+
+  const placer = createPlacer({
+    zone,
+    host: {
+      hold: (plan) => void obtainHolds(plan),
+      refuse,
+      createLeaseName: createIdentifier,
+      random: Math.random,
+    },
+  });
+
+  const obtainHolds = async (plan: HoldPlan): Promise<void> => {
+    const firstSentAt = clock.now();
+    const granted = new Map<number, { boot: string; sequence: number }>();
+    const refusal = await holdInOrder(plan, granted);
+    if (refusal !== undefined) {
+      giveBack(plan, granted);
+      placer.holdsRefused(plan, clock.now());
+      if (!waiters.has(plan.spec.id)) placer.withdraw(plan.spec.id);
+      decideSoon();
+      return;
+    }
+    const grants = plan.parts.map((_, part) => granted.get(part)!);
+    placer.holdsGranted(plan, grants.map(({ sequence }) => sequence));
+    const remainingMs = timing.holdTtlMs - (clock.now() - firstSentAt);
+    const parts = plan.parts.map(({ target, lease }, part): ClaimedPart => ({
+      worker: target.name,
+      address: target.address,
+      boot: grants[part].boot,
+      lease: lease.lease,
+    }));
+    const reply = { parts, remainingMs, reason: "", retryAfterMs: 0 };
+    const isWanted = settle(plan.spec.id, plan.attempt, reply);
+    if (!isWanted) giveBack(plan, granted);
+  };
+
+  /** Workers are asked in the order of their names, so that two gangs never wait for each other. */
+  const holdInOrder = async (
+    plan: HoldPlan,
+    granted: Map<number, { boot: string; sequence: number }>,
+  ): Promise<string | undefined> => {
+    for (const [worker, parts] of partsByWorker(plan)) {
+      const results = await Promise.all(
+        parts.map((part) => holdPart(plan, part, granted)),
+      );
+      const refusal = results.find((reason) => reason !== undefined);
+      if (refusal === undefined) continue;
+      // Our view of this worker is wrong; it takes part again once it has reported.
+      placer.lose(worker);
+      options.links().ask(worker);
+      return refusal;
+    }
+    return undefined;
+  };
+
+  const holdPart = async (
+    plan: HoldPlan,
+    part: number,
+    granted: Map<number, { boot: string; sequence: number }>,
+  ): Promise<string | undefined> => {
+    const { target, lease } = plan.parts[part];
+    const client = options.links().client(target.name, target.address);
+    try {
+      const { boot, sequence } = await client.hold({
+        descriptor: lease,
+        ttlMs: timing.holdTtlMs,
+      });
+      granted.set(part, { boot, sequence });
+      return undefined;
+    } catch (error) {
+      return error instanceof RefusedError ? error.reason : UNREACHABLE;
+    }
+  };
+
+  const giveBack = (
+    plan: HoldPlan,
+    granted: ReadonlyMap<number, unknown>,
+  ): void => {
+    plan.parts.forEach(({ target, lease }, part) => {
+      placer.release(target.name, lease.lease);
+      if (!granted.has(part)) return;
+      const client = options.links().client(target.name, target.address);
+      client.stop(lease.lease).catch(() => {}); // otherwise the hold lapses
+    });
+  };
+
+  const decider = actors.spawn<"decide">("placer", () => {
+    isDeciding = false;
+    placer.decide(clock.now());
+  });
+  const decideSoon = (): void => {
+    if (isDeciding) return;
+    isDeciding = true;
+    decider.send("decide");
+  };
+  const timer = setInterval(decideSoon, DECIDE_INTERVAL_MS);
+
+  return {
+    placer,
+    place: ({ spec, attempt, owner, avoid }) =>
+      new Promise((resolve, reject) => {
+        const earlier = waiters.get(spec.id);
+        if (earlier !== undefined && earlier.attempt !== attempt) {
+          refuse(spec.id, earlier.attempt, {
+            reason: EndReason.noCapacity,
+            retryAfterMs: 0,
+          });
+        }
+        waiters.set(spec.id, {
+          attempt,
+          settle: resolve,
+          abandon: () =>
+            reject(
+              new UnavailableError(
+                ErrorCode.peerUnreachable,
+                "placer stopped",
+                { step: "place", peer: "self" },
+              ),
+            ),
+        });
+        placer.submit({ spec, attempt, avoid, owner }, clock.now());
+        decideSoon();
+      }),
+    withdraw: (id, attempt) => {
+      if (waiters.get(id)?.attempt !== attempt) return false;
+      placer.withdraw(id);
+      refuse(id, attempt, { reason: EndReason.cancelled, retryAfterMs: 0 });
+      return true;
+    },
+    decideSoon,
+    abandon: () => {
+      for (const [id, waiter] of [...waiters]) {
+        waiters.delete(id);
+        placer.withdraw(id);
+        waiter.abandon();
+      }
+    },
+    stop: () => clearInterval(timer),
+  };
+}
+
+const UNREACHABLE = "unreachable";
+
+function partsByWorker(plan: HoldPlan): [string, number[]][] {
+  const byWorker = new Map<string, number[]>();
+  plan.parts.forEach(({ target }, part) => {
+    const parts = byWorker.get(target.name) ?? [];
+    parts.push(part);
+    byWorker.set(target.name, parts);
+  });
+  return [...byWorker].sort(([a], [b]) => a < b ? -1 : 1);
+}
--- /dev/null
+++ b/packages/entry/src/problems.ts
@@ -0,0 +1,116 @@
+import {
+  ErrorCode,
+  type ErrorCodeValue,
+  type Milliseconds,
+  RattanhillError,
+} from "@rattanhill/shared";
+import {
+  EndReason,
+  type EndReason as Reason,
+  Outcome,
+  type RequestResult,
+} from "@rattanhill/core";
+import type { ProblemBody } from "@rattanhill/protocol";
+
+/** A request that was refused before it was admitted; it did not run. */
+export class RequestProblem extends RattanhillError {
+  /** HTTP status. */
+  readonly status: number;
+  /** When to come back, if that makes sense. */
+  readonly retryAfterMs?: Milliseconds;
+
+  constructor(
+    status: number,
+    message: string,
+    options: {
+      code?: ErrorCodeValue;
+      step?: string;
+      retryAfterMs?: Milliseconds;
+    } = {},
+  ) {
+    const { code = ErrorCode.requestInvalid, step = "admit" } = options;
+    super(code, message, { step, peer: "self" });
+    this.status = status;
+    this.retryAfterMs = options.retryAfterMs;
+  }
+}
+
+/**
+ * Describes a refusal as problem details.
+ *
+ * @param problem the refusal
+ * @returns the body
+ */
+export function describeProblem(problem: RequestProblem): ProblemBody {
+  const { status, step, peer, code } = problem;
+  return {
+    type: `urn:rattanhill:error:${code}`,
+    title: TITLES[status] ?? "Request refused",
+    status,
+    detail: problem.message,
+    outcome: Outcome.notRun,
+    step,
+    peer,
+  };
+}
+
+/**
+ * Describes a final result without an answer as problem details.
+ *
+ * @param id identifier of the request
+ * @param result the result
+ * @returns the body
+ */
+export function describeResult(
+  id: string,
+  result: RequestResult,
+): ProblemBody {
+  const status = statusOf(result);
+  return {
+    type: `urn:rattanhill:outcome:${result.outcome}:${result.reason}`,
+    title: TITLES[status] ?? "Request not answered",
+    status,
+    detail: result.detail,
+    outcome: result.outcome,
+    reason: result.reason,
+    step: result.step,
+    peer: result.peer,
+    id,
+    attempts: result.attempts,
+  };
+}
+
+function statusOf({ outcome, reason }: RequestResult): number {
+  if (outcome === Outcome.unknown) return 504;
+  if (outcome === Outcome.failed) return FAILED_STATUS[reason] ?? 502;
+  return NOT_RUN_STATUS[reason] ?? 503;
+}
+
+const FAILED_STATUS: Readonly<Partial<Record<Reason, number>>> = {
+  [EndReason.cancelled]: 410,
+  [EndReason.deadline]: 504,
+};
+
+const NOT_RUN_STATUS: Readonly<Partial<Record<Reason, number>>> = {
+  [EndReason.cancelled]: 410,
+  [EndReason.neverFits]: 422,
+  [EndReason.queueFull]: 429,
+};
+
+const TITLES: Readonly<Record<number, string>> = {
+  400: "Request is not valid",
+  401: "Bearer key is not known",
+  403: "Class is not allowed for this account",
+  404: "Request is not known",
+  405: "Method is not allowed",
+  409: "Key was used with another body",
+  410: "Request was cancelled",
+  413: "Body is too large",
+  415: "Body must be JSON",
+  422: "Request can never run",
+  429: "Too many requests are waiting",
+  500: "Internal error",
+  502: "Task failed",
+  503: "Not now",
+  504: "Outcome is not known in time",
+};
--- /dev/null
+++ b/packages/entry/src/request_host.ts
@@ -0,0 +1,323 @@
+import {
+  type Clock,
+  createIdentifier,
+  type EventLog,
+  Events,
+  type Milliseconds,
+} from "@rattanhill/shared";
+import {
+  type ClaimedPart,
+  createRequest,
+  EndReason,
+  type LedgerEntry,
+  LedgerVerdict,
+  type RequestEffect,
+  type RequestMessage,
+  type RequestPart,
+  RequestPhase,
+  type RequestResult,
+  type RequestSpec,
+  type RequestStep,
+  resumeRequest,
+  stepRequest,
+} from "@rattanhill/core";
+import type { PlaceReply } from "@rattanhill/protocol";
+import type { ActorSystem } from "./actors.ts";
+import type { LogAppender } from "./log_appender.ts";
+import type { LogFollower } from "./log_follower.ts";
+import { type Metrics, Timing } from "./metrics.ts";
+import type { OwnedRequest, RequestRegistry } from "./request_registry.ts";
+import type { TaskCommands } from "./task_commands.ts";
+
+/** Runs the requests that this entry owns. */
+export interface RequestHost {
+  /** Starts a new request. */
+  admit(
+    spec: RequestSpec,
+    payload: string,
+    options?: { attempt?: number },
+  ): OwnedRequest;
+  /** Continues an adopted request. */
+  resume(
+    spec: RequestSpec,
+    payload: string,
+    adopted: { entry: LedgerEntry; parts: readonly RequestPart[] },
+  ): OwnedRequest;
+}
+
+/** Options of {@link createRequestHost}. */
+export interface RequestHostOptions {
+  /** Identifier of this start of the entry. */
+  owner: string;
+  clock: Clock;
+  log: EventLog;
+  actors: ActorSystem;
+  metrics: Metrics;
+  registry: RequestRegistry;
+  follower: LogFollower;
+  appender: LogAppender;
+  tasks: TaskCommands;
+  /** @returns the next ordinal of this entry's records */
+  nextOrdinal(): number;
+  /** Obtains holds from the lead of a zone. @throws when the lead is lost */
+  place(
+    spec: RequestSpec,
+    attempt: number,
+    avoid: readonly string[],
+  ): Promise<PlaceReply & { peer: string }>;
+  /** Ends the wait of a placement. */
+  withdraw(id: string, attempt: number): void;
+  /** Follows the request at whoever owns its key now, up to its final result. */
+  join(spec: RequestSpec, payload: string): Promise<RequestResult>;
+}
+
+const CLAIM_RETRY_MS: Milliseconds = 1_000;
+const LOG_RETRY_AFTER_MS: Milliseconds = 2_000;
+const MAXIMUM_TIMER_MS = 2_147_483_647;
+
+/**
+ * Creates the host of the requests.
+ *
+ * @param options everything a request needs from its surroundings
+ * @returns the host
+ */
+export function createRequestHost(options: RequestHostOptions): RequestHost {
+  const { owner, clock, actors, metrics, registry, tasks } = options;
+  const { appender, follower } = options;
+
+  const open = (
+    first: RequestStep,
+    payload: string,
+  ): OwnedRequest => {
+    const { spec } = first.state;
+    const actor = actors.spawn<RequestMessage>(
+      `request-${createIdentifier()}`,
+      (message) => {
+        if (request.result !== undefined && message.kind !== "placed") return;
+        apply(stepRequest(request.state, message, clock.now()));
+      },
+    );
+    const request: OwnedRequest = {
+      spec,
+      payload,
+      admittedAt: clock.now(),
+      state: first.state,
+      send: actor.send,
+      claim: "",
+      waiters: new Set(),
+    };
+    const apply = ({ state, effects }: RequestStep): void => {
+      noteProgress(request, state.phase);
+      request.state = state;
+      for (const effect of effects) perform(request, effect);
+    };
+    const deadline = setTimeout(
+      () => request.send({ kind: "deadline" }),
+      Math.min(MAXIMUM_TIMER_MS, spec.deadlineMs),
+    );
+    request.waiters.add(() => {
+      clearTimeout(deadline);
+      // Holds that are granted late are still given back.
+      setTimeout(actor.stop, LATE_MESSAGES_MS).unref();
+    });
+    registry.add(request);
+    if (first.state.phase === RequestPhase.placing) {
+      registry.noteWaiting(spec.account, 1);
+    }
+    apply(first);
+    return request;
+  };
+
+  const noteProgress = (request: OwnedRequest, phase: RequestPhase): void => {
+    const { state, spec, admittedAt } = request;
+    const elapsed = clock.now() - admittedAt;
+    const wasWaiting = state.phase === RequestPhase.placing;
+    const isWaiting = phase === RequestPhase.placing;
+    if (wasWaiting && !isWaiting) registry.noteWaiting(spec.account, -1);
+    if (!wasWaiting && isWaiting) registry.noteWaiting(spec.account, 1);
+    if (wasWaiting && !isWaiting) {
+      metrics.time(Timing.queueWait, spec.class, elapsed);
+    }
+    if (state.phase !== phase && phase === RequestPhase.running) {
+      metrics.time(Timing.start, spec.class, elapsed);
+    }
+  };
+
+  const perform = (request: OwnedRequest, effect: RequestEffect): void => {
+    switch (effect.kind) {
+      case "place":
+        if (effect.delayMs === 0) void place(request, effect);
+        else setTimeout(() => void place(request, effect), effect.delayMs);
+        return;
+      case "withdraw":
+        return options.withdraw(request.spec.id, effect.attempt);
+      case "claim":
+        return void claim(request, effect.attempt, effect.parts);
+      case "release-claim":
+        return releaseClaim(request);
+      case "prepare":
+      case "run":
+      case "watch":
+      case "stop":
+        return tasks.perform(request, effect);
+      case "join":
+        return void join(request);
+      case "end":
+        return end(request, effect.result);
+    }
+  };
+
+  const place = async (
+    request: OwnedRequest,
+    effect: RequestEffect & { kind: "place" },
+  ): Promise<void> => {
+    const { attempt, avoid } = effect;
+    if (request.state.attempt !== attempt || request.result) return;
+    try {
+      const sentAt = clock.now();
+      const reply = await options.place(request.spec, attempt, avoid);
+      request.send(placeMessage(reply, attempt, sentAt));
+    } catch {
+      setTimeout(
+        () => request.send({ kind: "placer-lost", attempt }),
+        PLACER_RETRY_MS,
+      );
+    }
+  };
+
+  const placeMessage = (
+    reply: PlaceReply & { peer: string },
+    attempt: number,
+    sentAt: Milliseconds,
+  ): RequestMessage => {
+    const parts = reply.parts ?? [];
+    if (parts.length === 0) {
+      return {
+        kind: "place-refused",
+        attempt,
+        reason: (reply.reason || EndReason.noCapacity) as EndReason,
+        retryAfterMs: Number(reply.retryAfterMs ?? 0),
+        peer: reply.peer,
+      };
+    }
+    const holdsEndAt = Math.max(sentAt, clock.now()) +
+      Number(reply.remainingMs ?? 0);
+    const targets = parts as ClaimedPart[];
+    return { kind: "placed", attempt, parts: targets, holdsEndAt };
+  };
+
+  const claim = async (
+    request: OwnedRequest,
+    attempt: number,
+    parts: readonly ClaimedPart[],
+  ): Promise<void> => {
+    const { spec } = request;
+    const id = createIdentifier();
+    const result = follower.isCurrent()
+      ? await appender.append(
+        {
+          kind: "claim",
+          id,
+          account: spec.account,
+          key: spec.key,
+          owner,
+          ordinal: options.nextOrdinal(),
+          request: spec.id,
+          bodyDigest: spec.bodyDigest,
+          attempt,
+          parts: [...parts],
+        },
+        // The claim was given up; released, it does not hold up the caller's next try.
+        { late: () => release(spec, id) },
+      )
+      : "failed";
+    if (result === LedgerVerdict.accepted) request.claim = id;
+    if (result === LedgerVerdict.accepted) {
+      request.send({ kind: "claim-won", attempt });
+    } else if (result === LedgerVerdict.rejected) {
+      const known = follower.ledger.find(spec.account, spec.key);
+      const other = known?.owner ?? "";
+      options.log(Events.claimLost, { request: spec.id, owner: other });
+      request.send({ kind: "claim-lost", attempt, owner: other });
+    } else {
+      const retryAfterMs = spec.isJob ? CLAIM_RETRY_MS : LOG_RETRY_AFTER_MS;
+      request.send({ kind: "claim-failed", attempt, retryAfterMs });
+    }
+  };
+
+  const releaseClaim = ({ spec, claim }: OwnedRequest): void => {
+    if (claim !== "") release(spec, claim);
+  };
+
+  const release = (spec: RequestSpec, claim: string): void => {
+    appender.appendUntilDone({
+      kind: "release",
+      id: createIdentifier(),
+      account: spec.account,
+      key: spec.key,
+      owner,
+      ordinal: options.nextOrdinal(),
+      claim,
+    });
+  };
+
+  const join = async (request: OwnedRequest): Promise<void> => {
+    end(request, await options.join(request.spec, request.payload), {
+      isJoined: true,
+    });
+  };
+
+  const end = (
+    request: OwnedRequest,
+    result: RequestResult,
+    { isJoined = false }: { isJoined?: boolean } = {},
+  ): void => {
+    if (request.result !== undefined) return;
+    const { spec, admittedAt } = request;
+    metrics.time(Timing.completion, spec.class, clock.now() - admittedAt);
+    metrics.answered(spec.class, result.outcome);
+    options.log(Events.requestAnswered, {
+      request: spec.id,
+      outcome: result.outcome,
+      reason: result.reason,
+      attempts: result.attempts,
+    });
+    registry.finish(request, result, clock.now());
+    if (!isJoined) recordEnd(request, result);
+  };
+
+  /** The end of an accepted job is kept in the log, where any entry finds it. */
+  const recordEnd = (
+    { spec }: OwnedRequest,
+    { outcome, answers, reason }: RequestResult,
+  ): void => {
+    if (!spec.isJob) return;
+    appender.appendUntilDone({
+      kind: "finish",
+      id: createIdentifier(),
+      account: spec.account,
+      key: spec.key,
+      owner,
+      ordinal: options.nextOrdinal(),
+      result: { outcome, answers: [...answers], reason },
+    });
+  };
+
+  return {
+    admit: (spec, payload, { attempt } = {}) => {
+      options.log(Events.requestAdmitted, {
+        request: spec.id,
+        class: spec.class,
+        account: spec.account,
+      });
+      return open(createRequest(spec, clock.now(), { attempt }), payload);
+    },
+    resume: (spec, payload, { entry, parts }) => {
+      options.log(Events.requestAdopted, { request: spec.id });
+      return open(resumeRequest(spec, entry, parts, clock.now()), payload);
+    },
+  };
+}
+
+const PLACER_RETRY_MS: Milliseconds = 50;
+const LATE_MESSAGES_MS: Milliseconds = 60_000;
--- /dev/null
+++ b/packages/entry/src/request_service.ts
@@ -0,0 +1,427 @@
+import {
+  type Clock,
+  createIdentifier,
+  ErrorCode,
+  type EventLog,
+  Events,
+  keyTime,
+  type Milliseconds,
+} from "@rattanhill/shared";
+import {
+  type AccountRule,
+  type ClassRule,
+  EndReason,
+  type LedgerEntry,
+  LedgerVerdict,
+  Outcome,
+  RequestPhase,
+  type RequestResult,
+  type RequestSpec,
+  type Rules,
+} from "@rattanhill/core";
+import {
+  type FindReply__Output,
+  MAXIMUM_PARTS,
+  type RequestBody,
+  sha256Hex,
+} from "@rattanhill/protocol";
+import { type Adopter, recordedResult, resultOfReply } from "./adopter.ts";
+import type { LogAppender } from "./log_appender.ts";
+import type { LogFollower } from "./log_follower.ts";
+import { RequestProblem } from "./problems.ts";
+import type { RequestHost } from "./request_host.ts";
+import type { OwnedRequest, RequestRegistry } from "./request_registry.ts";
+import type { EntryLimits, EntryTiming } from "./settings.ts";
+
+/** State of a request as its caller sees it. */
+export interface RequestView {
+  id: string;
+  /** Absent while the request is in progress. */
+  result?: RequestResult;
+  /** Phase of a request in progress. */
+  phase?: string;
+}
+
+/** A request as its caller sent it. */
+export interface Submission {
+  account: AccountRule;
+  /** Idempotency key, if the caller sent one. */
+  key?: string;
+  body: RequestBody;
+  /** Text of the body, for its digest. */
+  text: string;
+  /** Whether the caller wants the identifier at once and the result later. */
+  isAsync: boolean;
+}
+
+/** Everything that callers can ask for. */
+export interface RequestService {
+  /** Admits a request and waits for its end; a job is returned once it is recorded. @throws RequestProblem */
+  submit(submission: Submission): Promise<RequestView>;
+  /** @returns the request, after waiting for its end. @throws RequestProblem */
+  read(
+    account: AccountRule,
+    id: string,
+    waitMs: Milliseconds,
+  ): Promise<RequestView>;
+  /** Cancels a request. @throws RequestProblem */
+  cancel(account: AccountRule, id: string): Promise<RequestView>;
+}
+
+/** Options of {@link createRequestService}. */
+export interface RequestServiceOptions {
+  owner: string;
+  clock: Clock;
+  log: EventLog;
+  timing: EntryTiming;
+  limits: EntryLimits;
+  follower: LogFollower;
+  appender: LogAppender;
+  registry: RequestRegistry;
+  host: RequestHost;
+  adopter: Adopter;
+  nextOrdinal(): number;
+  rules(): Rules;
+  isLeaving(): boolean;
+  joined(): void;
+  /** Asks all other entries for a request. @returns the reply of the one that has it */
+  findElsewhere(
+    query: { account: string; key?: string; id?: string; waitMs: number },
+  ): Promise<FindReply__Output | undefined>;
+  /** Cancels at all other entries. */
+  cancelElsewhere(
+    account: string,
+    id: string,
+  ): Promise<FindReply__Output | undefined>;
+}
+
+const DEFAULT_DEADLINE_MS: Milliseconds = 60_000;
+const JOB_DEADLINE_MS: Milliseconds = 7 * 24 * 3_600_000;
+const KEY_SKEW_MS: Milliseconds = 60_000; // clocks of callers may be ahead
+const RETRY_AFTER_MS: Milliseconds = 2_000;
+const KEY_FORM = /^[\x21-\x7e]{1,128}$/;
+
+/**
+ * Creates the service behind the callers' interface.
+ *
+ * @param options parts of the entry
+ * @returns the service
+ */
+export function createRequestService(
+  options: RequestServiceOptions,
+): RequestService {
+  const { clock, timing, limits, follower, registry, adopter } = options;
+
+  const submit = async (submission: Submission): Promise<RequestView> => {
+    const spec = describeRequest(submission);
+    const payload = JSON.stringify(submission.body.payload ?? null);
+    if (submission.key !== undefined) {
+      const earlier = await findEarlier(spec, payload);
+      if (earlier !== undefined) return earlier;
+    }
+    refuseOverLimits(submission.account, spec);
+    if (!spec.repeatable) requireCurrentLog();
+    if (spec.isJob) return await acceptJob(spec, payload);
+    const attempt =
+      (follower.ledger.find(spec.account, spec.key)?.attempt ?? 0) + 1;
+    return await waitForEnd(options.host.admit(spec, payload, { attempt }));
+  };
+
+  const describeRequest = (
+    { account, key, body, text, isAsync }: Submission,
+  ): RequestSpec => {
+    const rule = findClass(account, body.class);
+    const repeatable = rule.repeatable && body.repeatable !== false;
+    const id = createIdentifier();
+    checkKey(key, repeatable);
+    const parts = body.parts ?? rule.parts;
+    if (parts > MAXIMUM_PARTS) {
+      throw new RequestProblem(422, `at most ${MAXIMUM_PARTS} parts`);
+    }
+    return {
+      id,
+      account: account.name,
+      key: key ?? id,
+      class: rule.name,
+      shape: {
+        parts,
+        accelerators: body.accelerators ?? rule.accelerators,
+        adjacent: body.adjacent ?? rule.adjacent,
+      },
+      repeatable,
+      // Work that must not run twice cannot be stopped and started again.
+      preemptible: rule.preemptible && repeatable,
+      priority: rule.priority,
+      expectedMs: body.expectedMs ?? rule.expectedMs,
+      deadlineMs: body.deadlineMs ??
+        (isAsync ? JOB_DEADLINE_MS : DEFAULT_DEADLINE_MS),
+      isJob: isAsync,
+      bodyDigest: sha256Hex(text),
+    };
+  };
+
+  const findClass = (account: AccountRule, name: string): ClassRule => {
+    const rule = options.rules().classes.get(name);
+    if (rule === undefined) {
+      throw new RequestProblem(400, `class ${JSON.stringify(name)} is unknown`);
+    }
+    if (account.classes.length > 0 && !account.classes.includes(name)) {
+      const text = `class ${name} is not allowed for account ${account.name}`;
+      throw new RequestProblem(403, text, { code: ErrorCode.requestForbidden });
+    }
+    return rule;
+  };
+
+  const checkKey = (key: string | undefined, repeatable: boolean): void => {
+    if (key !== undefined && !KEY_FORM.test(key)) {
+      throw new RequestProblem(400, "Idempotency-Key has an invalid form");
+    }
+    if (repeatable) return;
+    const time = keyTime(key ?? "");
+    if (time === undefined) {
+      const text = "a request that is not repeatable needs an " +
+        "Idempotency-Key that is a UUIDv7";
+      throw new RequestProblem(400, text);
+    }
+    const age = clock.wallTime() - time;
+    if (age > timing.claimWindowMs) {
+      throw new RequestProblem(422, "Idempotency-Key is older than the window");
+    }
+    if (age < -KEY_SKEW_MS) {
+      throw new RequestProblem(400, "Idempotency-Key lies in the future");
+    }
+  };
+
+  const findEarlier = async (
+    spec: RequestSpec,
+    payload: string,
+  ): Promise<RequestView | undefined> => {
+    const own = registry.findKey(spec.account, spec.key);
+    if (own !== undefined && !isOpenForRetry(own.result)) {
+      requireSameBody(own.spec.bodyDigest, spec);
+      return await joinOwn(own, spec);
+    }
+    const entry = follower.ledger.find(spec.account, spec.key);
+    if (entry !== undefined && isTaken(entry)) {
+      requireSameBody(entry.bodyDigest, spec);
+      noteJoin(entry.request);
+      if (spec.isJob) return viewOfEntry(entry);
+      const result = await adopter.join(spec, payload);
+      return { id: entry.request, result };
+    }
+    if (!spec.repeatable || own !== undefined) return undefined;
+    const reply = await options.findElsewhere({
+      account: spec.account,
+      key: spec.key,
+      waitMs: 0,
+    });
+    return reply && await joinElsewhere(reply, spec);
+  };
+
+  /** A claim of this very entry that is not in its registry belongs to an attempt that was given up. */
+  const isTaken = (entry: LedgerEntry): boolean => {
+    if (entry.result !== undefined) return !isOpenForRetry(entry.result);
+    if (entry.isReleased) return false;
+    return entry.owner !== options.owner || entry.job !== undefined;
+  };
+
+  const joinOwn = async (
+    own: OwnedRequest,
+    spec: RequestSpec,
+  ): Promise<RequestView> => {
+    noteJoin(own.spec.id);
+    if (spec.isJob) return viewOfOwn(own);
+    const result = await registry.waitFor(own, spec.deadlineMs);
+    return result === undefined ? viewOfOwn(own) : { id: own.spec.id, result };
+  };
+
+  const joinElsewhere = async (
+    first: FindReply__Output,
+    spec: RequestSpec,
+  ): Promise<RequestView | undefined> => {
+    requireSameBody(first.bodyDigest, spec);
+    noteJoin(first.id);
+    const until = clock.now() + spec.deadlineMs;
+    let reply: FindReply__Output | undefined = first;
+    while (reply !== undefined && clock.now() < until) {
+      const result = resultOfReply(reply);
+      if (isOpenForRetry(result)) return undefined;
+      if (result !== undefined) return { id: reply.id, result };
+      reply = await options.findElsewhere({
+        account: spec.account,
+        id: first.id,
+        waitMs: JOIN_WAIT_MS,
+      });
+    }
+    return undefined; // its owner is gone, and a repeatable request may run again
+  };
+
+  const noteJoin = (request: string): void => {
+    options.log(Events.requestJoined, { request });
+    options.joined();
+  };
+
+  const refuseOverLimits = (account: AccountRule, spec: RequestSpec): void => {
+    if (options.isLeaving()) throw notNow("this entry is shutting down", 200);
+    if (registry.activeCount() >= limits.requests) {
+      throw notNow("this entry has too many requests in progress");
+    }
+    const waiting = registry.waitingCount(account.name);
+    if (waiting < account.waitingLimit) return;
+    const text = `${waiting} requests of ${spec.account} are waiting, ` +
+      `the limit is ${account.waitingLimit}`;
+    throw new RequestProblem(429, text, { retryAfterMs: RETRY_AFTER_MS });
+  };
+
+  const requireCurrentLog = (): void => {
+    if (follower.isCurrent()) return;
+    throw notNow("the platform's log does not answer", RETRY_AFTER_MS);
+  };
+
+  const acceptJob = async (
+    spec: RequestSpec,
+    payload: string,
+  ): Promise<RequestView> => {
+    requireCurrentLog();
+    const record = recordBase(spec);
+    const verdict = await options.appender.append(
+      { kind: "accept", ...record, spec, payload },
+      { late: () => withdrawJob(spec) },
+    );
+    if (verdict === LedgerVerdict.accepted) {
+      const { state } = options.host.admit(spec, payload);
+      return { id: spec.id, phase: state.phase };
+    }
+    if (verdict === LedgerVerdict.rejected) {
+      const entry = follower.ledger.find(spec.account, spec.key);
+      if (entry === undefined) throw notNow("the job was not recorded");
+      requireSameBody(entry.bodyDigest, spec);
+      return viewOfEntry(entry);
+    }
+    throw notNow("the job could not be recorded", RETRY_AFTER_MS);
+  };
+
+  /** The caller was told that the job did not run, so it must not when its record appears late. */
+  const withdrawJob = (spec: RequestSpec): void =>
+    options.appender.appendUntilDone({
+      kind: "finish",
+      ...recordBase(spec),
+      result: {
+        outcome: Outcome.notRun,
+        answers: [],
+        reason: EndReason.logUnavailable,
+      },
+    });
+
+  const recordBase = ({ account, key }: RequestSpec) => ({
+    id: createIdentifier(),
+    account,
+    key,
+    owner: options.owner,
+    ordinal: options.nextOrdinal(),
+  });
+
+  const waitForEnd = async (own: OwnedRequest): Promise<RequestView> => {
+    const patience = own.spec.deadlineMs + DEADLINE_GRACE_MS;
+    const result = await registry.waitFor(own, patience);
+    return result === undefined ? viewOfOwn(own) : { id: own.spec.id, result };
+  };
+
+  const read = async (
+    account: AccountRule,
+    id: string,
+    waitMs: Milliseconds,
+  ): Promise<RequestView> => {
+    const own = registry.find(id);
+    if (own !== undefined && own.spec.account === account.name) {
+      await registry.waitFor(own, waitMs);
+      return viewOfOwn(own);
+    }
+    const entry = follower.ledger.findRequest(id);
+    if (entry?.account === account.name && entry.result !== undefined) {
+      return viewOfEntry(entry);
+    }
+    const reply = await options.findElsewhere({
+      account: account.name,
+      id,
+      waitMs,
+    });
+    if (reply !== undefined) return viewOfReply(reply);
+    if (entry?.account === account.name) return viewOfEntry(entry);
+    throw notFound(id);
+  };
+
+  const cancel = async (
+    account: AccountRule,
+    id: string,
+  ): Promise<RequestView> => {
+    const own = registry.find(id);
+    if (own !== undefined && own.spec.account === account.name) {
+      own.send({ kind: "cancel" });
+      await registry.waitFor(own, CANCEL_WAIT_MS);
+      return viewOfOwn(own);
+    }
+    const reply = await options.cancelElsewhere(account.name, id);
+    if (reply !== undefined) return viewOfReply(reply);
+    const entry = follower.ledger.findRequest(id);
+    if (entry?.account === account.name) return viewOfEntry(entry);
+    throw notFound(id);
+  };
+
+  return { submit, read, cancel };
+}
+
+const JOIN_WAIT_MS: Milliseconds = 2_000;
+const CANCEL_WAIT_MS: Milliseconds = 5_000;
+const DEADLINE_GRACE_MS: Milliseconds = 30_000; // tasks that must be stopped are asked for this long
+
+/** A request that certainly did not run may be tried again under the same key. */
+function isOpenForRetry(
+  result: { outcome: string } | undefined,
+): boolean {
+  return result?.outcome === Outcome.notRun;
+}
+
+function requireSameBody(digest: string, spec: RequestSpec): void {
+  if (digest === spec.bodyDigest) return;
+  throw new RequestProblem(409, "the key was used with another body", {
+    code: ErrorCode.keyConflict,
+  });
+}
+
+function notNow(
+  text: string,
+  retryAfterMs: Milliseconds = RETRY_AFTER_MS,
+): RequestProblem {
+  return new RequestProblem(503, text, { retryAfterMs });
+}
+
+function notFound(id: string): RequestProblem {
+  return new RequestProblem(404, `request ${id} is not known`, {
+    code: ErrorCode.requestNotFound,
+    step: "read",
+  });
+}
+
+/** Describes a request of this entry. */
+function viewOfOwn({ spec, state, result }: OwnedRequest): RequestView {
+  return { id: spec.id, result, phase: state.phase };
+}
+
+function viewOfEntry(entry: LedgerEntry): RequestView {
+  if (entry.result !== undefined) {
+    return { id: entry.request, result: recordedResult(entry) };
+  }
+  const phase = entry.attempt === 0
+    ? RequestPhase.placing
+    : RequestPhase.running;
+  return { id: entry.request, phase };
+}
+
+function viewOfReply(reply: FindReply__Output): RequestView {
+  return {
+    id: reply.id,
+    result: resultOfReply(reply),
+    phase: reply.phase,
+  };
+}
--- /dev/null
+++ b/packages/protocol/src/callers_interface.ts
@@ -0,0 +1,59 @@
+import { z } from "zod";
+import { Adjacency, type EndReason, type Outcome } from "@rattanhill/core";
+
+/** Largest request body that is read, in bytes. */
+export const MAXIMUM_BODY_BYTES = 262_144;
+/** Largest total size of request headers, in bytes. */
+export const MAXIMUM_HEADER_BYTES = 16_384;
+/** Largest number of parts of a gang job. */
+export const MAXIMUM_PARTS = 64;
+
+const MAXIMUM_ACCELERATORS = 1_024; // of one part
+const MAXIMUM_EXPECTED_MS = 7 * 24 * 3_600_000;
+
+/** Schema of the body of `POST /v1/requests`. */
+export const requestBodySchema = z.strictObject({
+  class: z.string().min(1).max(64),
+  parts: z.number().int().min(1).max(MAXIMUM_PARTS).optional(),
+  accelerators: z.number().int().min(1).max(MAXIMUM_ACCELERATORS).optional(),
+  adjacent: z.enum(Object.values(Adjacency) as [Adjacency]).optional(),
+  repeatable: z.boolean().optional(),
+  expectedMs: z.number().int().min(1).max(MAXIMUM_EXPECTED_MS).optional(),
+  deadlineMs: z.number().int().min(1).max(MAXIMUM_EXPECTED_MS).optional(),
+  payload: z.unknown(),
+});
+
+/** Body of `POST /v1/requests`. */
+export type RequestBody = z.infer<typeof requestBodySchema>;
+
+/** Body of an answered request. */
+export interface AnswerBody {
+  id: string;
+  outcome: Outcome;
+  /** Answer of the task, or the list of answers of a gang job's parts. */
+  answer: unknown;
+  attempts: number;
+}
+
+/** Body of a request in progress. */
+export interface ProgressBody {
+  id: string;
+  state: string;
+}
+
+/** Problem details (RFC 9457) with the members of this interface. */
+export interface ProblemBody {
+  type: string;
+  title: string;
+  status: number;
+  detail?: string;
+  outcome: Outcome;
+  reason?: EndReason;
+  step: string;
+  peer: string;
+  id?: string;
+  attempts?: number;
+}
+
+/** Media type of problem details. */
+export const PROBLEM_MEDIA_TYPE = "application/problem+json";
--- /dev/null
+++ b/packages/protocol/src/mod.ts
@@ -0,0 +1,17 @@
+export * from "./callers_interface.ts";
+export * from "./digest.ts";
+export * from "./peer_service.ts";
+export * from "./platform_interface.ts";
+export * from "./records.ts";
+export * from "./worker_interface.ts";
+export type { PeerClient, PeerHandlers } from "./generated/rattanhill/Peer.ts";
+export type { ConfigReply } from "./generated/rattanhill/ConfigReply.ts";
+export type { ExplainReply } from "./generated/rattanhill/ExplainReply.ts";
+export type { FindReply } from "./generated/rattanhill/FindReply.ts";
+export type { FindReply__Output } from "./generated/rattanhill/FindReply.ts";
+export type { FindRequest } from "./generated/rattanhill/FindRequest.ts";
+export type { HeartbeatMessage } from "./generated/rattanhill/HeartbeatMessage.ts";
+export type { HeartbeatMessage__Output } from "./generated/rattanhill/HeartbeatMessage.ts";
+export type { PlaceReply } from "./generated/rattanhill/PlaceReply.ts";
+export type { PlaceReply__Output } from "./generated/rattanhill/PlaceReply.ts";
+export type { PlaceRequest } from "./generated/rattanhill/PlaceRequest.ts";
--- /dev/null
+++ b/packages/shared/__tests__/events.test.ts
@@ -0,0 +1,30 @@
+import { expect } from "chai";
+import { readFileSync } from "node:fs";
+import { createEventLog, Events } from "../src/mod.ts";
+
+const CATALOGUE = new URL("../../../../docs/EVENTS.md", import.meta.url);
+
+it("events: the catalogue in the docs equals the table in the code", () => {
+  const rows = readFileSync(CATALOGUE, "utf8").split("\n")
+    .map((line) => /^\| E(\d+) \| ([^|]+) \|/.exec(line))
+    .filter((match) => match !== null)
+    .map((match) => `${match[1]} ${match[2].trim()}`);
+  const table = Object.values(Events).map((event) =>
+    `${event.number} ${event.text}`
+  );
+  expect(rows).to.deep.equal(table);
+});
+
+it("events: numbers are unique", () => {
+  const numbers = Object.values(Events).map((event) => event.number);
+  expect(new Set(numbers).size).to.equal(numbers.length);
+});
+
+it("events: a line carries the number, the text and the fields", () => {
+  const lines: string[] = [];
+  createEventLog("test", (line) => lines.push(line))(Events.peerLost, {
+    peer: "a",
+    zone: undefined,
+  });
+  expect(lines).to.deep.equal(['E1300 peer lost peer="a"']);
+});
--- /dev/null
+++ b/packages/shared/src/errors.ts
@@ -0,0 +1,99 @@
+/** Error codes of the project; the numbers never change meaning. */
+export const ErrorCode = {
+  settingsInvalid: 100,
+  rulesInvalid: 101,
+  logUnavailable: 200,
+  logUncertain: 201,
+  workerUnreachable: 210,
+  workerRefused: 211,
+  answerDamaged: 212,
+  peerUnreachable: 220,
+  requestInvalid: 300,
+  requestUnauthorized: 301,
+  requestForbidden: 302,
+  requestNotFound: 303,
+  keyConflict: 304,
+  internal: 900,
+} as const;
+
+/** One of the numbers in {@link ErrorCode}. */
+export type ErrorCodeValue = typeof ErrorCode[keyof typeof ErrorCode];
+
+/** Where an error arose. */
+export interface ErrorContext {
+  /** The operation that failed, for example `log.append`. */
+  step: string;
+  /** The process or address at the other end, or `self`. */
+  peer: string;
+  /** The error that caused this one. */
+  cause?: unknown;
+}
+
+/** Base of every error thrown by the project; carries the step and the peer. */
+export class RattanhillError extends Error {
+  /** Number from the table of error codes. */
+  readonly code: ErrorCodeValue;
+  /** The operation that failed. */
+  readonly step: string;
+  /** The process or address at the other end. */
+  readonly peer: string;
+
+  constructor(code: ErrorCodeValue, message: string, context: ErrorContext) {
+    super(`${message} (step ${context.step}, peer ${context.peer})`, {
+      cause: context.cause,
+    });
+    this.name = new.target.name;
+    this.code = code;
+    this.step = context.step;
+    this.peer = context.peer;
+  }
+}
+
+/** The platform did not perform the operation, or cannot have performed it. */
+export class UnavailableError extends RattanhillError {}
+
+/** The operation may have taken effect although no answer came. */
+export class UncertainError extends RattanhillError {}
+
+/** The other end answered and refused. */
+export class RefusedError extends RattanhillError {
+  /** Short reason named by the other end. */
+  readonly reason: string;
+
+  constructor(
+    code: ErrorCodeValue,
+    message: string,
+    context: ErrorContext & { reason: string },
+  ) {
+    super(code, message, context);
+    this.reason = context.reason;
+  }
+}
+
+/** A file or request body does not have the required form. */
+export class InvalidError extends RattanhillError {
+  /** Every fault that was found. */
+  readonly faults: readonly string[];
+
+  constructor(
+    code: ErrorCodeValue,
+    message: string,
+    context: ErrorContext & { faults: readonly string[] },
+  ) {
+    super(code, message, context);
+    this.faults = context.faults;
+  }
+}
+
+/**
+ * Describes any thrown value in one line.
+ *
+ * @param error the thrown value
+ * @returns its message, with the code when it is one of ours
+ */
+export function describeError(error: unknown): string {
+  if (error instanceof RattanhillError) {
+    return `R${error.code} ${error.message}`;
+  }
+  return error instanceof Error ? error.message : String(error);
+}
--- /dev/null
+++ b/packages/standins/src/worker_main.ts
@@ -0,0 +1,33 @@
+import process from "node:process";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { EXECUTOR_SLOTS, startWorker } from "./worker_standin.ts";
+
+const DRAIN_CHECK_MS = 100;
+
+const options = yargs(hideBin(process.argv)).options({
+  name: { type: "string", demandOption: true },
+  zone: { type: "string", demandOption: true },
+  rack: { type: "string", demandOption: true },
+  host: { type: "string", default: "127.0.0.1" },
+  port: { type: "number", default: 0 },
+  accelerators: { type: "number", default: EXECUTOR_SLOTS },
+  journal: { type: "string", demandOption: true },
+  retention: { type: "number", default: 60_000 },
+}).strict().parseSync();
+
+const worker = await startWorker({
+  ...options,
+  endedRetentionMs: options.retention,
+});
+console.log(JSON.stringify({ ready: true, address: worker.address }));
+
+process.on("SIGINT", () => {}); // the launcher decides
+process.on("SIGTERM", () => {
+  worker.setLeaving();
+  setInterval(() => {
+    if (worker.isBusy()) return;
+    worker.close();
+    process.exit(0);
+  }, DRAIN_CHECK_MS);
+});
