--- /dev/null
+++ b/packages/core/__tests__/rules.test.ts
@@ -0,0 +1,91 @@
+import { expect } from "chai";
+import { foldConfig, NO_CONFIG, parseRules } from "../src/mod.ts";
+
+const BY = "# asked by: Sera, dispatch";
+
+it("rules: a whole file is parsed", () => {
+  const { rules, faults } = parseRules([
+    "# heading",
+    "",
+    `account routes guarantee 16 accelerators adjacent rack zone suva ${BY}`,
+    `class route-plan priority 90 wait 2s not-repeatable ${BY}`,
+    `limit account routes waiting 7 ${BY}`,
+    `allow account routes class route-plan ${BY}`,
+    `key account routes sha256 ${"a".repeat(64)} ${BY}`,
+    `refuse class route-plan when waiting over 9 ${BY}`,
+  ].join("\n"));
+  expect(faults).to.deep.equal([]);
+  expect(rules!.accounts.get("routes")).to.deep.equal({
+    name: "routes",
+    weight: 1,
+    guarantees: [{ zone: "suva", accelerators: 16, adjacent: "rack" }],
+    keyDigests: ["a".repeat(64)],
+    waitingLimit: 7,
+    classes: ["route-plan"],
+  });
+  expect(rules!.classes.get("route-plan")).to.include({
+    priority: 90,
+    waitMs: 2_000,
+    repeatable: false,
+    refuseOver: 9,
+  });
+});
+
+const FAULTS: [string, string, number, string][] = [
+  ["no comment", "account a", 10, "asked by"],
+  ["an empty name", "account a # asked by:", 11, "asked by"],
+  ["an unknown kind", `acount a ${BY}`, 1, 'found "acount"'],
+  ["a bad number", `account a weight two ${BY}`, 18, "a weight"],
+  ["a bad duration", `class c wait 2 ${BY}`, 14, "a duration"],
+  ["a missing word", `account a guarantee 4 zone z ${BY}`, 23, "accelerators"],
+  ["an unknown account", `limit account b waiting 1 ${BY}`, 15, "unknown"],
+  [
+    "an unknown class",
+    `refuse class c when waiting over 1 ${BY}`,
+    14,
+    "unknown",
+  ],
+  ["words left over", `limit account z waiting 1 2 ${BY}`, 27, "line's end"],
+  ["a short digest", `key account z sha256 abc ${BY}`, 22, "64 hex"],
+];
+
+for (const [what, line, column, reason] of FAULTS) {
+  it(`rules: ${what} is refused with line and column`, () => {
+    const text = `account z ${BY}\n${line}`;
+    const { rules, faults } = parseRules(text);
+    expect(rules).to.equal(undefined);
+    const fault = faults.find((found) => found.line === 2)!;
+    expect(fault.column).to.equal(column);
+    expect(fault.reason).to.contain(reason);
+  });
+}
+
+it("rules: a class defined twice is refused", () => {
+  const { faults } = parseRules(`class c ${BY}\nclass c ${BY}`);
+  expect(faults).to.have.length(1);
+  expect(faults[0]).to.include({ line: 2, column: 7 });
+});
+
+const record = (id: string, base: number, text = `account a ${BY}`) =>
+  ({ kind: "rules", id, base, text, author: id }) as const;
+
+it("config: the first record on a base wins and the second is told by whom", () => {
+  const first = foldConfig(NO_CONFIG, record("ana", 0));
+  expect(first.kind).to.equal("accepted");
+  const state = first.kind === "accepted" ? first.state : NO_CONFIG;
+  const second = foldConfig(state, record("ben", 0));
+  expect(second).to.deep.equal({ kind: "overtaken", by: state });
+});
+
+it("config: rules with faults are never accepted", () => {
+  const verdict = foldConfig(NO_CONFIG, record("ana", 0, "nonsense"));
+  expect(verdict.kind).to.equal("invalid");
+});
+
+it("config: a carried record brings a fresh reader up and moves nobody back", () => {
+  const carry = { ...record("x", 6), kind: "carry" } as const;
+  const fresh = foldConfig(NO_CONFIG, carry);
+  expect(fresh.kind === "accepted" && fresh.state.version).to.equal(7);
+  const ahead = { version: 9, text: "", author: "", id: "" };
+  expect(foldConfig(ahead, carry)).to.deep.equal({ kind: "repeated" });
+});
--- /dev/null
+++ b/packages/scenarios/__tests__/callers_interface.test.ts
@@ -0,0 +1,183 @@
+import { expect } from "chai";
+import { createIdentifier } from "@rattanhill/shared";
+import { readJournal } from "@rattanhill/standins";
+import { type SmallSystem, startSmallSystem } from "./small_system.ts";
+
+const PATH = "/v1/requests";
+const draft = (more: object = {}) => ({
+  class: "draft",
+  payload: { runMs: 20 },
+  ...more,
+});
+const withKey = (key: string, more: Record<string, string> = {}) => ({
+  "idempotency-key": key,
+  ...more,
+});
+
+let system: SmallSystem;
+
+before(async () => {
+  system = await startSmallSystem();
+});
+
+after(async () => {
+  await system.stop();
+});
+
+it("callers: a request is answered whole", async () => {
+  const { status, body } = await system.send("POST", PATH, { body: draft() });
+  expect(status).to.equal(200);
+  expect(body.outcome).to.equal("done");
+  expect(body.answer).to.include({ part: 0, parts: 1 });
+});
+
+it("callers: a gang job is answered with all of its parts", async () => {
+  const body = { class: "gang", payload: { runMs: 20 } };
+  const reply = await system.send("POST", PATH, { body });
+  expect(reply.status).to.equal(200);
+  expect(reply.body.answer).to.have.length(4);
+});
+
+const REFUSED: [string, number, object][] = [
+  ["a body that is not JSON", 400, { text: "{" }],
+  ["a body of another type", 400, { text: "[]" }],
+  ["a field of the wrong type", 400, { body: draft({ parts: "two" }) }],
+  ["an unknown field", 400, { body: draft({ colour: "red" }) }],
+  ["too many parts", 400, { body: draft({ parts: 65 }) }],
+  ["an unknown class", 400, { body: draft({ class: "none" }) }],
+  ["a class of another account", 403, {
+    bearer: "crates-key",
+    body: draft({ class: "plan" }),
+  }],
+  ["an unknown bearer key", 401, { bearer: "guess", body: draft() }],
+  ["a media type that is not JSON", 415, {
+    headers: { "content-type": "text/plain" },
+    body: draft(),
+  }],
+  ["an oversize body", 413, {
+    text: JSON.stringify(draft({ payload: "x".repeat(300_000) })),
+  }],
+  ["a malformed key", 400, {
+    headers: withKey("a b"),
+    body: draft(),
+  }],
+  ["a not repeatable request without a key", 400, {
+    body: draft({ class: "plan" }),
+  }],
+  ["a not repeatable request with a key that is not a UUIDv7", 400, {
+    headers: withKey("9b2c1c1e-7d5f-4c8e-9a52-0d6a3f1f7c11"),
+    body: draft({ class: "plan" }),
+  }],
+  ["a not repeatable request with a key older than the window", 422, {
+    headers: withKey("017f22e2-79b0-7cc3-98c4-dc0c0c07398f"),
+    body: draft({ class: "plan" }),
+  }],
+];
+
+for (const [what, status, options] of REFUSED) {
+  it(`callers: ${what} is refused as not run`, async () => {
+    const reply = await system.send("POST", PATH, options);
+    expect(reply.status).to.equal(status);
+    expect(reply.headers["content-type"]).to.equal("application/problem+json");
+    expect(reply.body.outcome).to.equal("not-run");
+    expect(reply.body.step).to.equal("admit");
+  });
+}
+
+it("callers: oversize headers are refused", async () => {
+  const headers = { "x-long": "x".repeat(20_000) };
+  const reply = await system.send("POST", PATH, { headers, body: draft() });
+  expect(reply.status).to.equal(431);
+});
+
+it("callers: a duplicate joins its request and runs once", async () => {
+  const key = createIdentifier();
+  const send = () =>
+    system.send("POST", PATH, {
+      headers: withKey(key),
+      body: draft({ class: "plan", payload: { runMs: 150 } }),
+    });
+  const replies = await Promise.all([send(), send(), send()]);
+  replies.push(await send());
+  for (const { status, body } of replies) {
+    expect(status).to.equal(200);
+    expect(body.id).to.equal(replies[0].body.id);
+  }
+  const starts = readJournal(system.journal)
+    .filter((line) => line.key === key && line.event === "started");
+  expect(starts).to.have.length(1);
+});
+
+it("callers: a key with another body is a conflict", async () => {
+  const headers = withKey(createIdentifier());
+  await system.send("POST", PATH, { headers, body: draft() });
+  const body = draft({ payload: { runMs: 21 } });
+  const reply = await system.send("POST", PATH, { headers, body });
+  expect(reply.status).to.equal(409);
+});
+
+it("callers: an accepted job is answered later", async () => {
+  const headers = withKey(createIdentifier(), { prefer: "respond-async" });
+  const accepted = await system.send("POST", PATH, { headers, body: draft() });
+  expect(accepted.status).to.equal(202);
+  const path = `${PATH}/${accepted.body.id}?wait=3000`;
+  const reply = await system.send("GET", path);
+  expect(reply.status).to.equal(200);
+  expect(reply.body.outcome).to.equal("done");
+});
+
+it("callers: an account neither sees nor cancels another's request", async () => {
+  const headers = { prefer: "respond-async" };
+  const body = draft({ payload: { runMs: 300 } });
+  const accepted = await system.send("POST", PATH, { headers, body });
+  const path = `${PATH}/${accepted.body.id}`;
+  const bearer = "crates-key";
+  expect((await system.send("GET", path, { bearer })).status).to.equal(404);
+  expect((await system.send("DELETE", path, { bearer })).status).to.equal(404);
+  const reply = await system.send("GET", `${path}?wait=3000`);
+  expect(reply.body.outcome).to.equal("done");
+});
+
+it("callers: a running request is cancelled and told that it had run", async () => {
+  const headers = { prefer: "respond-async" };
+  const body = draft({ payload: { runMs: 5_000 } });
+  const { body: { id } } = await system.send("POST", PATH, { headers, body });
+  while (
+    (await system.send("GET", `${PATH}/${id}`)).body.state !== "running"
+  );
+  const reply = await system.send("DELETE", `${PATH}/${id}`);
+  expect(reply.status).to.equal(410);
+  expect(reply.body.outcome).to.equal("failed");
+});
+
+it("callers: work that waited too long is refused with a time to come back", async () => {
+  const long = draft({ parts: 8, accelerators: 2, payload: { runMs: 900 } });
+  const running = system.send("POST", PATH, { body: long });
+  while (
+    (await system.send("GET", "/status")).body.workers?.toString() === "" ||
+    ((await system.send("GET", "/status")).body.summary as { free: number })
+        .free > 0
+  );
+  const reply = await system.send("POST", PATH, { body: draft() });
+  expect(reply.status).to.equal(503);
+  expect(reply.body.outcome).to.equal("not-run");
+  expect(reply.body.reason).to.equal("waited-too-long");
+  expect(Number(reply.headers["retry-after"])).to.be.at.least(1);
+  expect((await running).status).to.equal(200);
+});
+
+it("callers: a failing task is reported with what it said", async () => {
+  const body = draft({ payload: { runMs: 5, fail: "no hall" } });
+  const reply = await system.send("POST", PATH, { body });
+  expect(reply.status).to.equal(502);
+  expect(reply.body).to.include({ outcome: "failed", detail: "no hall" });
+});
+
+it("operators: health, readiness, metrics and state are shown", async () => {
+  expect((await system.send("GET", "/healthz")).status).to.equal(200);
+  expect((await system.send("GET", "/readyz")).status).to.equal(200);
+  const metrics = await system.send("GET", "/metrics");
+  expect(metrics.body.text).to.contain("rattanhill_completion_milliseconds");
+  const state = await system.send("GET", "/debug/state");
+  expect(state.body).to.include.keys("entry", "peers", "log", "workers");
+});
