--- a/packages/core/src/ledger.ts
+++ b/packages/core/src/ledger.ts
@@ -142,6 +142,8 @@
     forgetBefore: (time) => {
       for (const [name, entry] of byKey) {
         if (entry.recordedAt >= time) return;
+        // A job that has not ended is never forgotten, only recorded anew.
+        if (entry.job !== undefined) continue;
         byKey.delete(name);
         byRequest.delete(entry.request);
       }
@@ -180,9 +182,7 @@
       if (known?.owner !== record.owner) return undefined;
       return { ...known, result: record.result, job: undefined };
     case "carry":
-      return known === undefined || isBehind(known, record.entry)
-        ? record.entry
-        : known;
+      return carriedEntry(known, record);
   }
 }
 
@@ -245,7 +245,14 @@
   };
 }
 
-function isBehind(known: LedgerEntry, carried: LedgerEntry): boolean {
-  return carried.attempt > known.attempt ||
-    (carried.result !== undefined && known.result === undefined);
+/**
+ * A carried entry is news only to a reader that came after the records it
+ * repeats; it never changes what others know, and keeps a known entry young.
+ */
+function carriedEntry(
+  known: LedgerEntry | undefined,
+  record: LedgerRecord & { kind: "carry" },
+): LedgerEntry | undefined {
+  if (known === undefined) return record.entry;
+  return known.owner === record.owner ? known : undefined;
 }
--- a/packages/core/src/request.ts
+++ b/packages/core/src/request.ts
@@ -243,9 +243,7 @@
     phase: RequestPhase.running,
   };
   if (!mayHaveRun(state)) return stopParts(state, "retry");
-  if (parts.every((part) => part.phase === PartPhase.ended)) {
-    return end(state, Outcome.done, EndReason.none);
-  }
+  if (hasWholeAnswer(state)) return end(state, Outcome.done, EndReason.none);
   // Holds lapse during the adopter's wait, so a gang that does not run as a whole cannot be completed.
   if (!parts.every(isAlive)) {
     return stopParts(state, spec.repeatable ? "retry" : "end");
@@ -391,7 +389,7 @@
     case "part-running":
       return { state: next, effects: [watch(next, message.part)] };
     case "part-ended":
-      return next.parts.every((part) => part.phase === PartPhase.ended)
+      return hasWholeAnswer(next)
         ? end(next, Outcome.done, EndReason.none)
         : unchanged(next);
     case "part-released":
@@ -488,9 +486,7 @@
 
 function finishStop(state: RequestState): RequestStep {
   if (!state.parts.every(isSettled)) return unchanged(state);
-  if (state.parts.every((part) => part.phase === PartPhase.ended)) {
-    return end(state, Outcome.done, EndReason.none);
-  }
+  if (hasWholeAnswer(state)) return end(state, Outcome.done, EndReason.none);
   if (state.afterStop === "retry" && mayStartAgain(state)) {
     return placeAgain(state);
   }
@@ -651,6 +647,12 @@
   };
 }
 
+/** An attempt without parts has no answer either. */
+function hasWholeAnswer({ spec, parts }: RequestState): boolean {
+  return parts.length === spec.shape.parts &&
+    parts.every((part) => part.phase === PartPhase.ended);
+}
+
 function isSettled(part: RequestPart): boolean {
   return part.phase === PartPhase.ended ||
     part.phase === PartPhase.released ||
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -38,6 +38,7 @@
 import { createAccess } from "./access.ts";
 import { createActorSystem } from "./actors.ts";
 import { createAdopter } from "./adopter.ts";
+import { createJobCarrier } from "./job_carrier.ts";
 import { createCallersServer } from "./callers_server.ts";
 import { createLogAppender, type LogAppender } from "./log_appender.ts";
 import { createLogFollower, type LogFollower } from "./log_follower.ts";
@@ -389,19 +390,36 @@
     nextOrdinal,
     rules: () => rules,
     isLeaving: () => info.leaving,
+    seesEverybody: () =>
+      follower.isCurrent() && membership.all().every((peer) => peer.isAlive),
     joined: metrics.joined,
     findElsewhere,
     cancelElsewhere,
   });
 
+  const carrier = createJobCarrier({
+    owner: info.id,
+    follower,
+    appender,
+    nextOrdinal,
+  });
+
   const notReady = (): string | undefined => {
     if (info.leaving) return "leaving";
-    if (follower.config().version > 0) return undefined;
+    if (follower.config().version > 0) return startingUp();
     return hasConfigSource || follower.isAvailable()
       ? "no rules are published"
       : "neither the log nor a peer has answered";
   };
 
+  /** For a short time after the start, the workers of the zone are still being found. */
+  const startingUp = (): string | undefined => {
+    const isYoung = clock.now() - startedAt < STARTUP_MS;
+    const hasWorkers = [...zoneView().summaries.values()]
+      .some(({ workers }) => workers > 0);
+    return isYoung && !hasWorkers ? "no worker was found yet" : undefined;
+  };
+
   const explain = async (id: string): Promise<string | undefined> => {
     const own = placerHost.placer.explain(id);
     if (own !== undefined) return own;
@@ -450,6 +468,7 @@
   });
   const operatorsServer = createOperatorsServer({
     notReady,
+    configVersion: () => follower.config().version,
     metrics: metrics.expose,
     state: describeState,
     status: () => ({
@@ -536,6 +555,8 @@
         adopter.scan();
         registry.sweep(clock.now());
         follower.maintain(appender.appendConfig);
+        carrier.carryDue();
+        follower.forgetOld(timing.claimWindowMs);
       });
       membershipChanged();
       log(Events.processReady, { entry: info.id });
@@ -545,6 +566,7 @@
   };
 }
 
+const STARTUP_MS: Milliseconds = 5_000;
 const PLACE_GRACE_MS: Milliseconds = 1_000;
 const CANCEL_TIMEOUT_MS: Milliseconds = 6_000;
 
--- a/packages/entry/src/log_appender.ts
+++ b/packages/entry/src/log_appender.ts
@@ -97,7 +97,7 @@
         error: describeError(error),
       });
       // The records may stand in the log although the answer was lost: read back before giving up.
-      if (isUncertain) await follower.waitForEnd(timeoutMs);
+      if (isUncertain) await follower.readToEnd();
       for (const { id } of batch) settle(id, "failed");
     }
   };
--- a/packages/entry/src/log_follower.ts
+++ b/packages/entry/src/log_follower.ts
@@ -49,8 +49,12 @@
   isCurrent(): boolean;
   /** @returns whether the log answered the last read */
   isAvailable(): boolean;
-  /** Waits until the request stream was read to its end by a read that began after this call. */
-  waitForEnd(timeoutMs: Milliseconds): Promise<boolean>;
+  /** Reads the request stream to its end now. @returns whether the log answered */
+  readToEnd(): Promise<boolean>;
+  /** Forgets ended and released keys that are older than the claim window. */
+  forgetOld(claimWindowMs: Milliseconds): void;
+  /** @returns for how long the log keeps records, and its time; 0 before the first answer */
+  logTime(): { retentionMs: Milliseconds; now: Milliseconds };
   /** @returns positions for the state dump */
   describe(): Record<string, unknown>;
   /** Runs the periodic work: forgetting old entries, repeating the configuration. */
@@ -67,8 +71,6 @@
 interface StreamPosition {
   next: number;
   end: number;
-  /** Number of reads that reached the end. */
-  endReads: number;
   isCaughtUp: boolean;
   isAvailable: boolean;
   retentionMs: Milliseconds;
@@ -91,7 +93,6 @@
     [Streams.config]: newPosition(),
     [Streams.requests]: newPosition(),
   };
-  const endWaiters = new Set<() => void>();
   let config = NO_CONFIG;
   let configRecordedAt: Milliseconds = 0;
   let isStopped = false;
@@ -103,9 +104,7 @@
     const position = positions[stream];
     while (!isStopped) {
       try {
-        const waitMs = position.isCaughtUp && endWaiters.size === 0
-          ? READ_WAIT_MS
-          : 0;
+        const waitMs = position.isCaughtUp ? READ_WAIT_MS : 0;
         const page = await platform.read(stream, position.next, waitMs);
         if (isStopped) return;
         noteAvailable(stream, position, true);
@@ -139,9 +138,6 @@
     position.now = page.now;
     if (position.next < page.end) return;
     position.isCaughtUp = true;
-    position.endReads += 1;
-    if (stream !== Streams.requests) return;
-    for (const wake of [...endWaiters]) wake();
   };
 
   const noteAvailable = (
@@ -223,21 +219,26 @@
       return isCaughtUp && isAvailable;
     },
     isAvailable: () => positions[Streams.requests].isAvailable,
-    waitForEnd: (timeoutMs) =>
-      new Promise((resolve) => {
-        // The read in flight may have begun before this call, so two ends are awaited.
-        const target = positions[Streams.requests].endReads + 2;
-        const finish = (isReached: boolean) => {
-          clearTimeout(timer);
-          endWaiters.delete(check);
-          resolve(isReached);
-        };
-        const check = () => {
-          if (positions[Streams.requests].endReads >= target) finish(true);
-        };
-        const timer = setTimeout(() => finish(false), timeoutMs);
-        endWaiters.add(check);
-      }),
+    readToEnd: async () => {
+      const stream = Streams.requests;
+      const position = positions[stream];
+      try {
+        for (;;) {
+          const page = await platform.read(stream, position.next, 0);
+          foldPage(stream, position, page, foldLedgerRecord);
+          if (position.next >= page.end) return true;
+        }
+      } catch (error) {
+        noteAvailable(stream, position, false, error);
+        return false;
+      }
+    },
+    forgetOld: (claimWindowMs) => {
+      const { now } = positions[Streams.requests];
+      // Claims may be dated by their key's time, which may lie ahead of the log's clock.
+      ledger.forgetBefore(now - 2 * claimWindowMs);
+    },
+    logTime: () => positions[Streams.requests],
     describe: () => ({ positions, config, ledger: ledger.size() }),
     maintain: (append) => {
       const { retentionMs, now } = positions[Streams.config];
@@ -261,7 +262,6 @@
   return {
     next: 0,
     end: 0,
-    endReads: 0,
     isCaughtUp: false,
     isAvailable: false,
     retentionMs: 0,
--- a/packages/entry/src/operators_server.ts
+++ b/packages/entry/src/operators_server.ts
@@ -4,6 +4,7 @@
 export interface OperatorsServerOptions {
   /** @returns why the entry is not ready, or nothing when it is */
   notReady(): string | undefined;
+  configVersion(): number;
   metrics(): Promise<{ text: string; type: string }>;
   /** @returns the state of the process */
   state(): unknown;
@@ -41,7 +42,10 @@
 ): Promise<void> {
   switch (request) {
     case "GET /healthz":
-      return send(response, 200, { status: "alive" });
+      return send(response, 200, {
+        status: "alive",
+        configVersion: options.configVersion(),
+      });
     case "GET /readyz": {
       const reason = options.notReady();
       return reason === undefined
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -120,10 +120,14 @@
     }
     return client;
   };
-  /** A connection that went silent is left; the next call opens another. */
+  /** A connection that went silent is left with all of its calls; the next call opens another. */
   const leaveConnection = (address: string): void => {
-    clients.get(address)?.close();
+    const client = clients.get(address);
     clients.delete(address);
+    const open = calls.get(address) ?? [];
+    calls.delete(address);
+    for (const cancel of open) cancel();
+    client?.close();
   };
 
   const call: Peers["call"] = (address, invoke, { step, timeoutMs }) =>
@@ -155,7 +159,6 @@
   const peerLost = (peer: EntryInfo, error?: unknown): void => {
     const text = error === undefined ? undefined : describeError(error);
     log(Events.peerLost, { peer: peer.id, error: text });
-    for (const cancel of calls.get(peer.address) ?? []) cancel();
     leaveConnection(peer.address);
   };
 
--- a/packages/entry/src/problems.ts
+++ b/packages/entry/src/problems.ts
@@ -12,10 +12,12 @@
 } from "@rattanhill/core";
 import type { ProblemBody } from "@rattanhill/protocol";
 
-/** A request that was refused before it was admitted; it did not run. */
+/** A call that was refused. A request refused at admission did not run. */
 export class RequestProblem extends RattanhillError {
   /** HTTP status. */
   readonly status: number;
+  /** What the refusal says about the request. */
+  readonly outcome: Outcome;
   /** When to come back, if that makes sense. */
   readonly retryAfterMs?: Milliseconds;
 
@@ -25,12 +27,14 @@
     options: {
       code?: ErrorCodeValue;
       step?: string;
+      outcome?: Outcome;
       retryAfterMs?: Milliseconds;
     } = {},
   ) {
     const { code = ErrorCode.requestInvalid, step = "admit" } = options;
     super(code, message, { step, peer: "self" });
     this.status = status;
+    this.outcome = options.outcome ?? Outcome.notRun;
     this.retryAfterMs = options.retryAfterMs;
   }
 }
@@ -48,7 +52,7 @@
     title: TITLES[status] ?? "Request refused",
     status,
     detail: problem.message,
-    outcome: Outcome.notRun,
+    outcome: problem.outcome,
     step,
     peer,
   };
--- a/packages/entry/src/request_service.ts
+++ b/packages/entry/src/request_service.ts
@@ -83,6 +83,8 @@
   nextOrdinal(): number;
   rules(): Rules;
   isLeaving(): boolean;
+  /** @returns whether the log and every entry that is not known to be gone can be asked */
+  seesEverybody(): boolean;
   joined(): void;
   /** Asks all other entries for a request. @returns the reply of the one that has it */
   findElsewhere(
@@ -348,7 +350,7 @@
     });
     if (reply !== undefined) return viewOfReply(reply);
     if (entry?.account === account.name) return viewOfEntry(entry);
-    throw notFound(id);
+    throw options.seesEverybody() ? notFound(id) : notFoundNow(id);
   };
 
   const cancel = async (
@@ -365,7 +367,7 @@
     if (reply !== undefined) return viewOfReply(reply);
     const entry = follower.ledger.findRequest(id);
     if (entry?.account === account.name) return viewOfEntry(entry);
-    throw notFound(id);
+    throw options.seesEverybody() ? notFound(id) : notFoundNow(id);
   };
 
   return { submit, read, cancel };
@@ -400,6 +402,16 @@
   return new RequestProblem(404, `request ${id} is not known`, {
     code: ErrorCode.requestNotFound,
     step: "read",
+    outcome: Outcome.unknown,
+  });
+}
+
+/** An entry that is cut off from others cannot tell that nobody knows a request. */
+function notFoundNow(id: string): RequestProblem {
+  return new RequestProblem(503, `request ${id} cannot be looked up now`, {
+    step: "read",
+    outcome: Outcome.unknown,
+    retryAfterMs: RETRY_AFTER_MS,
   });
 }
 
--- a/packages/entry/src/worker_links.ts
+++ b/packages/entry/src/worker_links.ts
@@ -80,6 +80,8 @@
   owned: Map<string, OwnedLease>;
   /** Settles the wait of the loop when something is to be done. */
   wake(): void;
+  /** Ends the long watch of an idle link; absent while the watch is short. */
+  idleWatch?: AbortController;
 }
 
 const RETRY_MS: Milliseconds = 100;
@@ -137,9 +139,14 @@
         await new Promise<void>((resolve) => link.wake = resolve);
         continue;
       }
+      const waitMs = waitOf(link);
+      const isLong = waitMs > timing.watchMs;
+      const control = isLong ? new AbortController() : undefined;
+      link.idleWatch = control;
       try {
-        await watch(link, waitOf(link));
+        await watch(link, waitMs, control?.signal);
       } catch (error) {
+        if (control?.signal.aborted) continue;
         noteSilence(link, error);
         await pause(RETRY_MS);
       }
@@ -154,6 +161,7 @@
   const watch = async (
     link: WorkerLink,
     waitMs: Milliseconds,
+    signal?: AbortSignal,
   ): Promise<void> => {
     const answer = await link.client.watch({
       owner: options.owner,
@@ -163,7 +171,7 @@
       waitMs,
       renew: [...link.owned.keys()],
       ttlMs: timing.leaseTtlMs,
-    });
+    }, signal);
     if (!link.isStopped) take(link, answer);
   };
 
@@ -251,6 +259,7 @@
       const link = linkOf(lease.target.worker, lease.target.address);
       if (link.owned.size === 0 && !link.isListed) link.heardAt = clock.now();
       link.owned.set(lease.target.lease, lease);
+      link.idleWatch?.abort();
       link.wake();
     },
     isFollowed: ({ worker, lease }) =>
@@ -260,6 +269,7 @@
     },
     refresh: () => {
       for (const link of links.values()) {
+        link.idleWatch?.abort();
         if (link.isListed) askNow(link);
       }
     },
--- a/packages/platform/src/http_client.ts
+++ b/packages/platform/src/http_client.ts
@@ -16,6 +16,8 @@
   errorCode: ErrorCodeValue;
   /** Addresses to use in place of others, for networks with address translation. */
   translate?: Readonly<Record<string, string>>;
+  /** Called when a call had no answer in time, after the connections were replaced. */
+  timedOut?(): void;
 }
 
 /** One request. */
@@ -27,6 +29,8 @@
   timeoutMs: Milliseconds;
   body?: string | Uint8Array;
   headers?: Record<string, string>;
+  /** Ends the call early; nothing is known of its effect then. */
+  signal?: AbortSignal;
 }
 
 /** A whole response. */
@@ -45,6 +49,8 @@
    * @throws UncertainError when it may have taken effect
    */
   call(call: HttpCall): Promise<HttpResponse>;
+  /** Replaces all connections; calls in progress end with an error. */
+  reset(): void;
   /** Closes all connections. */
   close(): Promise<void>;
 }
@@ -77,16 +83,18 @@
   };
 
   return {
-    call: async ({ method, path, step, timeoutMs, body, headers }) => {
+    call: async ({ method, path, step, timeoutMs, body, headers, signal }) => {
       const current = pool;
-      const signal = AbortSignal.timeout(timeoutMs);
+      const timeout = AbortSignal.timeout(timeoutMs);
       try {
         const response = await current.request({
           method,
           path,
           body,
           headers,
-          signal,
+          signal: signal === undefined
+            ? timeout
+            : AbortSignal.any([timeout, signal]),
         });
         const bytes = await response.body.bytes();
         return {
@@ -95,9 +103,12 @@
           body: bytes,
         };
       } catch (cause) {
-        if (signal.aborted) replace(current);
+        if (timeout.aborted) {
+          replace(current);
+          options.timedOut?.();
+        }
         const context = { step, peer, cause };
-        const reason = signal.aborted
+        const reason = timeout.aborted
           ? `no answer within ${timeoutMs} ms`
           : "connection failed";
         throw wasDelivered(cause)
@@ -105,6 +116,7 @@
           : new UnavailableError(options.errorCode, reason, context);
       }
     },
+    reset: () => replace(pool),
     close: () => pool.destroy(),
   };
 }
--- a/packages/platform/src/worker_client.ts
+++ b/packages/platform/src/worker_client.ts
@@ -41,7 +41,7 @@
   /** @returns the whole answer of an ended task. @throws InvalidError when it is damaged or not its own */
   fetchAnswer(lease: string): Promise<string>;
   /** Renews leases and waits for a change. */
-  watch(request: WatchRequest): Promise<WatchAnswer>;
+  watch(request: WatchRequest, signal?: AbortSignal): Promise<WatchAnswer>;
   /** Closes all connections. */
   close(): Promise<void>;
 }
@@ -70,11 +70,17 @@
   const { address, timeoutMs, translate } = options;
   const errorCode = ErrorCode.workerUnreachable;
   const client = { address, errorCode, translate };
+  // A silent connection puts the others to the same worker in doubt.
   const commands = createHttpClient({
     ...client,
     connections: COMMAND_CONNECTIONS,
+    timedOut: () => watcher.reset(),
+  });
+  const watcher = createHttpClient({
+    ...client,
+    connections: 1,
+    timedOut: () => commands.reset(),
   });
-  const watcher = createHttpClient({ ...client, connections: 1 });
 
   const command = async (
     call: Omit<HttpCall, "timeoutMs">,
@@ -163,7 +169,7 @@
         faults: ["lease or digest does not match"],
       });
     },
-    watch: async (request) => {
+    watch: async (request, signal) => {
       const step = "worker.watch";
       // A question that does not wait must not queue behind one that does.
       const via = request.waitMs === 0 ? commands : watcher;
@@ -174,6 +180,7 @@
         timeoutMs: timeoutMs + request.waitMs,
         body: JSON.stringify(request),
         headers: JSON_HEADERS,
+        signal,
       });
       return readJson(response, watchAnswerSchema, { step, peer: address });
     },
--- /dev/null
+++ b/packages/scenarios/src/scenario_file.ts
@@ -0,0 +1,163 @@
+import { readdirSync, readFileSync } from "node:fs";
+import { basename, join } from "node:path";
+import { parse } from "yaml";
+import { z } from "zod";
+
+const milliseconds = z.number().int().nonnegative();
+const count = z.number().int().nonnegative();
+
+const submitSchema = z.strictObject({
+  /** Name under which later steps refer to these requests. */
+  batch: z.string(),
+  account: z.string(),
+  class: z.string(),
+  count: count.default(1),
+  overMs: milliseconds.default(0),
+  runMs: z.tuple([milliseconds, milliseconds]).default([50, 100]),
+  parts: count.optional(),
+  accelerators: count.optional(),
+  adjacent: z.string().optional(),
+  repeatable: z.boolean().default(true),
+  async: z.boolean().default(false),
+  /** Callers that send each request at the same time with the same key. */
+  copies: count.default(1),
+  /** Entries to use; all live ones when absent. */
+  through: z.array(z.string()).optional(),
+  tryMs: milliseconds.default(10_000),
+  patienceMs: milliseconds.default(30_000),
+  deadlineMs: milliseconds.default(25_000),
+  /** Whether a refusal as not run is tried again. */
+  retryNotRun: z.boolean().default(true),
+});
+
+const cutSchema = z.strictObject({
+  from: z.string(),
+  to: z.string(),
+  oneWay: z.boolean().default(false),
+});
+
+const expectSchema = z.strictObject({
+  batch: z.string(),
+  done: count.optional(),
+  doneAtLeast: count.optional(),
+  failed: count.optional(),
+  notRun: count.optional(),
+  notRunAtLeast: count.optional(),
+  unknown: count.optional(),
+  /** Longest time to a final answer. */
+  slowestMs: milliseconds.optional(),
+  /** Longest time of the fastest request. */
+  fastestMs: milliseconds.optional(),
+});
+
+const stepSchema = z.union([
+  z.strictObject({ submit: submitSchema }),
+  z.strictObject({ pause: milliseconds }),
+  z.strictObject({
+    until: z.strictObject({
+      batch: z.string(),
+      event: z.enum(["started", "ended", "stopped"]).default("started"),
+      count,
+    }),
+  }),
+  z.strictObject({ answered: z.string() }),
+  z.strictObject({ kill: z.string() }),
+  z.strictObject({ freeze: z.string() }),
+  z.strictObject({ thaw: z.literal("all") }),
+  z.strictObject({ stop: z.string() }),
+  z.strictObject({ restart: z.string() }),
+  z.strictObject({ exited: z.string(), withinMs: milliseconds }),
+  z.strictObject({ cut: cutSchema }),
+  z.strictObject({ heal: z.literal("all") }),
+  z.strictObject({ silence: z.strictObject({ from: z.string(), to: z.string() }) }),
+  z.strictObject({
+    platform: z.strictObject({
+      outage: z.boolean().optional(),
+      slowMs: milliseconds.optional(),
+      loseAnswers: count.optional(),
+      retentionMs: milliseconds.optional(),
+    }),
+  }),
+  z.strictObject({
+    worker: z.strictObject({
+      name: z.string(),
+      blackHole: z.boolean().optional(),
+      answers: z.enum(["whole", "truncated", "crossed"]).optional(),
+      loseRunAnswers: count.optional(),
+      refusePrepare: count.optional(),
+      leaving: z.boolean().optional(),
+    }),
+  }),
+  z.strictObject({ cancel: z.string() }),
+  /** Publishes rules from the version in force, by several operators at once. */
+  z.strictObject({ publish: z.strictObject({ operators: count.default(1) }) }),
+  z.strictObject({
+    inForce: z.strictObject({
+      version: count,
+      withinMs: milliseconds,
+      entries: z.array(z.string()).optional(),
+    }),
+  }),
+  z.strictObject({
+    ready: z.strictObject({ entry: z.string(), is: z.boolean() }),
+  }),
+  z.strictObject({
+    /** No task starts on this worker from now on until the end of the scenario. */
+    noStarts: z.strictObject({ worker: z.string() }),
+  }),
+  z.strictObject({ expect: expectSchema }),
+]);
+
+const scenarioSchema = z.strictObject({
+  /** Promise of the brief that is proved. */
+  promise: z.string(),
+  /** Failure under which it is proved. */
+  failure: z.string(),
+  zones: z.array(z.strictObject({
+    name: z.string(),
+    entries: count,
+    workers: count,
+  })),
+  retentionMs: milliseconds.optional(),
+  timing: z.record(z.string(), z.number()).optional(),
+  steps: z.array(stepSchema),
+});
+
+/** One step of a scenario. */
+export type Step = z.infer<typeof stepSchema>;
+/** Requests that a step submits. */
+export type Submit = z.infer<typeof submitSchema>;
+/** What a batch must have come to. */
+export type Expectation = z.infer<typeof expectSchema>;
+/** A scripted failure test over real processes. */
+export type Scenario = z.infer<typeof scenarioSchema> & { name: string };
+
+/**
+ * Reads a scenario.
+ *
+ * @param text YAML
+ * @param name name of the scenario
+ * @returns the scenario
+ * @throws Error that names every fault
+ */
+export function parseScenario(text: string, name: string): Scenario {
+  const result = scenarioSchema.safeParse(parse(text));
+  if (result.success) return { ...result.data, name };
+  throw new Error(`scenario ${name}: ${z.prettifyError(result.error)}`);
+}
+
+/**
+ * Reads all scenarios of a folder.
+ *
+ * @param directory the folder
+ * @returns the scenarios by name
+ */
+export function readScenarios(directory: string): Scenario[] {
+  return readdirSync(directory).filter((file) => file.endsWith(".yaml")).sort()
+    .map((file) =>
+      parseScenario(
+        readFileSync(join(directory, file), "utf8"),
+        basename(file, ".yaml"),
+      )
+    );
+}
