fix(entry): at most once during an adoption, and four causes of untrue answers

Cause 1 (owner-frozen, doubled 1 and 3): while an entry waited out the hold time of a key it had adopted, a second retry took the key for one of its own that was given up, claimed it anew and ran it. Change: a claim that was not released is always taken; an owner that knows nothing of its own claim answers unknown. Cause 2 (zone-cut-from-all, unknown 2): 404 was said while peers could not be asked. Change: 404 only when the log was read to its end and every entry denied. Cause 3 (cut-and-freeze, unknown 1 of 6 gangs): a thawed entry took every worker and peer for dead, having asked nobody while it was paused. Cause 4: no zone known for a moment ended a request; it now waits up to 2 s.

--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership.ts
@@ -28,6 +28,8 @@
   heard(info: EntryInfo, now: Milliseconds): boolean;
   /** Notes that a peer refused its connection. */
   suspect(id: string): boolean;
+  /** Allows for a time in which this process was paused and could hear nobody. */
+  forgive(paused: Milliseconds): void;
   /** Marks peers that were not heard for too long. @returns the peers lost in this call */
   expire(now: Milliseconds): readonly PeerView[];
   /** @returns the lead of a zone, or `undefined` when none is alive */
@@ -86,6 +88,9 @@
       peer.isAlive = false;
       return true;
     },
+    forgive: (paused) => {
+      for (const peer of peers.values()) peer.heardAt += paused;
+    },
     expire: (now) => {
       const lost: PeerView[] = [];
       for (const peer of peers.values()) {
--- a/packages/core/src/request.ts
+++ b/packages/core/src/request.ts
@@ -30,6 +30,8 @@
   taskFailed: "task-failed",
   workerLost: "worker-lost",
   draining: "draining",
+  /** It ended so long ago that nothing more is known of it. */
+  forgotten: "forgotten",
 } as const;
 
 /** One of the values of {@link EndReason}. */
--- a/packages/entry/src/adopter.ts
+++ b/packages/entry/src/adopter.ts
@@ -161,8 +161,9 @@
     entry: LedgerEntry,
     waitMs: Milliseconds,
   ): Promise<RequestResult | undefined> => {
-    const own = registry.find(entry.request);
-    return own && await registry.waitFor(own, waitMs);
+    const own = registry.findKey(entry.account, entry.key);
+    if (own === undefined) return unknownResult(EndReason.forgotten);
+    return await registry.waitFor(own, waitMs);
   };
 
   /** @returns the result as far as it is known now */
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -24,6 +24,7 @@
   parseRules,
   type RequestSpec,
   type Rules,
+  type ZoneChoice,
   type ZoneView,
 } from "@rattanhill/core";
 import {
@@ -261,12 +262,24 @@
     };
   };
 
+  /** Zones may be unknown for a moment, at the start and after a pause. */
+  const waitForZone = async (spec: RequestSpec): Promise<ZoneChoice> => {
+    const until = clock.now() + Math.min(ZONE_PATIENCE_MS, spec.deadlineMs);
+    for (;;) {
+      const choice = chooseZone(spec, zoneView());
+      const isMissing = "refusal" in choice &&
+        choice.refusal === "no-capacity";
+      if (!isMissing || clock.now() >= until) return choice;
+      await pause(ZONE_POLL_MS);
+    }
+  };
+
   const place = async (
     spec: RequestSpec,
     attempt: number,
     avoid: readonly string[],
   ): Promise<PlaceReply & { peer: string }> => {
-    const choice = chooseZone(spec, zoneView());
+    const choice = await waitForZone(spec);
     if ("refusal" in choice) {
       const isSettled = clock.now() - startedAt > NEVER_FITS_AFTER_MS;
       const reason = choice.refusal === "never-fits" && isSettled
@@ -327,6 +340,23 @@
   ): Promise<FindReply__Output | undefined> =>
     firstFound(membership.alive().map((peer) => find(peer.address, query)));
 
+  /** Only when the log was read to its end and every entry denies it, nobody knows a request. */
+  const isUnknownEverywhere = async (
+    account: string,
+    id: string,
+  ): Promise<boolean> => {
+    if (!peers.reachesAll() || !await follower.readToEnd()) return false;
+    if (follower.ledger.findRequest(id) !== undefined) return false;
+    const replies = await Promise.allSettled(
+      membership.alive().map((peer) =>
+        find(peer.address, { account, id, waitMs: 0 })
+      ),
+    );
+    return replies.every((reply) =>
+      reply.status === "fulfilled" && !reply.value.found
+    );
+  };
+
   const cancelElsewhere = (
     account: string,
     id: string,
@@ -390,8 +420,7 @@
     nextOrdinal,
     rules: () => rules,
     isLeaving: () => info.leaving,
-    seesEverybody: () =>
-      follower.isCurrent() && membership.all().every((peer) => peer.isAlive),
+    isUnknownEverywhere,
     joined: metrics.joined,
     findElsewhere,
     cancelElsewhere,
@@ -488,11 +517,10 @@
     try {
       const { vms } = await platform.listVms();
       links.list(vms);
-      peers.learn(
-        vms.filter(({ kind }) => kind === "entry").map(({ address }) =>
-          address
-        ),
-      );
+      const entries = vms.filter(({ kind }) => kind === "entry");
+      const listed = new Set(entries.map(({ address }) => address));
+      peers.learn(listed);
+      if (listed.size > 0) peers.prune(listed);
     } catch {
       // The list lags anyway; the next one comes soon.
     }
@@ -566,6 +594,8 @@
   };
 }
 
+const ZONE_PATIENCE_MS: Milliseconds = 2_000;
+const ZONE_POLL_MS: Milliseconds = 50;
 const STARTUP_MS: Milliseconds = 5_000;
 const PLACE_GRACE_MS: Milliseconds = 1_000;
 const CANCEL_TIMEOUT_MS: Milliseconds = 6_000;
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -52,6 +52,10 @@
   ): Promise<Reply>;
   /** Adds addresses to send heartbeats to. */
   learn(addresses: Iterable<string>): void;
+  /** Forgets addresses that do not answer and are not listed. */
+  prune(listed: ReadonlySet<string>): void;
+  /** @returns whether a living entry answers at every known address */
+  reachesAll(): boolean;
   /** Sends heartbeats at once, for example when leaving. */
   announce(): Promise<void>;
   /** @returns the newest summary of each zone */
@@ -105,6 +109,7 @@
   const timers = new Map<string, NodeJS.Timeout>();
   const calls = new Map<string, Set<() => void>>();
   let sweep: NodeJS.Timeout | undefined;
+  let sweptAt = clock.now();
   let isStopped = false;
 
   const clientOf = (address: string): PeerClient => {
@@ -210,7 +215,7 @@
   };
 
   const schedule = (address: string): void => {
-    if (isStopped) return;
+    if (isStopped || !addresses.has(address)) return;
     const isNear = zoneOf.get(address) === options.self().zone ||
       !zoneOf.has(address);
     const interval = isNear ? timing.heartbeatMs : timing.remoteHeartbeatMs;
@@ -234,6 +239,11 @@
   };
 
   const expire = (): void => {
+    const sinceSweep = clock.now() - sweptAt;
+    sweptAt = clock.now();
+    if (sinceSweep > PAUSE_FACTOR * timing.heartbeatMs) {
+      membership.forgive(sinceSweep);
+    }
     const lost = membership.expire(clock.now());
     for (const peer of lost) peerLost(peer);
     if (lost.length > 0) options.membershipChanged();
@@ -257,12 +267,29 @@
           (error, bound) => error === null ? resolve(bound) : reject(error),
         );
       });
+      sweptAt = clock.now();
       sweep = setInterval(expire, timing.heartbeatMs);
       learn([...addresses]);
       return port;
     },
     call,
     learn,
+    prune: (listed) => {
+      for (const [address, count] of failures) {
+        if (listed.has(address) || count < FAILURES_BEFORE_SLOWDOWN) continue;
+        clearTimeout(timers.get(address));
+        timers.delete(address);
+        addresses.delete(address);
+        failures.delete(address);
+        leaveConnection(address);
+      }
+    },
+    reachesAll: () => {
+      const alive = new Set(membership.alive().map(({ address }) => address));
+      return [...addresses].every((address) =>
+        alive.has(address) || address === options.self().address
+      );
+    },
     announce: async () => {
       await Promise.all(membership.alive().map((peer) => beat(peer.address)));
     },
@@ -286,6 +313,7 @@
   };
 }
 
+const PAUSE_FACTOR = 2; // a sweep that is this much late tells of a paused process
 const REFUSALS_BEFORE_SUSPICION = 2;
 const FAILURES_BEFORE_SLOWDOWN = 20;
 const SLOWDOWN = 5; // addresses that do not answer are tried less often
--- a/packages/entry/src/request_service.ts
+++ b/packages/entry/src/request_service.ts
@@ -83,8 +83,8 @@
   nextOrdinal(): number;
   rules(): Rules;
   isLeaving(): boolean;
-  /** @returns whether the log and every entry that is not known to be gone can be asked */
-  seesEverybody(): boolean;
+  /** @returns whether the log and every entry deny that they know a request */
+  isUnknownEverywhere(account: string, id: string): Promise<boolean>;
   joined(): void;
   /** Asks all other entries for a request. @returns the reply of the one that has it */
   findElsewhere(
@@ -220,12 +220,11 @@
     return reply && await joinElsewhere(reply, spec);
   };
 
-  /** A claim of this very entry that is not in its registry belongs to an attempt that was given up. */
-  const isTaken = (entry: LedgerEntry): boolean => {
-    if (entry.result !== undefined) return !isOpenForRetry(entry.result);
-    if (entry.isReleased) return false;
-    return entry.owner !== options.owner || entry.job !== undefined;
-  };
+  /** A claim that was not released may have run, also when this entry owns it and knows no request of it. */
+  const isTaken = (entry: LedgerEntry): boolean =>
+    entry.result === undefined
+      ? !entry.isReleased
+      : !isOpenForRetry(entry.result);
 
   const joinOwn = async (
     own: OwnedRequest,
@@ -350,7 +349,7 @@
     });
     if (reply !== undefined) return viewOfReply(reply);
     if (entry?.account === account.name) return viewOfEntry(entry);
-    throw options.seesEverybody() ? notFound(id) : notFoundNow(id);
+    throw await notFoundProblem(account, id);
   };
 
   const cancel = async (
@@ -367,9 +366,17 @@
     if (reply !== undefined) return viewOfReply(reply);
     const entry = follower.ledger.findRequest(id);
     if (entry?.account === account.name) return viewOfEntry(entry);
-    throw options.seesEverybody() ? notFound(id) : notFoundNow(id);
+    throw await notFoundProblem(account, id);
   };
 
+  const notFoundProblem = async (
+    { name }: AccountRule,
+    id: string,
+  ): Promise<RequestProblem> =>
+    await options.isUnknownEverywhere(name, id)
+      ? notFound(id)
+      : notFoundNow(id);
+
   return { submit, read, cancel };
 }
 
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -79,7 +79,7 @@
   workerLostMs: 3_000,
   platformTimeoutMs: 1_000,
   claimWindowMs: 1_800_000,
-  answerRetentionMs: 600_000,
+  answerRetentionMs: 1_800_000,
 };
 
 /** Limits used where the settings file names none. */
--- a/packages/entry/src/worker_links.ts
+++ b/packages/entry/src/worker_links.ts
@@ -73,6 +73,8 @@
   boot: string;
   since: number;
   heardAt: Milliseconds;
+  /** Time of the first of the latest failures in a row. */
+  failingSince?: Milliseconds;
   isAlive: boolean;
   wasHeard: boolean;
   isStopped: boolean;
@@ -192,6 +194,7 @@
       boot: report.boot,
       since: report.sequence,
       heardAt: clock.now(),
+      failingSince: undefined,
       isAlive: true,
       wasHeard: true,
       leaving: report.leaving,
@@ -219,7 +222,10 @@
   };
 
   const noteSilence = (link: WorkerLink, error: unknown): void => {
-    const silence = clock.now() - link.heardAt;
+    // Counted from the first failed question: a process that was paused has asked nobody meanwhile.
+    link.failingSince ??= clock.now();
+    const silence = clock.now() - link.failingSince + timing.watchMs +
+      timing.workerTimeoutMs;
     if (silence < timing.workerLostMs) return;
     if (link.isAlive) {
       link.isAlive = false;
--- a/packages/scenarios/src/main.ts
+++ b/packages/scenarios/src/main.ts
@@ -15,8 +15,12 @@
   seed: { type: "number", default: 1, describe: "seed of random choices" },
   list: { type: "boolean", default: false, describe: "list the scenarios" },
   json: { type: "boolean", default: false, describe: "one JSON line each" },
-  parallel: { type: "number", default: 2, describe: "run at the same time" },
-  keepLogs: { type: "boolean", default: false, describe: "keep logs of failures" },
+  parallel: { type: "number", default: 3, describe: "run at the same time" },
+  keepLogs: {
+    type: "boolean",
+    default: false,
+    describe: "keep logs of failures",
+  },
 }).strictOptions().parseSync();
 
 const scenarios = readScenarios(DIRECTORY).filter(({ name }) =>
--- a/packages/scenarios/src/runner.ts
+++ b/packages/scenarios/src/runner.ts
@@ -155,7 +155,8 @@
   const journal = readJournal(run.system.journal);
   const startsAfterLeaving = run.leftWorkers.reduce(
     (total, { worker, from }) =>
-      total + journal.filter((line) =>
+      total +
+      journal.filter((line) =>
         line.event === "started" && line.worker === worker && line.time > from
       ).length,
     0,
@@ -236,26 +237,29 @@
     await pause(atMs);
     const key = createIdentifier();
     keys.add(key);
-    const copies = Array.from({ length: wanted.copies }, (_, copy) =>
-      callUntilAnswered({
-        bearer: account?.key ?? "",
-        class: wanted.class,
-        parts: wanted.parts ?? defaultParts(wanted.class),
-        accelerators: wanted.accelerators,
-        adjacent: wanted.adjacent,
-        repeatable: wanted.repeatable,
-        payload: { runMs, note: `${wanted.batch} ${index}` },
-        expectedMs: Math.max(1, runMs),
-        deadlineMs: wanted.deadlineMs,
-        key,
-        isAsync: wanted.async,
-      }, {
-        targets: () => targetsOf(run, wanted, copy),
-        patienceMs: wanted.patienceMs,
-        tryMs: wanted.tryMs,
-        random: run.random,
-        retryNotRun: wanted.retryNotRun,
-      }));
+    const copies = Array.from(
+      { length: wanted.copies },
+      (_, copy) =>
+        callUntilAnswered({
+          bearer: account?.key ?? "",
+          class: wanted.class,
+          parts: wanted.parts ?? defaultParts(wanted.class),
+          accelerators: wanted.accelerators,
+          adjacent: wanted.adjacent,
+          repeatable: wanted.repeatable,
+          payload: { runMs, note: `${wanted.batch} ${index}` },
+          expectedMs: Math.max(1, runMs),
+          deadlineMs: wanted.deadlineMs,
+          key,
+          isAsync: wanted.async,
+        }, {
+          targets: () => targetsOf(run, wanted, copy),
+          patienceMs: wanted.patienceMs,
+          tryMs: wanted.tryMs,
+          random: run.random,
+          retryNotRun: wanted.retryNotRun,
+        }),
+    );
     return await Promise.all(copies);
   });
   run.batches.set(wanted.batch, {
@@ -410,10 +414,12 @@
   const bearer = run.layout.accounts.find((account) =>
     account.name === wanted.account
   )?.key;
-  const states = await Promise.all(liveEntries(run).map(async (entry) => ({
-    entry,
-    state: await getJson(`${entry.operators}/debug/state`),
-  })));
+  const states = await Promise.all(
+    liveEntries(run).map(async (entry) => ({
+      entry,
+      state: await getJson(`${entry.operators}/debug/state`),
+    })),
+  );
   const cancels = states.flatMap(({ entry, state }) =>
     (state?.requests as { id: string; key: string }[] ?? [])
       .filter(({ key }) => keys.has(key))
@@ -434,12 +440,14 @@
   const versions = await Promise.all(liveEntries(run).map(readVersion));
   const base = Math.max(...versions.map((version) => version ?? 0));
   const text = composeRules(run.layout);
-  await Promise.all(Array.from({ length: operators }, (_, index) =>
-    publishRules(
-      platform,
-      `${text}# edition ${base + 1} of operator ${index}\n`,
-      base,
-    )));
+  await Promise.all(
+    Array.from({ length: operators }, (_, index) =>
+      publishRules(
+        platform,
+        `${text}# edition ${base + 1} of operator ${index}\n`,
+        base,
+      )),
+  );
 }
 
 async function waitForVersion(
@@ -468,15 +476,17 @@
 
 /** A version that goes down within one process is a reversal. */
 async function watchVersions(run: Run): Promise<void> {
-  await Promise.all(liveEntries(run).map(async (entry) => {
-    const version = await readVersion(entry);
-    if (version === undefined) return;
-    const before = run.versions.get(entry.pid) ?? 0;
-    if (version < before) {
-      run.faults.push(`${entry.name} went from ${before} to ${version}`);
-    }
-    run.versions.set(entry.pid, Math.max(before, version));
-  }));
+  await Promise.all(
+    liveEntries(run).map(async (entry) => {
+      const version = await readVersion(entry);
+      if (version === undefined) return;
+      const before = run.versions.get(entry.pid) ?? 0;
+      if (version < before) {
+        run.faults.push(`${entry.name} went from ${before} to ${version}`);
+      }
+      run.versions.set(entry.pid, Math.max(before, version));
+    }),
+  );
 }
 
 async function checkReady(
@@ -506,8 +516,14 @@
   };
   run.figures[`${wanted.batch} slowest ms`] = found.slowestMs;
   run.figures[`${wanted.batch} not done`] = records.length - found.done;
+  const others = records.filter(({ outcome }) => outcome !== "done").slice(0, 3)
+    .map(({ key, outcome, status }) => `${key} ${outcome} ${status}`);
   const fault = (what: string) =>
-    run.faults.push(`${wanted.batch}: ${what} (${JSON.stringify(found)})`);
+    run.faults.push(
+      `${wanted.batch}: ${what} (${JSON.stringify(found)}) ${
+        others.join(", ")
+      }`,
+    );
   for (const name of ["done", "failed", "notRun", "unknown"] as const) {
     if ((wanted[name] ?? found[name]) !== found[name]) {
       fault(`${name} is ${found[name]}, expected ${wanted[name]}`);
--- a/packages/scenarios/src/scenario_file.ts
+++ b/packages/scenarios/src/scenario_file.ts
@@ -69,7 +69,9 @@
   z.strictObject({ exited: z.string(), withinMs: milliseconds }),
   z.strictObject({ cut: cutSchema }),
   z.strictObject({ heal: z.literal("all") }),
-  z.strictObject({ silence: z.strictObject({ from: z.string(), to: z.string() }) }),
+  z.strictObject({
+    silence: z.strictObject({ from: z.string(), to: z.string() }),
+  }),
   z.strictObject({
     platform: z.strictObject({
       outage: z.boolean().optional(),
--- a/packages/scenarios/src/scenario_layout.ts
+++ b/packages/scenarios/src/scenario_layout.ts
@@ -14,7 +14,11 @@
   return {
     zones,
     accounts: [
-      { name: "notun", key: "notun-key", classes: ["draft", "venue", "booking"] },
+      {
+        name: "notun",
+        key: "notun-key",
+        classes: ["draft", "venue", "booking"],
+      },
       { name: "vatuwaqa", key: "vatuwaqa-key", classes: ["route", "crates"] },
     ],
     rules: [
--- a/packages/standins/src/audit.ts
+++ b/packages/standins/src/audit.ts
@@ -13,6 +13,8 @@
   /** Answer of the task, or of each part of a gang job. */
   answer?: unknown;
   completionMs: number;
+  /** HTTP status of the final answer; absent when there was none. */
+  status?: number;
   /** Whether the caller was told that the job is accepted. */
   accepted?: boolean;
 }
--- a/packages/standins/src/caller.ts
+++ b/packages/standins/src/caller.ts
@@ -67,9 +67,11 @@
     outcome,
     answer,
     completionMs: performance.now() - startedAt,
+    status: lastStatus,
     accepted: jobId !== undefined,
   });
   let last: CallerRecord["outcome"] = "unknown";
+  let lastStatus: number | undefined;
   let jobId: string | undefined;
   while (performance.now() - startedAt < options.patienceMs) {
     const reply = await sendOnce(wanted, key, jobId, options);
@@ -78,6 +80,7 @@
       continue;
     }
     const { status, body } = reply;
+    lastStatus = status;
     if (status === 202) {
       jobId = (body as { id: string }).id;
       continue;
--- a/packages/standins/src/system.ts
+++ b/packages/standins/src/system.ts
@@ -1,7 +1,7 @@
 import { readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { createIdentifier, pause } from "@rattanhill/shared";
-import { encodeRecord, Streams } from "@rattanhill/protocol";
+import { encodeRecord, Streams, type VmInfo } from "@rattanhill/protocol";
 import { request } from "undici";
 import {
   createLauncher,
@@ -189,17 +189,25 @@
     journal,
   ]);
   const address = String(started.ready.address);
-  await postJson(`http://${platform}/vms`, {
-    kind: "worker",
-    name,
-    address,
-    zone,
-    rack,
-    state: "live",
-  });
+  const vm = { kind: "worker", name, address, zone, rack } as const;
+  await listVm(platform, vm, started);
   return { name, zone, rack, pid: started.pid, address, process: started };
 }
 
+/** The platform lists a VM from its start until its end. */
+async function listVm(
+  platform: string,
+  vm: Omit<VmInfo, "state">,
+  process: LaunchedProcess,
+): Promise<void> {
+  await postJson(`http://${platform}/vms`, { ...vm, state: "live" });
+  void process.exited.then(async () => {
+    const path = `http://${platform}/vms/${vm.name}`;
+    const response = await request(path, { method: "DELETE" });
+    await response.body.dump();
+  }).catch(() => {}); // the platform may have ended first
+}
+
 async function startWorkers(
   launcher: Launcher,
   layout: SystemLayout,
@@ -279,6 +287,7 @@
     "--settings",
     file,
   ]);
+  await listVm(platform, { kind: "entry", name, address, zone }, started);
   return {
     name,
     zone,
