fix(entry): a job whose record may still appear is never disowned

Ruled out: waiting longer for the read-back, since a delayed append has no bound; letting other entries wait for the owner's word, since the owner may die. Change: an append is failed (certain) or uncertain; an uncertain job is answered 503 with outcome unknown and a time to come back, and runs when it appears.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -346,7 +346,7 @@
     id: string,
   ): Promise<boolean> => {
     if (!peers.reachesAll() || !await follower.readToEnd()) return false;
-    if (follower.ledger.findRequest(id) !== undefined) return false;
+    if (follower.ledger.findRequest(id)?.account === account) return false;
     const replies = await Promise.allSettled(
       membership.alive().map((peer) =>
         find(peer.address, { account, id, waitMs: 0 })
--- a/packages/entry/src/log_appender.ts
+++ b/packages/entry/src/log_appender.ts
@@ -15,11 +15,11 @@
 import type { LogFollower } from "./log_follower.ts";
 
 /** What became of an appended record. */
-export type AppendResult = LedgerVerdict | "failed";
+export type AppendResult = LedgerVerdict | "failed" | "uncertain";
 
 /** Options of an append. */
 export interface AppendOptions {
-  /** Called when a record whose append had failed took effect after all. */
+  /** Called when a record whose append was uncertain took effect after all. */
   late?(): void;
 }
 
@@ -28,8 +28,8 @@
   /**
    * Appends a record of the request stream.
    *
-   * @returns the verdict once the record was read back, or `failed` when it
-   * was not read back; a failed record may still appear later
+   * @returns the verdict once the record was read back, `failed` when it was
+   * certainly not appended, or `uncertain` when it may still appear
    */
   append(record: LedgerRecord, options?: AppendOptions): Promise<AppendResult>;
   /** Appends a record again and again until it was read back. */
@@ -66,7 +66,7 @@
 export function createLogAppender(options: AppenderOptions): LogAppender {
   const { platform, follower, log, timeoutMs } = options;
   const waiting = new Map<string, (result: AppendResult) => void>();
-  const failed = new Map<string, () => void>();
+  const uncertain = new Map<string, () => void>();
   let queue: LedgerRecord[] = [];
   let isSending = false;
   let isStopped = false;
@@ -98,7 +98,8 @@
       });
       // The records may stand in the log although the answer was lost: read back before giving up.
       if (isUncertain) await follower.readToEnd();
-      for (const { id } of batch) settle(id, "failed");
+      const result = isUncertain ? "uncertain" : "failed";
+      for (const { id } of batch) settle(id, result);
     }
   };
 
@@ -111,13 +112,13 @@
     }
     return new Promise((resolve) => {
       const timer = setTimeout(
-        () => settle(record.id, "failed"),
+        () => settle(record.id, "uncertain"),
         timeoutMs * 2,
       );
       waiting.set(record.id, (result) => {
         clearTimeout(timer);
-        if (result === "failed" && late !== undefined) {
-          failed.set(record.id, late);
+        if (result === "uncertain" && late !== undefined) {
+          uncertain.set(record.id, late);
         }
         resolve(result);
       });
@@ -128,7 +129,8 @@
 
   const appendUntilDone = async (record: LedgerRecord): Promise<void> => {
     while (!isStopped) {
-      if (await append(record) !== "failed") return;
+      const result = await append(record);
+      if (result !== "failed" && result !== "uncertain") return;
       await new Promise((resolve) => setTimeout(resolve, REPEAT_MS));
     }
   };
@@ -143,8 +145,8 @@
     },
     folded: (id, verdict) => {
       settle(id, verdict);
-      if (verdict === LedgerVerdict.accepted) failed.get(id)?.();
-      failed.delete(id);
+      if (verdict === LedgerVerdict.accepted) uncertain.get(id)?.();
+      uncertain.delete(id);
     },
     pending: () => waiting.size,
     stop: () => isStopped = true,
--- a/packages/entry/src/request_service.ts
+++ b/packages/entry/src/request_service.ts
@@ -10,7 +10,6 @@
 import {
   type AccountRule,
   type ClassRule,
-  EndReason,
   type LedgerEntry,
   LedgerVerdict,
   Outcome,
@@ -287,7 +286,8 @@
     const record = recordBase(spec);
     const verdict = await options.appender.append(
       { kind: "accept", ...record, spec, payload },
-      { late: () => withdrawJob(spec) },
+      // The log has the job now, whatever its caller was told: other entries answer for it.
+      { late: () => options.host.admit(spec, payload) },
     );
     if (verdict === LedgerVerdict.accepted) {
       const { state } = options.host.admit(spec, payload);
@@ -299,21 +299,11 @@
       requireSameBody(entry.bodyDigest, spec);
       return viewOfEntry(entry);
     }
-    throw notNow("the job could not be recorded", RETRY_AFTER_MS);
+    throw verdict === "failed"
+      ? notNow("the job could not be recorded", RETRY_AFTER_MS)
+      : uncertainJob();
   };
 
-  /** The caller was told that the job did not run, so it must not when its record appears late. */
-  const withdrawJob = (spec: RequestSpec): void =>
-    options.appender.appendUntilDone({
-      kind: "finish",
-      ...recordBase(spec),
-      result: {
-        outcome: Outcome.notRun,
-        answers: [],
-        reason: EndReason.logUnavailable,
-      },
-    });
-
   const recordBase = ({ account, key }: RequestSpec) => ({
     id: createIdentifier(),
     account,
@@ -405,6 +395,16 @@
   return new RequestProblem(503, text, { retryAfterMs });
 }
 
+/** A job whose record may still appear is looked up by its key. */
+function uncertainJob(): RequestProblem {
+  const text = "the job may have been recorded; ask again with the same key";
+  return new RequestProblem(503, text, {
+    step: "accept",
+    outcome: Outcome.unknown,
+    retryAfterMs: RETRY_AFTER_MS,
+  });
+}
+
 function notFound(id: string): RequestProblem {
   return new RequestProblem(404, `request ${id} is not known`, {
     code: ErrorCode.requestNotFound,
--- a/packages/standins/src/caller.ts
+++ b/packages/standins/src/caller.ts
@@ -88,9 +88,8 @@
     if (status === 200) return record("done", (body as AnswerBody).answer);
     const problem = body as ProblemBody & { retryAfterMs?: number };
     last = problem.outcome;
-    // A job that cannot be looked up now is asked for again.
-    const isLookup = jobId !== undefined && status === 503;
-    if (last !== "not-run" && !isLookup) return record(last);
+    // 503 asks to come back, whatever is known of the request.
+    if (last !== "not-run" && status !== 503) return record(last);
     const isFinal = status === 422 || status === 410 || status < 410;
     if (isFinal || options.retryNotRun === false) return record(last);
     await pause(Math.max(RETRY_MS, problem.retryAfterMs ?? RETRY_MS));
