feat(core): guarantees with reclaim, reservations, learned run times, quarantine

Ruled out: checking guarantees by a full packing at each placement (cost grows with accounts times workers); instead each guarantee has home shares on workers, and work that cannot be stopped stays off the shares of others. Change: homes, reclaim of the least loss with gangs as a whole, reservations with backfill, ageing, learned ratios, quarantine against classes that fail everywhere, refusal at once, account status.

--- a/packages/core/src/inventory.ts
+++ b/packages/core/src/inventory.ts
@@ -30,8 +30,8 @@
 
 /** The workers of one availability zone and what runs on them. */
 export interface Inventory {
-  /** Takes a worker's report; reports older than the newest known are ignored. */
-  report(report: WorkerReport, now: Milliseconds): void;
+  /** Takes a worker's report; older ones than the newest known are ignored. @returns whether it brought news */
+  report(report: WorkerReport, now: Milliseconds): boolean;
   /** Removes a worker that is gone or cannot be asked. */
   remove(worker: string): void;
   /** Excludes a worker from new placements, or admits it again. */
@@ -48,6 +48,8 @@
   workers(): readonly WorkerView[];
   /** @returns workers by rack */
   racks(): ReadonlyMap<string, readonly WorkerView[]>;
+  /** @returns all leases of a request, on every worker */
+  leasesOf(request: string): readonly LeaseView[];
   /** @returns accelerators used by an account; only leases of at least the given priority count */
   used(account: string, minimumPriority?: number): number;
 }
@@ -95,9 +97,12 @@
         worker = newWorker(report, byName.get(report.worker)?.isBlocked);
         byName.set(report.worker, worker);
         invalidate();
-      } else if (report.sequence < worker.sequence) return;
+      } else if (report.sequence < worker.sequence) return false;
       const known = worker;
+      const isNews = report.sequence > known.sequence ||
+        report.leaving !== known.leaving;
       change(known, () => applyReport(known, report, now));
+      return isNews;
     },
     remove: (name) => {
       const worker = byName.get(name);
@@ -136,6 +141,10 @@
     },
     find: (name) => byName.get(name),
     workers,
+    leasesOf: (request) =>
+      [...byName.values()].flatMap(({ leases }) =>
+        [...leases.values()].filter((lease) => lease.request === request)
+      ),
     racks: () => byRack ??= groupByRack(workers()),
     used: usage.used,
   };
--- a/packages/core/src/placer.ts
+++ b/packages/core/src/placer.ts
@@ -1,21 +1,34 @@
 import type { Milliseconds } from "@rattanhill/shared";
+import { type AccountStatus, describeAccounts } from "./account_status.ts";
 import { findPlacement, type Placement } from "./fit.ts";
-import { type Fragmentation, measureFragmentation } from "./fragmentation.ts";
-import { createInventory, type WorkerView } from "./inventory.ts";
+import { measureFragmentation } from "./fragmentation.ts";
+import { assignHomes, firmCapacity, NO_HOMES } from "./homes.ts";
+import {
+  createInventory,
+  type LeaseView,
+  type WorkerView,
+} from "./inventory.ts";
 import type { LeaseDescriptor, WorkerReport } from "./lease.ts";
+import { createQuarantine, type EndedTask } from "./quarantine.ts";
 import {
   createWaitingQueue,
   type WaitingGroup,
   type WaitingRequest,
 } from "./queue.ts";
+import { planReclaim, type ReclaimPlan } from "./reclaim.ts";
 import { EndReason } from "./request.ts";
+import { planReservation, type Reservation } from "./reservation.ts";
 import { NO_RULES, type Rules } from "./rules.ts";
+import { createRunTimes, type DeclaredTask } from "./run_times.ts";
 import { type RequestSpec, totalAccelerators } from "./shape.ts";
+import type { ZoneSummary } from "./zone_summary.ts";
 
 /** Holds that the host has to obtain from the workers, all or none. */
 export interface HoldPlan {
   spec: RequestSpec;
   attempt: number;
+  /** Time at which the request began to wait. */
+  since: Milliseconds;
   parts: readonly { target: WorkerView; lease: LeaseDescriptor }[];
 }
 
@@ -25,35 +38,70 @@
   retryAfterMs: Milliseconds;
 }
 
+/** A decision that operators see in the log. */
+export const PlacerNote = {
+  preempted: "preempted",
+  reserved: "reserved",
+  reservationEnded: "reservation-ended",
+  quarantined: "quarantined",
+  releasedWorker: "released-worker",
+} as const;
+
+/** One of the values of {@link PlacerNote}. */
+export type PlacerNote = typeof PlacerNote[keyof typeof PlacerNote];
+
 /** Operations of the host. */
 export interface PlacerHost {
   /** Asks the workers for the holds of a plan. */
   hold(plan: HoldPlan): void;
+  /** Saves the progress of running tasks and stops them. */
+  preempt(leases: readonly LeaseView[]): void;
   /** Tells the owner of a request that it will not be placed. */
   refuse(id: string, attempt: number, refusal: PlaceRefusal): void;
+  /** Tells operators of a decision. */
+  note?(note: PlacerNote, subject: string): void;
   /** @returns a new lease name */
   createLeaseName(): string;
   /** @returns a number from 0 up to 1 */
   random(): number;
 }
 
+/** Parts of the policy that can be left out, to measure what each is worth. */
+export interface PlacerPolicy {
+  /** Stops lent work when a guarantee is claimed. */
+  reclaim: boolean;
+  /** Keeps capacity for large jobs that waited long. */
+  reservation: boolean;
+  /** Plans with learned run times in place of declared ones. */
+  learning: boolean;
+  /** Refuses at once what cannot start in time. */
+  refusal: boolean;
+}
+
+/** The whole policy. */
+export const FULL_POLICY: PlacerPolicy = {
+  reclaim: true,
+  reservation: true,
+  learning: true,
+  refusal: true,
+};
+
 /** Options of a placer. */
 export interface PlacerOptions {
   /** Availability zone whose workers it decides about. */
   zone: string;
   host: PlacerHost;
+  policy?: PlacerPolicy;
 }
 
-/** Summary of a zone, sent to the other entries. */
-export interface ZoneSummary extends Fragmentation {
-  zone: string;
-  workers: number;
-  accelerators: number;
-  /** Accelerators of the largest worker. */
-  largestWorker: number;
-  /** Accelerators of the largest rack. */
-  largestRack: number;
-  waiting: number;
+/** A request that an owner wants to have placed. */
+export interface PlaceSubmission {
+  spec: RequestSpec;
+  attempt: number;
+  /** Process that will start it. */
+  owner: string;
+  /** Workers that must not be used. */
+  avoid: readonly string[];
 }
 
 /** Decides which request of a zone runs on which workers. */
@@ -61,112 +109,203 @@
   /** Takes new rules into force. */
   configure(rules: Rules): void;
   /** Adds a request of an owner; answered by `hold` or `refuse` of the host. */
-  submit(
-    request: Pick<WaitingRequest, "spec" | "attempt" | "avoid"> & {
-      owner: string;
-    },
-    now: Milliseconds,
-  ): void;
-  /** Removes a waiting request. @returns whether it was waiting */
+  submit(submission: PlaceSubmission, now: Milliseconds): void;
+  /** Removes a waiting request in constant time. @returns whether it was waiting */
   withdraw(id: string): boolean;
-  /** Notes the result of a plan. */
-  holdsGranted(
-    plan: HoldPlan,
-    sequences: readonly number[],
-  ): void;
+  /** Notes that all holds of a plan were granted. */
+  holdsGranted(plan: HoldPlan, sequences: readonly number[]): void;
   /** Returns a request to the queue after a worker refused its hold. */
-  holdsRefused(plan: HoldPlan, now: Milliseconds): void;
+  holdsRefused(plan: HoldPlan): void;
   /** Notes that a hold was given back. */
   release(worker: string, lease: string): void;
   /** Takes a worker's report. */
   report(report: WorkerReport, now: Milliseconds): void;
+  /** Learns from a task that ended by itself. */
+  taskEnded(
+    task: EndedTask & DeclaredTask,
+    ranMs: Milliseconds,
+    now: Milliseconds,
+  ): void;
   /** Removes a worker that cannot be asked. */
   lose(worker: string): void;
-  /** Excludes a worker from new work, or admits it again. */
-  setBlocked(worker: string, isBlocked: boolean): void;
-  /** Places what fits and refuses what waited too long. */
+  /** Places what fits, reclaims guarantees and refuses what waited too long. */
   decide(now: Milliseconds): void;
   /** @returns the state for peers */
   summarize(): ZoneSummary;
+  /** @returns use of guarantees by account */
+  accounts(): AccountStatus[];
+  /** @returns accounts whose guarantee does not fit the zone's workers */
+  unmetGuarantees(): readonly string[];
   /** @returns why a request waits, or `undefined` when it does not wait here */
   explain(id: string): string | undefined;
   /** @returns the workers of the zone */
   workers(): readonly WorkerView[];
 }
 
+/** A request with this much more priority may stop borrowed work. */
+export const PRIORITY_GAP = 30;
+
 const MINIMUM_RETRY_AFTER_MS: Milliseconds = 200;
 const MAXIMUM_RETRY_AFTER_MS: Milliseconds = 60_000;
 const AGE_PER_PRIORITY_MS: Milliseconds = 2_000; // waiting this long raises the priority by one
+const RESERVE_AFTER_MS: Milliseconds = 5_000;
+const RECLAIM_TIMEOUT_MS: Milliseconds = 2_000; // a stop that took no effect is planned anew
+const REVIEW_INTERVAL_MS: Milliseconds = 500; // waiting alone changes what may be done
+const RACKS_PER_RESERVATION = 4;
+const LARGE_ACCELERATORS = 8; // a whole worker
+
+interface PendingReclaim {
+  plan: ReclaimPlan;
+  kept: ReadonlyMap<string, number>;
+  at: Milliseconds;
+}
+
+interface Ranked {
+  isWithin: boolean;
+  priority: number;
+  share: number;
+  arrival: number;
+}
 
 /**
  * Creates the placer of a zone. It keeps nothing that the workers and the
  * owners of waiting requests could not tell it again.
  *
- * @param options zone and host operations
+ * @param options zone, host operations and policy
  * @returns the placer
  */
-export function createPlacer({ zone, host }: PlacerOptions): Placer {
+export function createPlacer(options: PlacerOptions): Placer {
+  const { zone, host, policy = FULL_POLICY } = options;
   const inventory = createInventory();
   const queue = createWaitingQueue();
+  const runTimes = createRunTimes();
+  const quarantine = createQuarantine();
   const owners = new Map<string, string>();
+  const reclaims = new Map<string, PendingReclaim>();
+  const reservations = new Map<string, Reservation>();
+  const peak = { largestWorker: 0, largestRack: 0, accelerators: 0 };
+  let homes = NO_HOMES;
+  let areHomesStale = true;
   let rules = NO_RULES;
   let arrivals = 0;
   let isDirty = true;
+  let reviewedAt = 0;
 
-  const usableRacks = (): WorkerView[][] =>
-    [...inventory.racks().values()].map((rack) =>
-      rack.filter((worker) => worker.isUsable)
-    );
+  const allRacks = () => [...inventory.racks().values()];
+  const usableRacks = () =>
+    allRacks().map((rack) => rack.filter((worker) => worker.isUsable));
+  const zoneAccelerators = () => sumAccelerators(inventory.workers());
+  const guaranteed = (account: string): number =>
+    rules.accounts.get(account)?.guarantees
+      .find((guarantee) => guarantee.zone === zone)?.accelerators ?? 0;
+  const spare = (account: string): number =>
+    inventory.used(account) - guaranteed(account);
+  const isWithinGuarantee = ({ account, priority, shape }: RequestSpec) =>
+    inventory.used(account, priority) + totalAccelerators(shape) <=
+      guaranteed(account);
+  const expectedRun = (task: DeclaredTask): Milliseconds =>
+    policy.learning ? runTimes.expect(task) : task.expectedMs;
 
-  const totalFree = (): number => {
-    let total = 0;
-    for (const worker of inventory.workers()) total += worker.accelerators;
-    return total;
+  const refreshHomes = (): void => {
+    if (!areHomesStale) return;
+    areHomesStale = false;
+    homes = assignHomes(rules, zone, allRacks());
+    const racks = allRacks().map(sumAccelerators);
+    peak.largestRack = Math.max(peak.largestRack, ...racks);
+    peak.accelerators = Math.max(peak.accelerators, zoneAccelerators());
+    for (const { accelerators } of inventory.workers()) {
+      peak.largestWorker = Math.max(peak.largestWorker, accelerators);
+    }
   };
 
   const retryAfter = (priority: number): Milliseconds => {
-    const drainMs = queue.work(priority) / Math.max(1, totalFree());
+    const drainMs = queue.work(priority) / Math.max(1, zoneAccelerators());
     const jitter = 1 + host.random() * 0.5;
     const bounded = Math.max(MINIMUM_RETRY_AFTER_MS, drainMs) * jitter;
     return Math.round(Math.min(MAXIMUM_RETRY_AFTER_MS, bounded));
   };
 
+  const drop = (id: string): void => {
+    queue.remove(id);
+    owners.delete(id);
+    reclaims.delete(id);
+    if (reservations.delete(id)) host.note?.(PlacerNote.reservationEnded, id);
+  };
+
   const refuse = (request: WaitingRequest, reason: EndReason): void => {
     const { spec, attempt } = request;
-    queue.remove(spec.id);
-    owners.delete(spec.id);
     const retryAfterMs = retryAfter(spec.priority);
+    drop(spec.id);
     host.refuse(spec.id, attempt, { reason, retryAfterMs });
   };
 
-  const guaranteed = (account: string): number =>
-    rules.accounts.get(account)?.guarantees
-      .find((guarantee) => guarantee.zone === zone)?.accelerators ?? 0;
+  /** Accelerators of a worker that are kept for other requests. */
+  const keptForOthers = (
+    worker: string,
+    request: WaitingRequest,
+    endsAt: Milliseconds,
+  ): number => {
+    let kept = 0;
+    for (const [id, reclaim] of reclaims) {
+      if (id !== request.spec.id) kept += reclaim.kept.get(worker) ?? 0;
+    }
+    for (const [id, { workers, expectedAt }] of reservations) {
+      if (id === request.spec.id) continue;
+      // Work that can be stopped may run until the large job is expected to start.
+      const isBackfill = request.spec.preemptible && endsAt <= expectedAt;
+      if (!isBackfill) kept += workers.get(worker) ?? 0;
+    }
+    return kept;
+  };
 
-  const isWithinGuarantee = ({ account, priority, shape }: RequestSpec) =>
-    inventory.used(account, priority) + totalAccelerators(shape) <=
-      guaranteed(account);
+  const limitOf = ({ spec }: WaitingRequest, worker: WorkerView): number =>
+    spec.preemptible
+      ? worker.accelerators
+      : firmCapacity(worker, homes, spec.account);
 
-  const rank = (request: WaitingRequest, now: Milliseconds): Ranked => {
-    const { spec, since } = request;
-    const weight = rules.accounts.get(spec.account)?.weight ?? 1;
-    return {
-      isWithin: isWithinGuarantee(spec),
-      priority: spec.priority + (now - since) / AGE_PER_PRIORITY_MS,
-      share: inventory.used(spec.account) / Math.max(1, weight),
-      arrival: request.arrival,
+  const mayProbe = ({ spec }: WaitingRequest): boolean =>
+    spec.repeatable && spec.shape.parts === 1;
+
+  const freeFor = (
+    request: WaitingRequest,
+    now: Milliseconds,
+  ): (worker: WorkerView) => number => {
+    const probed = new Set(quarantine.members());
+    const endsAt = now + request.plannedMs;
+    return (worker) => {
+      if (probed.has(worker.name) && !mayProbe(request)) return 0;
+      const kept = reclaims.size + reservations.size === 0
+        ? 0
+        : keptForOthers(worker.name, request, endsAt);
+      const free = Math.max(0, worker.free - kept);
+      return request.spec.preemptible
+        ? free
+        : Math.min(free, limitOf(request, worker));
     };
   };
 
+  const findFit = (
+    request: WaitingRequest,
+    racks: readonly (readonly WorkerView[])[],
+    now: Milliseconds,
+  ): Placement | undefined => {
+    const free = freeFor(request, now);
+    const { shape } = request.spec;
+    if (request.avoid.length === 0) return findPlacement(shape, racks, free);
+    const elsewhere = (worker: WorkerView) =>
+      request.avoid.includes(worker.name) ? 0 : free(worker);
+    return findPlacement(shape, racks, elsewhere) ??
+      findPlacement(shape, racks, free);
+  };
+
   const place = (
     request: WaitingRequest,
     placement: Placement,
-    now: number,
-  ) => {
-    const { spec, attempt } = request;
+    now: Milliseconds,
+  ): void => {
+    const { spec, attempt, since } = request;
     const owner = owners.get(spec.id) ?? "";
-    queue.remove(spec.id);
-    owners.delete(spec.id);
+    drop(spec.id);
     const parts = placement.map((target, part) => ({
       target,
       lease: describeLease(spec, {
@@ -178,51 +317,188 @@
     }));
     for (const { target, lease } of parts) {
       inventory.expect(target.name, lease, now);
+      quarantine.probe(target.name, now);
+      inventory.setBlocked(target.name, !quarantine.isOpen(target.name, now));
     }
-    host.hold({ spec, attempt, parts });
+    host.hold({ spec, attempt, since, parts });
   };
 
-  const tryGroup = (
-    group: WaitingGroup,
-    racks: WorkerView[][],
+  /** Lent work, and own work of lower priority, gives way to a guarantee; borrowed work gives way to urgent work. */
+  const isVictimFor =
+    ({ spec }: WaitingRequest, isWithin: boolean) =>
+    (lease: LeaseView): boolean => {
+      if (!lease.preemptible || lease.request === spec.id) return false;
+      if (lease.account === spec.account) {
+        return lease.priority < spec.priority;
+      }
+      if (spare(lease.account) <= 0) return false;
+      return isWithin || lease.priority + PRIORITY_GAP <= spec.priority;
+    };
+
+  const reclaim = (
+    request: WaitingRequest,
+    racks: readonly (readonly WorkerView[])[],
     now: Milliseconds,
   ): boolean => {
-    const request = firstOf(group);
-    if (request === undefined) return false;
-    const placement = findPlacement(
-      request.spec.shape,
+    const { spec } = request;
+    const isWithin = isWithinGuarantee(spec);
+    const free = freeFor(request, now);
+    const plan = planReclaim({
+      shape: spec.shape,
       racks,
-      (worker) => request.avoid.includes(worker.name) ? 0 : worker.free,
-    ) ?? findPlacement(request.spec.shape, racks, (worker) => worker.free);
-    if (placement === undefined) {
-      const needed = totalAccelerators(request.spec.shape);
-      request.explanation = `waits for ${needed} accelerators ` +
-        `(adjacent ${request.spec.shape.adjacent})`;
-      return false;
+      limit: (worker) => limitOf(request, worker),
+      free,
+      isVictim: isVictimFor(request, isWithin),
+      spare: (account) => account === spec.account ? Infinity : spare(account),
+      leasesOf: inventory.leasesOf,
+    });
+    if (plan === undefined) return false;
+    const kept = new Map<string, number>();
+    for (const { name } of plan.placement) {
+      kept.set(name, (kept.get(name) ?? 0) + spec.shape.accelerators);
+    }
+    reclaims.set(spec.id, { plan, kept, at: now });
+    host.preempt(plan.victims);
+    for (const { request: id } of plan.victims) {
+      host.note?.(PlacerNote.preempted, id);
     }
-    place(request, placement, now);
     return true;
   };
 
+  const endOf = (now: Milliseconds) => (lease: LeaseView): Milliseconds => {
+    const expected = expectedRun(lease);
+    const ran = now - lease.seenAt;
+    // A task that overran its expectation is expected to need half as long again.
+    return now + Math.max(expected - ran, expected / 2);
+  };
+
+  const isLarge = ({ shape }: RequestSpec): boolean =>
+    shape.parts > 1 || totalAccelerators(shape) >= LARGE_ACCELERATORS;
+
+  const mayReserve = (request: WaitingRequest, now: Milliseconds): boolean => {
+    const limit = Math.max(
+      1,
+      Math.floor(inventory.racks().size / RACKS_PER_RESERVATION),
+    );
+    return policy.reservation && isLarge(request.spec) &&
+      now - request.since >= RESERVE_AFTER_MS &&
+      !reservations.has(request.spec.id) && reservations.size < limit;
+  };
+
+  const reserve = (
+    request: WaitingRequest,
+    racks: readonly (readonly WorkerView[])[],
+    now: Milliseconds,
+  ): void => {
+    const taken = new Set(
+      [...reservations.values()].flatMap(({ workers }) => [...workers.keys()]),
+    );
+    const reservation = planReservation({
+      request: request.spec.id,
+      shape: request.spec.shape,
+      racks: racks.map((rack) => rack.filter(({ name }) => !taken.has(name))),
+      now,
+      endOf: endOf(now),
+      limit: (worker) => limitOf(request, worker),
+    });
+    if (reservation === undefined) return;
+    reservations.set(request.spec.id, reservation);
+    host.note?.(PlacerNote.reserved, request.spec.id);
+  };
+
+  /** Once a reserved start is due, work that can be stopped does not delay it further. */
+  const enforce = (
+    request: WaitingRequest,
+    reservation: Reservation,
+    now: Milliseconds,
+  ): void => {
+    const workers = [...reservation.workers.keys()]
+      .map(inventory.find).filter((worker) => worker !== undefined);
+    if (workers.length < reservation.workers.size) {
+      reservations.delete(request.spec.id); // a reserved worker is gone
+      return;
+    }
+    const priority = agedPriority(request, now);
+    const plan = planReclaim({
+      shape: request.spec.shape,
+      racks: [workers],
+      limit: (worker) => limitOf(request, worker),
+      free: freeFor(request, now),
+      isVictim: (lease) => lease.preemptible && lease.priority <= priority,
+      spare,
+      leasesOf: inventory.leasesOf,
+    });
+    if (plan === undefined || plan.victims.length === 0) return;
+    reclaims.set(request.spec.id, {
+      plan,
+      kept: reservation.workers,
+      at: now,
+    });
+    host.preempt(plan.victims);
+    for (const victim of plan.victims) {
+      host.note?.(PlacerNote.preempted, victim.request);
+    }
+  };
+
+  const agedPriority = ({ spec, since }: WaitingRequest, now: Milliseconds) =>
+    spec.priority + (now - since) / AGE_PER_PRIORITY_MS;
+
+  const rank = (request: WaitingRequest, now: Milliseconds): Ranked => {
+    const { spec } = request;
+    const weight = rules.accounts.get(spec.account)?.weight ?? 1;
+    return {
+      isWithin: isWithinGuarantee(spec),
+      priority: agedPriority(request, now),
+      share: inventory.used(spec.account) / Math.max(1, weight),
+      arrival: request.arrival,
+    };
+  };
+
+  const tryRequest = (
+    request: WaitingRequest,
+    racks: readonly (readonly WorkerView[])[],
+    now: Milliseconds,
+  ): boolean => {
+    const placement = findFit(request, racks, now);
+    if (placement !== undefined) {
+      place(request, placement, now);
+      return true;
+    }
+    const { id } = request.spec;
+    const isReclaiming = now - (reclaims.get(id)?.at ?? -Infinity) <
+      RECLAIM_TIMEOUT_MS;
+    if (!isReclaiming) {
+      reclaims.delete(id);
+      const reservation = reservations.get(id);
+      if (policy.reclaim) reclaim(request, racks, now);
+      if (mayReserve(request, now)) reserve(request, racks, now);
+      else if (reservation !== undefined && now >= reservation.expectedAt) {
+        enforce(request, reservation, now);
+      }
+    }
+    return false;
+  };
+
   const placeWaiting = (now: Milliseconds): void => {
     const racks = usableRacks();
-    const stuck = new Set<string>();
-    for (;;) {
-      let best: { group: WaitingGroup; rank: Ranked } | undefined;
-      for (const group of queue.groups()) {
-        if (stuck.has(group.name)) continue;
-        const candidate = rank(firstOf(group)!, now);
-        if (best !== undefined && !goesBefore(candidate, best.rank)) continue;
-        best = { group, rank: candidate };
-      }
-      if (best === undefined) return;
-      if (!tryGroup(best.group, racks, now)) stuck.add(best.group.name);
+    const heads = new Map<string, { group: WaitingGroup; rank: Ranked }>();
+    for (const group of queue.groups()) {
+      heads.set(group.name, { group, rank: rank(firstOf(group)!, now) });
+    }
+    while (heads.size > 0) {
+      const { group } = bestOf(heads.values());
+      const request = firstOf(group)!;
+      const isPlaced = tryRequest(request, racks, now);
+      const next = firstOf(group);
+      // What stands behind a request that does not fit has the same shape.
+      if (!isPlaced || next === undefined) heads.delete(group.name);
+      else heads.set(group.name, { group, rank: rank(next, now) });
     }
   };
 
   const refuseOverdue = (now: Milliseconds): void => {
     for (const { requests } of queue.groups()) {
-      for (const request of [...requests.values()]) {
+      for (const request of requests.values()) {
         if (request.spec.isJob) continue;
         const waitMs = rules.classes.get(request.spec.class)?.waitMs;
         if (waitMs === undefined || now - request.since < waitMs) break;
@@ -231,9 +507,52 @@
     }
   };
 
+  /** A request that could not start before its wait ends is refused at once. */
+  const isHopeless = ({ spec }: WaitingRequest): boolean => {
+    const rule = rules.classes.get(spec.class);
+    if (rule === undefined || spec.isJob) return false;
+    if (queue.size(spec.class) >= rule.refuseOver) return true;
+    if (!policy.refusal || isWithinGuarantee(spec)) return false;
+    const waitMs = Math.min(rule.waitMs, spec.deadlineMs);
+    const ahead = queue.work(spec.priority) / Math.max(1, zoneAccelerators());
+    return ahead > waitMs;
+  };
+
+  const reviewWorkers = (now: Milliseconds): void => {
+    for (const worker of quarantine.members()) {
+      inventory.setBlocked(worker, !quarantine.isOpen(worker, now));
+    }
+  };
+
+  const explain = (id: string): string | undefined => {
+    const request = queue.find(id);
+    if (request === undefined) return undefined;
+    const { shape } = request.spec;
+    const reservation = reservations.get(id);
+    const reclaiming = reclaims.get(id);
+    const needed = `${totalAccelerators(shape)} accelerators in ` +
+      `${shape.parts} parts, adjacent ${shape.adjacent}`;
+    if (reclaiming !== undefined) {
+      const names = [...reclaiming.kept.keys()].join(", ");
+      const count = reclaiming.plan.victims.length;
+      return `needs ${needed}; ${count} leases are being stopped on ${names}`;
+    }
+    if (reservation !== undefined) {
+      const names = [...reservation.workers.keys()].join(", ");
+      return `needs ${needed}; ${names} are reserved for it, expected at ` +
+        `${Math.round(reservation.expectedAt)} ms of the lead's clock`;
+    }
+    const place = isWithinGuarantee(request.spec)
+      ? "within its account's guarantee"
+      : "beyond its account's guarantee";
+    return `needs ${needed}, ${place}; ${queue.size()} requests wait, ` +
+      `${measureFragmentation(usableRacks()).free} accelerators are free`;
+  };
+
   return {
     configure: (next) => {
       rules = next;
+      areHomesStale = true;
       isDirty = true;
     },
     submit: ({ spec, attempt, avoid, owner }, now) => {
@@ -244,108 +563,105 @@
         avoid,
         since: earlier?.since ?? now,
         arrival: earlier?.arrival ?? arrivals++,
-        explanation: "waits for a decision",
+        plannedMs: expectedRun(spec),
       };
-      const over = rules.classes.get(spec.class)?.refuseOver ?? Infinity;
-      if (!spec.isJob && queue.size(spec.class) >= over) {
-        refuse(request, EndReason.queueFull);
-        return;
-      }
+      if (isHopeless(request)) return refuse(request, EndReason.queueFull);
       owners.set(spec.id, owner);
       queue.add(request);
       isDirty = true;
     },
     withdraw: (id) => {
-      owners.delete(id);
-      return queue.remove(id) !== undefined;
+      const isWaiting = queue.find(id) !== undefined;
+      drop(id);
+      return isWaiting;
     },
     holdsGranted: (plan, sequences) => {
       plan.parts.forEach(({ target, lease }, part) =>
         inventory.confirm(target.name, lease.lease, sequences[part])
       );
     },
-    holdsRefused: ({ spec, attempt, parts }, now) => {
+    holdsRefused: ({ spec, attempt, since, parts }) => {
       for (const { target, lease } of parts) {
         inventory.forget(target.name, lease.lease);
       }
       owners.set(spec.id, parts[0].lease.owner);
-      queue.add({
-        spec,
-        attempt,
-        avoid: [],
-        since: now,
-        arrival: arrivals++,
-        explanation: "a worker refused the hold",
-      });
+      const arrival = arrivals++;
+      const plannedMs = expectedRun(spec);
+      queue.add({ spec, attempt, avoid: [], since, arrival, plannedMs });
+      isDirty = true;
     },
     release: (worker, lease) => {
       inventory.forget(worker, lease);
       isDirty = true;
     },
     report: (report, now) => {
-      inventory.report(report, now);
-      isDirty = true;
+      const isNew = inventory.find(report.worker)?.boot !== report.boot;
+      if (inventory.report(report, now)) isDirty = true;
+      if (!isNew) return;
+      areHomesStale = true;
+      const isOpen = quarantine.isOpen(report.worker, now);
+      inventory.setBlocked(report.worker, !isOpen);
     },
-    lose: (worker) => inventory.remove(worker),
-    setBlocked: (worker, isBlocked) => {
-      inventory.setBlocked(worker, isBlocked);
+    taskEnded: (task, ranMs, now) => {
+      if (!task.hasFailed) runTimes.learn(task, ranMs);
+      if (!quarantine.note(task, now)) return;
+      const isOpen = quarantine.isOpen(task.worker, now);
+      inventory.setBlocked(task.worker, !isOpen);
+      const note = isOpen ? PlacerNote.releasedWorker : PlacerNote.quarantined;
+      host.note?.(note, task.worker);
       isDirty = true;
     },
+    lose: (worker) => {
+      inventory.remove(worker);
+      areHomesStale = true;
+    },
     decide: (now) => {
       refuseOverdue(now);
-      if (!isDirty || queue.size() === 0) return;
+      if (queue.size() === 0) return;
+      const isReviewDue = now - reviewedAt >= REVIEW_INTERVAL_MS;
+      if (!isDirty && !isReviewDue) return;
       isDirty = false;
+      reviewedAt = now;
+      refreshHomes();
+      reviewWorkers(now);
       placeWaiting(now);
     },
     summarize: () => {
-      const racks = [...inventory.racks().values()];
+      refreshHomes();
       return {
         ...measureFragmentation(usableRacks()),
+        ...peak,
         zone,
         workers: inventory.workers().length,
-        accelerators: totalFree(),
-        largestWorker: Math.max(
-          0,
-          ...inventory.workers().map((worker) => worker.accelerators),
-        ),
-        largestRack: Math.max(0, ...racks.map(sumAccelerators)),
         waiting: queue.size(),
       };
     },
-    explain: (id) => queue.find(id)?.explanation,
+    accounts: () => {
+      refreshHomes();
+      return describeAccounts({
+        zone,
+        rules,
+        homes,
+        workers: inventory.workers(),
+      });
+    },
+    unmetGuarantees: () => {
+      refreshHomes();
+      return homes.unmet;
+    },
+    explain,
     workers: inventory.workers,
   };
 }
 
-/**
- * Tells whether a shape fits a zone that is empty.
- *
- * @param spec the request
- * @param summary summary of the zone
- * @returns whether it could ever be placed there
- */
-export function couldFitZone(
-  { shape }: Pick<RequestSpec, "shape">,
-  summary: ZoneSummary,
-): boolean {
-  const total = totalAccelerators(shape);
-  switch (shape.adjacent) {
-    case "worker":
-      return total <= summary.largestWorker;
-    case "rack":
-      return shape.accelerators <= summary.largestWorker &&
-        total <= summary.largestRack;
-    case "none":
-      return shape.accelerators <= summary.largestWorker &&
-        total <= summary.accelerators;
+function bestOf(
+  heads: Iterable<{ group: WaitingGroup; rank: Ranked }>,
+): { group: WaitingGroup; rank: Ranked } {
+  let best: { group: WaitingGroup; rank: Ranked } | undefined;
+  for (const head of heads) {
+    if (best === undefined || goesBefore(head.rank, best.rank)) best = head;
   }
-}
-
-interface Ranked {
-  isWithin: boolean;
-  priority: number;
-  share: number;
-  arrival: number;
+  return best!;
 }
 
 function goesBefore(a: Ranked, b: Ranked): boolean {
@@ -382,5 +698,5 @@
 }
 
 function sumAccelerators(workers: readonly WorkerView[]): number {
-  return workers.reduce((sum, worker) => sum + worker.accelerators, 0);
+  return workers.reduce((sum, { accelerators }) => sum + accelerators, 0);
 }
--- a/packages/core/src/queue.ts
+++ b/packages/core/src/queue.ts
@@ -12,8 +12,8 @@
   since: Milliseconds;
   /** Arrival number, to keep requests of one kind in order. */
   arrival: number;
-  /** Why it waits, for operators. */
-  explanation: string;
+  /** Run time to plan with. */
+  plannedMs: Milliseconds;
 }
 
 /** Waiting requests that are alike in everything that decides their placement. */
@@ -49,10 +49,11 @@
   const sizes = new Map<string, number>();
   const workByPriority = new Map<number, number>();
 
-  const count = ({ spec }: WaitingRequest, sign: 1 | -1): void => {
+  const count = (request: WaitingRequest, sign: 1 | -1): void => {
+    const { spec } = request;
     sizes.set(spec.class, (sizes.get(spec.class) ?? 0) + sign);
     const work = workByPriority.get(spec.priority) ?? 0;
-    workByPriority.set(spec.priority, work + sign * expectedWork(spec));
+    workByPriority.set(spec.priority, work + sign * plannedWork(request));
   };
   const find = (id: string) => groups.get(groupOf.get(id) ?? "")?.get(id);
   const remove = (id: string): WaitingRequest | undefined => {
@@ -107,6 +108,6 @@
   ].join("|");
 }
 
-function expectedWork(spec: RequestSpec): number {
-  return totalAccelerators(spec.shape) * spec.expectedMs;
+function plannedWork({ spec, plannedMs }: WaitingRequest): number {
+  return totalAccelerators(spec.shape) * plannedMs;
 }
--- a/packages/core/src/zone_choice.ts
+++ b/packages/core/src/zone_choice.ts
@@ -1,6 +1,6 @@
 import type { Rules } from "./rules.ts";
 import { type RequestSpec, totalAccelerators } from "./shape.ts";
-import { couldFitZone, type ZoneSummary } from "./placer.ts";
+import { couldFitZone, type ZoneSummary } from "./zone_summary.ts";
 
 /** What an entry knows about the zones. */
 export interface ZoneView {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -8,6 +8,7 @@
   createSystemClock,
   describeError,
   ErrorCode,
+  type Event,
   type EventLog,
   Events,
   type Milliseconds,
@@ -20,8 +21,10 @@
   createMembership,
   EndReason,
   type EntryInfo,
+  LeaseState,
   NO_RULES,
   parseRules,
+  PlacerNote,
   type RequestSpec,
   type Rules,
   type ZoneChoice,
@@ -30,6 +33,7 @@
 import {
   type ConfigReply,
   encodeSpec,
+  type EndedLease,
   type FindReply__Output,
   type HeartbeatMessage,
   type PlaceReply,
@@ -175,8 +179,9 @@
     clock,
     log,
     isLead,
-    reported: (report) => {
+    reported: (report, ended) => {
       placerHost.placer.report(report, clock.now());
+      if (isLead()) noteEnded(report.worker, ended);
       placerHost.decideSoon();
     },
     silent: (worker) => placerHost.placer.lose(worker),
@@ -187,8 +192,18 @@
     clock,
     actors,
     links: () => links,
+    note: (note, subject) => log(PLACER_EVENTS[note], { subject }),
   });
 
+  const noteEnded = (worker: string, ended: readonly EndedLease[]): void => {
+    for (const lease of ended) {
+      const hasFailed = lease.state === LeaseState.failed;
+      if (!hasFailed && lease.state !== LeaseState.ended) continue;
+      const task = { ...lease, worker, hasFailed };
+      placerHost.placer.taskEnded(task, lease.runningMs, clock.now());
+    }
+  };
+
   const heartbeat = (): HeartbeatMessage => ({
     ...info,
     configVersion: follower.config().version,
@@ -504,6 +519,8 @@
       zone,
       lead: membership.lead(zone)?.name,
       summary: placerHost.placer.summarize(),
+      accounts: placerHost.placer.accounts(),
+      unmetGuarantees: placerHost.placer.unmetGuarantees(),
       workers: placerHost.placer.workers().map(({ leases, ...worker }) => ({
         ...worker,
         leases: [...leases.values()],
@@ -594,6 +611,13 @@
   };
 }
 
+const PLACER_EVENTS: Readonly<Record<PlacerNote, Event>> = {
+  [PlacerNote.preempted]: Events.leasePreempted,
+  [PlacerNote.reserved]: Events.reservationMade,
+  [PlacerNote.reservationEnded]: Events.reservationEnded,
+  [PlacerNote.quarantined]: Events.workerQuarantined,
+  [PlacerNote.releasedWorker]: Events.workerReleased,
+};
 const ZONE_PATIENCE_MS: Milliseconds = 2_000;
 const ZONE_POLL_MS: Milliseconds = 50;
 const STARTUP_MS: Milliseconds = 5_000;
--- a/packages/entry/src/placer_host.ts
+++ b/packages/entry/src/placer_host.ts
@@ -11,8 +11,10 @@
   createPlacer,
   EndReason,
   type HoldPlan,
+  type LeaseView,
   type Placer,
   type PlaceRefusal,
+  type PlacerNote,
   type RequestSpec,
 } from "@rattanhill/core";
 import type { PlaceReply } from "@rattanhill/protocol";
@@ -49,6 +51,8 @@
   clock: Clock;
   actors: ActorSystem;
   links(): WorkerLinks;
+  /** Tells operators of a decision. */
+  note(note: PlacerNote, subject: string): void;
 }
 
 interface Waiter {
@@ -91,19 +95,34 @@
     zone,
     host: {
       hold: (plan) => void obtainHolds(plan),
+      preempt: (leases) => leases.forEach((lease) => void stopLease(lease)),
       refuse,
+      note: options.note,
       createLeaseName: createIdentifier,
       random: Math.random,
     },
   });
 
+  /** Progress is saved first; the owner of the request learns of the stop from the worker. */
+  const stopLease = async ({ worker, lease }: LeaseView): Promise<void> => {
+    const view = placer.workers().find(({ name }) => name === worker);
+    if (view === undefined) return;
+    const client = options.links().client(worker, view.address);
+    try {
+      await client.checkpoint(lease);
+    } catch {
+      // Work since the last checkpoint is lost; the guarantee is not kept waiting for it.
+    }
+    await client.stop(lease).catch(() => {}); // the placer plans anew when nothing was freed
+  };
+
   const obtainHolds = async (plan: HoldPlan): Promise<void> => {
     const firstSentAt = clock.now();
     const granted = new Map<number, { boot: string; sequence: number }>();
     const refusal = await holdInOrder(plan, granted);
     if (refusal !== undefined) {
       giveBack(plan, granted);
-      placer.holdsRefused(plan, clock.now());
+      placer.holdsRefused(plan);
       if (!waiters.has(plan.spec.id)) placer.withdraw(plan.spec.id);
       decideSoon();
       return;
