--- /dev/null
+++ b/packages/bench/src/baselines.ts
@@ -0,0 +1,278 @@
+import type { Milliseconds } from "@rattanhill/shared";
+import type { LeaseDescriptor, Shape } from "@rattanhill/core";
+import type {
+  Scheduler,
+  SchedulerFactory,
+  SchedulerHost,
+} from "./simulation.ts";
+import type { Deployment, SimulatedJob } from "./workload.ts";
+
+/** A job of a baseline's queue that runs, with the end its caller declared. */
+interface RunningJob {
+  declaredEnd: Milliseconds;
+  parts: { worker: string; accelerators: number }[];
+}
+
+type FreeMap = Map<string, number>;
+
+/** Decides about the queue of a baseline. */
+type QueuePolicy = (context: BaselineContext, now: Milliseconds) => void;
+
+interface BaselineContext {
+  deployment: Deployment;
+  queue: SimulatedJob[];
+  running: Map<string, RunningJob>;
+  /** Free accelerators by worker; only workers that the baseline believes alive. */
+  free: FreeMap;
+  racks: readonly (readonly string[])[];
+  /** Starts a job and takes it off the queue. */
+  start(job: SimulatedJob, workers: readonly string[], now: Milliseconds): void;
+}
+
+/** Places whatever fits first, in the order of arrival, and stops nothing. */
+export const firstComeFirstFit: SchedulerFactory = baseline(
+  (context, now) => {
+    const misses = new Set<string>();
+    for (const job of [...context.queue]) {
+      const shape = JSON.stringify(job.shape);
+      if (misses.has(shape)) continue;
+      const workers = firstFit(job.shape, context.racks, context.free);
+      if (workers === undefined) misses.add(shape);
+      else context.start(job, workers, now);
+    }
+  },
+);
+
+/** Gives each account workers of its own and places in the order of arrival there. */
+export const fixedPartitions: SchedulerFactory = baseline((context, now) => {
+  const partitions = partitionsOf(context);
+  const misses = new Set<string>();
+  for (const job of [...context.queue]) {
+    const shape = job.account + JSON.stringify(job.shape);
+    if (misses.has(shape)) continue;
+    const own = partitions.get(job.account) ?? [];
+    const workers = firstFit(job.shape, own, context.free);
+    if (workers === undefined) misses.add(shape);
+    else context.start(job, workers, now);
+  }
+});
+
+const BACKFILL_DEPTH = 100; // jobs behind the head that may fill gaps
+
+/** Keeps a start for the first job of the queue, by declared times, and fills the gaps. */
+export const backfillDeclared: SchedulerFactory = baseline((context, now) => {
+  let shadow: { startAt: Milliseconds; kept: FreeMap } | undefined;
+  const misses = new Set<string>();
+  for (const job of context.queue.slice(0, BACKFILL_DEPTH)) {
+    if (shadow === undefined) {
+      const workers = firstFit(job.shape, context.racks, context.free);
+      if (workers !== undefined) context.start(job, workers, now);
+      else shadow = reserveHead(job, context, now);
+      continue;
+    }
+    const endsInTime = now + job.declaredMs <= shadow.startAt;
+    const kind = `${endsInTime}${JSON.stringify(job.shape)}`;
+    if (misses.has(kind)) continue;
+    const usable = endsInTime
+      ? context.free
+      : without(context.free, shadow.kept);
+    const gap = firstFit(job.shape, context.racks, usable);
+    if (gap === undefined) misses.add(kind);
+    else context.start(job, gap, now);
+  }
+});
+
+function baseline(decideQueue: QueuePolicy): SchedulerFactory {
+  return (deployment, host): Scheduler => {
+    const context = createContext(deployment, host);
+    const forget = (id: string): void => {
+      const index = context.queue.findIndex((job) => job.id === id);
+      if (index >= 0) context.queue.splice(index, 1);
+    };
+    let isDirty = false;
+    return {
+      submit: (job) => {
+        context.queue.push(job);
+        isDirty = true;
+      },
+      cancel: forget,
+      workerChanged: (worker) => {
+        const { report, isAlive } = host.fleet.worker(worker);
+        if (!isAlive || !context.free.has(worker)) return;
+        const used = report.leases.reduce(
+          (sum, lease) => sum + lease.accelerators,
+          0,
+        );
+        context.free.set(worker, report.accelerators - used);
+        isDirty = true;
+      },
+      workerLost: (worker) => context.free.delete(worker),
+      taskEnded: ({ request }) => void context.running.delete(request),
+      decide: (now) => {
+        if (!isDirty) return;
+        isDirty = false;
+        decideQueue(context, now);
+      },
+    };
+  };
+}
+
+function createContext(
+  deployment: Deployment,
+  host: SchedulerHost,
+): BaselineContext {
+  const racks = new Map<string, string[]>();
+  const free: FreeMap = new Map();
+  for (const { report } of host.fleet.workers) {
+    racks.set(report.rack, [...racks.get(report.rack) ?? [], report.worker]);
+    free.set(report.worker, report.accelerators);
+  }
+  let leases = 0;
+  const context: BaselineContext = {
+    deployment,
+    queue: [],
+    running: new Map(),
+    free,
+    racks: [...racks.values()],
+    start: (job, workers, now) => {
+      context.queue.splice(context.queue.indexOf(job), 1);
+      const accelerators = job.shape.accelerators;
+      context.running.set(job.id, {
+        declaredEnd: now + job.declaredMs,
+        parts: workers.map((worker) => ({ worker, accelerators })),
+      });
+      host.start(
+        job,
+        workers.map((worker, part) => ({
+          worker,
+          descriptor: describe(job, part, `lease-${++leases}`),
+        })),
+      );
+    },
+  };
+  return context;
+}
+
+function firstFit(
+  shape: Shape,
+  racks: readonly (readonly string[])[],
+  free: FreeMap,
+): string[] | undefined {
+  if (shape.adjacent !== "rack") return fillFirst(shape, racks.flat(), free);
+  for (const rack of racks) {
+    const workers = fillFirst(shape, rack, free);
+    if (workers !== undefined) return workers;
+  }
+  return undefined;
+}
+
+function fillFirst(
+  { parts, accelerators }: Shape,
+  workers: readonly string[],
+  free: FreeMap,
+): string[] | undefined {
+  const chosen: string[] = [];
+  for (const worker of workers) {
+    let room = free.get(worker) ?? 0;
+    while (room >= accelerators && chosen.length < parts) {
+      chosen.push(worker);
+      room -= accelerators;
+    }
+    if (chosen.length === parts) return chosen;
+  }
+  return undefined;
+}
+
+/** Finds the earliest start of a job when running jobs end as declared. */
+function reserveHead(
+  job: SimulatedJob,
+  { running, free, racks }: BaselineContext,
+  now: Milliseconds,
+): { startAt: Milliseconds; kept: FreeMap } {
+  const later = new Map(free);
+  const ends = [...running.values()].sort((a, b) =>
+    a.declaredEnd - b.declaredEnd
+  );
+  for (const { declaredEnd, parts } of ends) {
+    for (const { worker, accelerators } of parts) {
+      if (!later.has(worker)) continue;
+      later.set(worker, (later.get(worker) ?? 0) + accelerators);
+    }
+    const workers = firstFit(job.shape, racks, later);
+    if (workers === undefined) continue;
+    const kept: FreeMap = new Map();
+    for (const worker of workers) {
+      kept.set(worker, (kept.get(worker) ?? 0) + job.shape.accelerators);
+    }
+    return { startAt: Math.max(now, declaredEnd), kept };
+  }
+  return { startAt: Infinity, kept: new Map() };
+}
+
+function without(free: FreeMap, kept: FreeMap): FreeMap {
+  return new Map(
+    [...free].map(([worker, room]) =>
+      [worker, Math.max(0, room - (kept.get(worker) ?? 0))] as const
+    ),
+  );
+}
+
+/** Whole racks go to accounts in proportion to what they are guaranteed and their load. */
+function partitionsOf(
+  { deployment, racks }: BaselineContext,
+): Map<string, string[][]> {
+  const weights = deployment.accounts.map(({ name, guarantee }) => ({
+    name,
+    weight: guarantee + loadShare(deployment, name) * FLEET_WEIGHT,
+  }));
+  const total = weights.reduce((sum, { weight }) => sum + weight, 0);
+  const workers = racks.flat();
+  const partitions = new Map<string, string[][]>();
+  let next = 0;
+  let carried = 0;
+  for (const { name, weight } of weights) {
+    carried += weight / total * workers.length;
+    const count = Math.max(next < workers.length ? 1 : 0, Math.round(carried));
+    carried -= count;
+    const own = new Set(workers.slice(next, next + count));
+    next += count;
+    partitions.set(
+      name,
+      racks.map((rack) => rack.filter((worker) => own.has(worker))),
+    );
+  }
+  return partitions;
+}
+
+const FLEET_WEIGHT = 200; // accelerators that the load is counted as, beside the guarantees
+
+function loadShare({ classes }: Deployment, account: string): number {
+  return classes.reduce(
+    (sum, { accounts, share }) =>
+      sum + (accounts.includes(account) ? share / accounts.length : 0),
+    0,
+  );
+}
+
+function describe(
+  job: SimulatedJob,
+  part: number,
+  lease: string,
+): LeaseDescriptor {
+  return {
+    lease,
+    request: job.id,
+    key: job.id,
+    account: job.account,
+    class: job.class,
+    attempt: 1,
+    part,
+    parts: job.shape.parts,
+    accelerators: job.shape.accelerators,
+    owner: "owner",
+    priority: 0,
+    repeatable: true,
+    preemptible: false,
+    expectedMs: job.declaredMs,
+  };
+}
--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,103 @@
+import { writeFileSync } from "node:fs";
+import process from "node:process";
+import type { PlacerPolicy } from "@rattanhill/core";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { measureIdle, measurePath } from "./live_bench.ts";
+import { runPolicyBench } from "./policy_bench.ts";
+import { drawReport } from "./report.ts";
+import type { CaseResult } from "./simulation.ts";
+
+const IDLE_SIZES: readonly (readonly [number, number])[] = [
+  [2, 8],
+  [2, 24],
+  [2, 48],
+  [6, 8],
+];
+const PARTS: readonly (keyof PlacerPolicy)[] = [
+  "reclaim",
+  "reservation",
+  "learning",
+  "refusal",
+  "compaction",
+];
+
+await yargs(hideBin(process.argv))
+  .scriptName("bench")
+  .command(
+    "policy",
+    "measure the policy against baselines with a hand-moved clock",
+    (options) =>
+      options.options({
+        seed: { type: "number", default: 1 },
+        cases: { type: "array", string: true, default: [] as string[] },
+        deployments: { type: "array", string: true, default: [] as string[] },
+        without: {
+          type: "array",
+          choices: PARTS,
+          default: [] as (keyof PlacerPolicy)[],
+          describe: "parts of the policy to leave out",
+        },
+        baselines: {
+          type: "boolean",
+          default: true,
+          describe: "measure the baselines too",
+        },
+        json: { type: "string", describe: "file for one JSON line a row" },
+        report: { type: "string", describe: "file for an HTML report" },
+      }),
+    async (args) => {
+      const { results, targets } = runPolicyBench({
+        ...args,
+        progress: (result) => console.error(describe(result)),
+      });
+      console.table(results.map(flatten));
+      console.table(targets);
+      const missed = targets.filter(({ met }) => !met).length;
+      console.log(`${targets.length - missed} targets met, ${missed} missed`);
+      if (args.json !== undefined) {
+        const rows = [...results, ...targets];
+        writeFileSync(
+          args.json,
+          rows.map((row) => JSON.stringify(row) + "\n").join(""),
+        );
+      }
+      if (args.report !== undefined) {
+        writeFileSync(args.report, await drawReport({ results, targets }));
+      }
+    },
+  )
+  .command(
+    "path",
+    "measure the path through an entry beside calling an executor directly",
+    {},
+    async () => {
+      console.log(JSON.stringify(await measurePath(), undefined, 2));
+    },
+  )
+  .command(
+    "idle",
+    "measure what idle entries use, by number of entries and workers",
+    {},
+    async () => console.table(await measureIdle(IDLE_SIZES)),
+  )
+  .demandCommand(1, "name a bench: policy, path or idle")
+  .strict()
+  .parseAsync();
+
+function describe({ deployment, case: name, policy }: CaseResult): string {
+  return `${deployment} ${name} ${policy}`;
+}
+
+function flatten(result: CaseResult) {
+  const { completion, ...rest } = result;
+  const quantiles = Object.entries(completion).map(([name, times]) => [
+    name,
+    `${times.p50}/${times.p95}/${times.p99}`,
+  ]);
+  const figures = Object.entries(rest).map(([name, value]) => [
+    name,
+    typeof value === "number" ? Math.round(value * 100) / 100 : value,
+  ]);
+  return Object.fromEntries([...figures, ...quantiles]);
+}
--- /dev/null
+++ b/packages/bench/src/policy_bench.ts
@@ -0,0 +1,115 @@
+import { createRandom } from "@rattanhill/standins";
+import {
+  FULL_POLICY,
+  measureFragmentation,
+  type PlacerPolicy,
+  type WorkerView,
+} from "@rattanhill/core";
+import {
+  backfillDeclared,
+  firstComeFirstFit,
+  fixedPartitions,
+} from "./baselines.ts";
+import { CASES, DEPLOYMENTS } from "./deployments.ts";
+import type { Fleet } from "./fleet.ts";
+import { ourScheduler } from "./our_scheduler.ts";
+import {
+  type CaseResult,
+  type SchedulerFactory,
+  simulate,
+} from "./simulation.ts";
+import { judgeTargets, type TargetRow } from "./targets.ts";
+
+/** Name of the project's own policy in results. */
+export const OUR_POLICY = "rattanhill";
+
+const BASELINES: Readonly<Record<string, SchedulerFactory>> = {
+  "first-come-first-fit": firstComeFirstFit,
+  "fixed-partitions": fixedPartitions,
+  "backfill-declared": backfillDeclared,
+};
+
+/** Options of {@link runPolicyBench}. */
+export interface PolicyBenchOptions {
+  seed: number;
+  /** Names of cases; all when empty. */
+  cases: readonly string[];
+  /** Names of deployments; all when empty. */
+  deployments: readonly string[];
+  /** Parts of the policy that are left out, to show that the targets notice. */
+  without: readonly (keyof PlacerPolicy)[];
+  /** Whether the baselines are measured too. */
+  baselines: boolean;
+  /** Called after each case. */
+  progress(result: CaseResult): void;
+}
+
+/** Results of the bench. */
+export interface PolicyBenchResult {
+  results: CaseResult[];
+  targets: TargetRow[];
+}
+
+/**
+ * Measures the policy against its baselines.
+ *
+ * @param options cases and seed
+ * @returns figures of every case and policy, and the targets
+ */
+export function runPolicyBench(
+  options: PolicyBenchOptions,
+): PolicyBenchResult {
+  const policy = { ...FULL_POLICY };
+  for (const part of options.without) policy[part] = false;
+  const policies: Record<string, SchedulerFactory> = {
+    [OUR_POLICY]: ourScheduler(policy),
+    ...options.baselines ? BASELINES : {},
+  };
+  const results: CaseResult[] = [];
+  for (const deployment of DEPLOYMENTS) {
+    if (!isWanted(deployment.name, options.deployments)) continue;
+    for (const load of CASES) {
+      if (!isWanted(load.name, options.cases)) continue;
+      for (const [name, factory] of Object.entries(policies)) {
+        const result = simulate(deployment, load, {
+          policy: name,
+          factory,
+          createRandom,
+          seed: options.seed,
+          measure: measureFleet,
+        });
+        results.push(result);
+        options.progress(result);
+      }
+    }
+  }
+  return { results, targets: judgeTargets(results) };
+}
+
+function isWanted(name: string, wanted: readonly string[]): boolean {
+  return wanted.length === 0 || wanted.includes(name);
+}
+
+function measureFleet({ workers }: Fleet): { ratio: number } {
+  const racks = new Map<string, WorkerView[]>();
+  for (const { report, isAlive } of workers) {
+    if (!isAlive) continue;
+    const used = report.leases.reduce(
+      (sum, { accelerators }) => sum + accelerators,
+      0,
+    );
+    const view: WorkerView = {
+      name: report.worker,
+      address: report.address,
+      rack: report.rack,
+      boot: report.boot,
+      accelerators: report.accelerators,
+      free: report.accelerators - used,
+      isUsable: true,
+      leases: new Map(),
+      firm: new Map(),
+    };
+    racks.set(report.rack, [...racks.get(report.rack) ?? [], view]);
+  }
+  return measureFragmentation(racks.values());
+}
--- /dev/null
+++ b/packages/bench/src/report.ts
@@ -0,0 +1,78 @@
+import { parse, View } from "vega";
+import { compile, type TopLevelSpec } from "vega-lite";
+import type { PolicyBenchResult } from "./policy_bench.ts";
+import type { CaseResult } from "./simulation.ts";
+
+interface Figure {
+  title: string;
+  value(result: CaseResult): number;
+}
+
+const FIGURES: readonly Figure[] = [
+  { title: "mean fragmentation", value: (row) => row.fragmentationMean },
+  {
+    title: "longest wait of a gang job, s",
+    value: (row) => row.largestGangWaitMs / 1_000,
+  },
+  {
+    title: "completion p99 of the watched class, s",
+    value: (row) => Object.values(row.completion)[0].p99 / 1_000,
+  },
+];
+
+/**
+ * Draws the results as an HTML page with plots.
+ *
+ * @param bench results and targets
+ * @returns the page
+ */
+export async function drawReport(bench: PolicyBenchResult): Promise<string> {
+  const plots = await Promise.all(
+    FIGURES.map((figure) => drawFigure(figure, bench.results)),
+  );
+  const rows = bench.targets.map((
+    { target, deployment, case: name, bound, found, met },
+  ) =>
+    `<tr><td>${deployment}<td>${name}<td>${target}` +
+    `<td>${bound.toFixed(2)}<td>${found.toFixed(2)}<td>${
+      met ? "met" : "missed"
+    }`
+  );
+  return [
+    "<!doctype html><meta charset=utf-8><title>Policy bench</title>",
+    "<h1>Policy bench</h1>",
+    ...plots,
+    "<table border=1><tr><th>fleet<th>case<th>target<th>bound<th>found<th>",
+    ...rows,
+    "</table>",
+  ].join("\n");
+}
+
+async function drawFigure(
+  { title, value }: Figure,
+  results: readonly CaseResult[],
+): Promise<string> {
+  const specification: TopLevelSpec = {
+    title,
+    data: {
+      values: results.map((row) => ({
+        fleet: row.deployment,
+        case: row.case,
+        policy: row.policy,
+        value: value(row),
+      })),
+    },
+    mark: "bar",
+    encoding: {
+      x: { field: "case", type: "nominal", sort: null },
+      xOffset: { field: "policy" },
+      y: { field: "value", type: "quantitative", title },
+      color: { field: "policy", type: "nominal" },
+      row: { field: "fleet", type: "nominal" },
+    },
+  };
+  const view = new View(parse(compile(specification).spec), {
+    renderer: "none",
+  });
+  return await view.toSVG();
+}
--- /dev/null
+++ b/packages/bench/src/simulation.ts
@@ -0,0 +1,418 @@
+import { build, type Histogram } from "hdr-histogram-js";
+import { createManualClock, type Milliseconds } from "@rattanhill/shared";
+import type { LeaseDescriptor } from "@rattanhill/core";
+import { createFleet, type Fleet } from "./fleet.ts";
+import { createEventQueue } from "./event_queue.ts";
+import {
+  CLAIMANT,
+  composeLoad,
+  type Deployment,
+  HORIZON_MS,
+  type LoadCase,
+  type SimulatedJob,
+  TAIL_MS,
+} from "./workload.ts";
+
+/** A way to schedule, ours or a baseline. */
+export interface Scheduler {
+  submit(job: SimulatedJob, now: Milliseconds): void;
+  cancel(id: string, now: Milliseconds): void;
+  /** Something changed on a worker of the fleet. */
+  workerChanged(worker: string, now: Milliseconds): void;
+  /** A task ended by itself. */
+  taskEnded(
+    lease: LeaseDescriptor,
+    worker: string,
+    end: { ranMs: Milliseconds; hasFailed: boolean },
+    now: Milliseconds,
+  ): void;
+  /** A worker is gone. */
+  workerLost(worker: string, now: Milliseconds): void;
+  decide(now: Milliseconds): void;
+}
+
+/** What a scheduler can do to the fleet. */
+export interface SchedulerHost {
+  fleet: Fleet;
+  /** Starts all parts of a job. */
+  start(job: SimulatedJob, leases: readonly StartedLease[]): void;
+  /** Saves the progress of tasks, then stops them. */
+  preempt(leases: readonly string[]): void;
+  /** Refuses a job; its caller comes back after the given time. */
+  refuse(job: SimulatedJob, retryAfterMs: Milliseconds): void;
+  random(): number;
+}
+
+/** A lease of a started job. */
+export interface StartedLease {
+  descriptor: LeaseDescriptor;
+  worker: string;
+}
+
+/** Creates the scheduler under test. */
+export type SchedulerFactory = (
+  deployment: Deployment,
+  host: SchedulerHost,
+) => Scheduler;
+
+/** Figures of one case under one scheduler. */
+export interface CaseResult {
+  deployment: string;
+  case: string;
+  policy: string;
+  /** Completion times by class, in milliseconds. */
+  completion: Record<string, { p50: number; p95: number; p99: number }>;
+  fragmentationMean: number;
+  fragmentationWorst: number;
+  /** Longest wait of a gang job, in milliseconds. */
+  largestGangWaitMs: number;
+  /** Longest time from the claim of a guarantee to its start, less the checkpoints. */
+  reclaimMs: number;
+  /** Accelerator-seconds of work that was lost by stops. */
+  lostWorkSeconds: number;
+  preemptions: number;
+  refusals: number;
+  /** Mean of the difference between the time to come back and the time of the next possible start. */
+  retryAfterErrorMs: number;
+  unfinished: number;
+  /** Processor time of one placement, or of a pass that placed nothing. */
+  decisionP99Us: number;
+  /** Processor time of a whole pass over the queue. */
+  passP99Us: number;
+  jobs: number;
+}
+
+/** Time that saving a task's progress takes. */
+export const CHECKPOINT_MS: Milliseconds = 500;
+
+const DECIDE_INTERVAL_MS: Milliseconds = 250;
+const SAMPLE_INTERVAL_MS: Milliseconds = 1_000;
+const FAULT_AT_MS: Milliseconds = 300_000;
+const FAIL_MS: Milliseconds = 50;
+const RESUBMIT_MS: Milliseconds = 5;
+const WORKER_LOST_MS: Milliseconds = 3_000;
+
+interface JobState {
+  job: SimulatedJob;
+  leases: StartedLease[];
+  /** Accelerator time that is still needed, by part. */
+  remainingMs: Milliseconds;
+  startedAt: Milliseconds;
+  waitsSince: Milliseconds;
+  firstStartAt?: Milliseconds;
+  endedAt?: Milliseconds;
+  isOver: boolean;
+  refusedAt?: Milliseconds;
+  retryAfterMs: Milliseconds;
+}
+
+/**
+ * Runs one case with a hand-moved clock.
+ *
+ * @param deployment the fleet
+ * @param load the case
+ * @param options scheduler, its name and the seed
+ * @returns the figures
+ */
+export function simulate(
+  deployment: Deployment,
+  load: LoadCase,
+  options: {
+    policy: string;
+    factory: SchedulerFactory;
+    createRandom(seed: number): () => number;
+    seed: number;
+    measure(racks: Fleet): { ratio: number };
+  },
+): CaseResult {
+  const random = options.createRandom(options.seed);
+  const clock = createManualClock();
+  const fleet = createFleet(
+    deployment.zone,
+    deployment.sizes,
+    deployment.workersPerRack,
+  );
+  const events = createEventQueue();
+  const states = new Map<string, JobState>();
+  const byLease = new Map<string, JobState>();
+  const decisions = newHistogram();
+  const passes = newHistogram();
+  let placements = 0;
+  const fragmentation: number[] = [];
+  const retryErrors: number[] = [];
+  let lostWork = 0;
+  let preemptions = 0;
+  let refusals = 0;
+
+  const now = () => clock.now();
+  const at = (time: Milliseconds, action: () => void) =>
+    events.add(Math.max(time, now()), action);
+
+  const release = (state: JobState): void => {
+    for (const { descriptor, worker } of state.leases) {
+      byLease.delete(descriptor.lease);
+      if (fleet.end(descriptor.lease) !== undefined) {
+        scheduler.workerChanged(worker, now());
+      }
+    }
+    state.leases = [];
+  };
+
+  const finish = (state: JobState): void => {
+    state.isOver = true;
+    state.endedAt = now();
+    release(state);
+  };
+
+  const resubmit = (state: JobState): void => {
+    state.waitsSince = now();
+    at(now() + RESUBMIT_MS, () => {
+      if (!state.isOver) scheduler.submit(state.job, now());
+    });
+  };
+
+  const end = (state: JobState, leases: readonly StartedLease[]): void => {
+    if (state.isOver || state.leases !== leases) return;
+    for (const { descriptor, worker } of leases) {
+      const ranMs = now() - state.startedAt;
+      const ended = { ranMs, hasFailed: false };
+      scheduler.taskEnded(descriptor, worker, ended, now());
+    }
+    finish(state);
+  };
+
+  const fail = (state: JobState, leases: readonly StartedLease[]): void => {
+    if (state.isOver || state.leases !== leases) return;
+    for (const { descriptor, worker } of leases) {
+      if (!fleet.worker(worker).isBlackHole) continue;
+      const ended = { ranMs: FAIL_MS, hasFailed: true };
+      scheduler.taskEnded(descriptor, worker, ended, now());
+    }
+    release(state);
+    resubmit(state);
+  };
+
+  /** Work since the last checkpoint is lost; the rest is kept. */
+  const stop = (state: JobState, keepsProgress: boolean): void => {
+    const ranMs = now() - state.startedAt;
+    if (keepsProgress) state.remainingMs -= ranMs;
+    else lostWork += ranMs * sizeOf(state.job);
+    release(state);
+    resubmit(state);
+  };
+
+  const host: SchedulerHost = {
+    fleet,
+    random,
+    start: (job, leases) => {
+      const state = states.get(job.id)!;
+      placements += 1;
+      state.leases = [...leases];
+      const started = state.leases;
+      for (const { descriptor, worker } of leases) {
+        fleet.start(descriptor, worker, now());
+        byLease.set(descriptor.lease, state);
+        scheduler.workerChanged(worker, now());
+      }
+      state.startedAt = now();
+      state.firstStartAt ??= now();
+      noteRetry(state);
+      const isFailing = leases.some(({ worker }) =>
+        fleet.worker(worker).isBlackHole
+      );
+      if (isFailing) at(now() + FAIL_MS, () => fail(state, started));
+      else at(now() + state.remainingMs, () => end(state, started));
+    },
+    preempt: (leases) => {
+      const victims = new Set(
+        leases.map((lease) => byLease.get(lease))
+          .filter((state) => state !== undefined),
+      );
+      for (const state of victims) {
+        preemptions += 1;
+        const stopped = state.leases;
+        at(now() + CHECKPOINT_MS, () => {
+          if (state.leases === stopped && !state.isOver) stop(state, true);
+        });
+      }
+    },
+    refuse: (job, retryAfterMs) => {
+      refusals += 1;
+      const state = states.get(job.id)!;
+      state.refusedAt = now();
+      state.retryAfterMs = retryAfterMs;
+      at(now() + retryAfterMs, () => {
+        if (!state.isOver) scheduler.submit(job, now());
+      });
+    },
+  };
+
+  const noteRetry = (state: JobState): void => {
+    if (state.refusedAt === undefined) return;
+    const waited = now() - state.refusedAt;
+    retryErrors.push(Math.abs(waited - state.retryAfterMs));
+    state.refusedAt = undefined;
+  };
+
+  const scheduler = options.factory(deployment, host);
+  for (const worker of fleet.workers) {
+    scheduler.workerChanged(worker.report.worker, 0);
+  }
+  const jobs = composeLoad(deployment, load, random);
+  for (const job of jobs) {
+    at(job.arrivesAt, () => {
+      states.set(job.id, {
+        job,
+        leases: [],
+        remainingMs: job.runMs,
+        startedAt: 0,
+        waitsSince: now(),
+        isOver: false,
+        retryAfterMs: 0,
+      });
+      if (isOversize(job, deployment)) {
+        refusals += 1;
+        states.get(job.id)!.isOver = true;
+        return;
+      }
+      scheduler.submit(job, now());
+    });
+    if (job.cancelAt === undefined) continue;
+    at(job.cancelAt, () => {
+      const state = states.get(job.id);
+      if (state === undefined || state.isOver) return;
+      scheduler.cancel(job.id, now());
+      state.isOver = true;
+      release(state);
+    });
+  }
+  plantFaults();
+
+  const endAt = HORIZON_MS + TAIL_MS;
+  let nextSample = SAMPLE_INTERVAL_MS;
+  let nextDecision = 0;
+  while (events.nextTime() <= endAt) {
+    const time = events.nextTime();
+    while (nextDecision < time && nextDecision <= endAt) {
+      clock.advance(Math.max(0, nextDecision - now()));
+      scheduler.decide(now());
+      nextDecision += DECIDE_INTERVAL_MS;
+      // Without arrivals the rest of the time only ends tasks.
+      if (nextDecision < time - DECIDE_INTERVAL_MS * 40) {
+        nextDecision = time - DECIDE_INTERVAL_MS * 4;
+      }
+    }
+    clock.advance(Math.max(0, time - now()));
+    while (nextSample <= now() && nextSample <= HORIZON_MS) {
+      fragmentation.push(options.measure(fleet).ratio);
+      nextSample += SAMPLE_INTERVAL_MS;
+    }
+    events.runNext();
+    while (events.nextTime() <= now()) events.runNext();
+    measureDecision();
+  }
+  return summarize();
+
+  function measureDecision(): void {
+    placements = 0;
+    const before = performance.now();
+    scheduler.decide(now());
+    const elapsedUs = (performance.now() - before) * 1_000;
+    passes.recordValue(Math.max(1, elapsedUs));
+    const each = elapsedUs / Math.max(1, placements);
+    decisions.recordValue(Math.max(1, each));
+  }
+
+  function plantFaults(): void {
+    const [first] = fleet.workers;
+    if (load.blackHole) {
+      at(FAULT_AT_MS, () => first.isBlackHole = true);
+    }
+    if (!load.rackLost) return;
+    at(FAULT_AT_MS, () => {
+      for (const { report } of fleet.workers) {
+        if (report.rack !== first.report.rack) continue;
+        const lost = fleet.kill(report.worker);
+        at(now() + WORKER_LOST_MS, () => {
+          scheduler.workerLost(report.worker, now());
+          for (const lease of lost) {
+            const state = byLease.get(lease);
+            if (state !== undefined && !state.isOver) stop(state, false);
+          }
+        });
+      }
+    });
+  }
+
+  function summarize(): CaseResult {
+    const completion: CaseResult["completion"] = {};
+    for (const { name } of deployment.classes) {
+      const histogram = newHistogram();
+      for (const state of states.values()) {
+        const { job } = state;
+        if (job.class !== name || isIgnored(state, deployment)) continue;
+        const endedAt = state.endedAt ?? endAt;
+        histogram.recordValue(Math.max(1, Math.round(endedAt - job.arrivesAt)));
+      }
+      if (histogram.totalCount === 0) continue;
+      completion[name] = {
+        p50: histogram.getValueAtPercentile(50),
+        p95: histogram.getValueAtPercentile(95),
+        p99: histogram.getValueAtPercentile(99),
+      };
+    }
+    const counted = [...states.values()].filter((state) =>
+      !isIgnored(state, deployment)
+    );
+    const gangs = counted.filter(({ job }) => job.shape.parts > 1);
+    const claims = counted.filter(({ job }) => job.account === CLAIMANT);
+    const waitOf = ({ job, firstStartAt }: JobState) =>
+      (firstStartAt ?? endAt) - job.arrivesAt;
+    return {
+      deployment: deployment.name,
+      case: load.name,
+      policy: options.policy,
+      completion,
+      fragmentationMean: mean(fragmentation),
+      fragmentationWorst: Math.max(0, ...fragmentation),
+      largestGangWaitMs: Math.max(0, ...gangs.map(waitOf)),
+      reclaimMs: Math.max(
+        0,
+        ...claims.map((state) => Math.max(0, waitOf(state) - CHECKPOINT_MS)),
+      ),
+      lostWorkSeconds: lostWork / 1_000,
+      preemptions,
+      refusals,
+      retryAfterErrorMs: mean(retryErrors),
+      unfinished: counted.filter(({ isOver }) => !isOver).length,
+      decisionP99Us: decisions.getValueAtPercentile(99),
+      passP99Us: passes.getValueAtPercentile(99),
+      jobs: counted.length,
+    };
+  }
+}
+
+function isIgnored({ job }: JobState, deployment: Deployment): boolean {
+  return job.cancelAt !== undefined || isOversize(job, deployment);
+}
+
+function isOversize(job: SimulatedJob, { sizes }: Deployment): boolean {
+  return job.shape.accelerators > Math.max(...sizes);
+}
+
+function sizeOf({ shape }: SimulatedJob): number {
+  return shape.parts * shape.accelerators;
+}
+
+function mean(values: readonly number[]): number {
+  if (values.length === 0) return 0;
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+function newHistogram(): Histogram {
+  return build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: 1e9,
+    numberOfSignificantValueDigits: 3,
+  });
+}
--- /dev/null
+++ b/packages/bench/src/workload.ts
@@ -0,0 +1,208 @@
+import type { Milliseconds } from "@rattanhill/shared";
+import type { Adjacency, Shape } from "@rattanhill/core";
+
+/** A job of the simulated load. */
+export interface SimulatedJob {
+  id: string;
+  account: string;
+  class: string;
+  shape: Shape;
+  arrivesAt: Milliseconds;
+  /** Real run time. */
+  runMs: Milliseconds;
+  /** Run time that its caller declared. */
+  declaredMs: Milliseconds;
+  /** When its caller cancels it, if ever. */
+  cancelAt?: Milliseconds;
+}
+
+/** A class of the load, as a share of the fleet's accelerators. */
+export interface LoadClass {
+  name: string;
+  accounts: readonly string[];
+  priority: number;
+  repeatable: boolean;
+  preemptible: boolean;
+  waitMs: Milliseconds;
+  shape: Shape;
+  /** Share of the load's accelerator time. */
+  share: number;
+  meanRunMs: Milliseconds;
+  /** Whether people wait for it. */
+  isWatched?: boolean;
+}
+
+/** A fleet with its accounts, guarantees and classes. */
+export interface Deployment {
+  name: string;
+  zone: string;
+  sizes: readonly number[];
+  workersPerRack: number;
+  accounts: readonly {
+    name: string;
+    weight: number;
+    guarantee: number;
+    adjacent: Adjacency;
+  }[];
+  classes: readonly LoadClass[];
+}
+
+/** What a case changes in the load. */
+export interface LoadCase {
+  name: string;
+  /** Load as a share of the fleet. */
+  load: number;
+  /** Times at which a burst of a class arrives, and its size as a multiple of the fleet. */
+  bursts?: { class: "small" | "large"; size: number };
+  /** Largest factor by which declared run times are wrong. */
+  declarationError?: number;
+  /** Share of jobs that are cancelled together. */
+  cancelShare?: number;
+  blackHole?: boolean;
+  rackLost?: boolean;
+  /** Share of jobs whose shape never fits. */
+  neverFits?: number;
+  /** Whether an idle account claims its guarantee on a full zone. */
+  claim?: boolean;
+}
+
+/** Length of a case in simulated time. */
+export const HORIZON_MS: Milliseconds = 15 * 60_000;
+/** Time after the last arrival in which jobs may still end. */
+export const TAIL_MS: Milliseconds = 10 * 60_000;
+
+const BURST_PERIOD_MS: Milliseconds = 150_000;
+const CANCEL_AT_MS: Milliseconds = 450_000;
+
+/**
+ * Composes the jobs of a case.
+ *
+ * @param deployment fleet and classes
+ * @param load the case
+ * @param random source of random numbers
+ * @returns jobs in the order of arrival
+ */
+export function composeLoad(
+  deployment: Deployment,
+  load: LoadCase,
+  random: () => number,
+): SimulatedJob[] {
+  const jobs: SimulatedJob[] = [];
+  const accelerators = deployment.sizes.reduce((sum, size) => sum + size, 0);
+  const add = (kind: LoadClass, arrivesAt: Milliseconds, account?: string) =>
+    jobs.push(
+      createJob(kind, { arrivesAt, account, load, random }, jobs.length),
+    );
+
+  for (const kind of deployment.classes) {
+    const size = kind.shape.parts * kind.shape.accelerators;
+    const rate = load.load * kind.share * accelerators /
+      (size * kind.meanRunMs);
+    for (let at = exponential(1 / rate, random); at < HORIZON_MS;) {
+      add(kind, at);
+      at += exponential(1 / rate, random);
+    }
+  }
+  for (const burst of load.bursts ? [load.bursts] : []) {
+    const kind = pickClass(deployment, burst.class);
+    const size = kind.shape.parts * kind.shape.accelerators;
+    const count = Math.ceil(burst.size * accelerators / size);
+    for (let at = BURST_PERIOD_MS; at < HORIZON_MS; at += BURST_PERIOD_MS) {
+      for (let index = 0; index < count; index++) add(kind, at + index);
+    }
+  }
+  if (load.claim) addClaim(deployment, add);
+  return jobs.sort((a, b) => a.arrivesAt - b.arrivesAt);
+}
+
+/** Times at which a guarantee is claimed as a whole. */
+export const CLAIM_TIMES_MS: readonly Milliseconds[] = [
+  300_000,
+  500_000,
+  700_000,
+];
+
+function addClaim(
+  { accounts, classes }: Deployment,
+  add: (kind: LoadClass, at: Milliseconds, account: string) => void,
+): void {
+  const owner = accounts.find(({ name }) => name === CLAIMANT)!;
+  const kind = classes.find(({ name }) => name === "claim") ??
+    claimClass(owner.guarantee);
+  for (const at of CLAIM_TIMES_MS) add(kind, at, CLAIMANT);
+}
+
+/** Account that is idle but for its claims. */
+export const CLAIMANT = "claimant";
+
+/** Class of the jobs that claim a whole guarantee. */
+export function claimClass(accelerators: number): LoadClass {
+  return {
+    name: "claim",
+    accounts: [CLAIMANT],
+    priority: 60,
+    repeatable: true,
+    preemptible: false,
+    waitMs: 60_000,
+    shape: { parts: accelerators / 2, accelerators: 2, adjacent: "rack" },
+    share: 0,
+    meanRunMs: 60_000,
+  };
+}
+
+function createJob(
+  kind: LoadClass,
+  { arrivesAt, account, load, random }: {
+    arrivesAt: Milliseconds;
+    account?: string;
+    load: LoadCase;
+    random(): number;
+  },
+  serial: number,
+): SimulatedJob {
+  const runMs = Math.max(20, gamma(kind.meanRunMs, random));
+  const error = load.declarationError ?? 1;
+  // Between 1/error and error, on a logarithmic scale.
+  const factor = Math.exp((random() * 2 - 1) * Math.log(error));
+  const isOversize = random() < (load.neverFits ?? 0);
+  const shape = isOversize
+    ? { ...kind.shape, accelerators: 1_000 }
+    : kind.shape;
+  const isCancelled = random() < (load.cancelShare ?? 0);
+  const cancelAt = isCancelled ? Math.max(arrivesAt, CANCEL_AT_MS) : undefined;
+  const index = Math.floor(random() * kind.accounts.length);
+  return {
+    id: `job-${serial}`,
+    account: account ?? kind.accounts[index],
+    class: kind.name,
+    shape,
+    arrivesAt,
+    runMs,
+    declaredMs: Math.max(10, runMs * factor),
+    cancelAt,
+  };
+}
+
+function pickClass(
+  { classes }: Deployment,
+  size: "small" | "large",
+): LoadClass {
+  const bySize = [...classes].filter(({ share }) => share > 0).sort((a, b) =>
+    a.shape.parts * a.shape.accelerators - b.shape.parts * b.shape.accelerators
+  );
+  return size === "small" ? bySize[0] : bySize[bySize.length - 1];
+}
+
+const RUN_TIME_SHAPE = 4; // run times of one class differ less than arrivals do
+
+function gamma(mean: number, random: () => number): number {
+  let total = 0;
+  for (let part = 0; part < RUN_TIME_SHAPE; part++) {
+    total += exponential(mean / RUN_TIME_SHAPE, random);
+  }
+  return total;
+}
+
+function exponential(mean: number, random: () => number): number {
+  return -Math.log(1 - random()) * mean;
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -86,6 +86,13 @@
                 describe:
                   "version the file was made from; the current one if absent",
               },
+              operators: {
+                type: "array",
+                string: true,
+                default: [] as string[],
+                describe:
+                  "operators' interface of one entry of each zone whose guarantees are checked",
+              },
               author: {
                 type: "string",
                 describe: "name shown to others; the user's name if absent",
--- a/packages/cli/src/rules_commands.ts
+++ b/packages/cli/src/rules_commands.ts
@@ -4,6 +4,7 @@
 import { parseRules, type Rules } from "@rattanhill/core";
 import { createPlatformClient } from "@rattanhill/platform";
 import { ExitCode } from "./exit_codes.ts";
+import { findUnmetGuarantees } from "./guarantee_check.ts";
 import type { Output } from "./output.ts";
 import { diffRules, type RuleChange } from "./rules_diff.ts";
 import { createRulesStore, type RulesStore } from "./rules_store.ts";
@@ -93,10 +94,18 @@
  */
 export async function publishRules(
   file: string,
-  options: PlatformArguments & { base?: number; author?: string },
+  options: PlatformArguments & {
+    base?: number;
+    author?: string;
+    operators: readonly string[];
+  },
   output: Output,
 ): Promise<ExitCode> {
-  if (loadRules(file, output) === undefined) return ExitCode.invalid;
+  const rules = loadRules(file, output);
+  if (rules === undefined) return ExitCode.invalid;
+  if (!await canBeMet(rules, options.operators, output)) {
+    return ExitCode.invalid;
+  }
   const text = readFileSync(file, "utf8");
   return await withStore(options, output, async (store) => {
     const base = options.base ?? (await store.read()).version;
@@ -124,6 +133,25 @@
   });
 }
 
+async function canBeMet(
+  rules: Rules,
+  operators: readonly string[],
+  output: Output,
+): Promise<boolean> {
+  try {
+    const unmet = await findUnmetGuarantees(rules, operators);
+    for (const { zone, account } of unmet) {
+      output.fault(
+        `the guarantee of ${account} does not fit the workers of ${zone}`,
+      );
+    }
+    return unmet.length === 0;
+  } catch (error) {
+    output.fault(`guarantees cannot be checked: ${describeError(error)}`);
+    return false;
+  }
+}
+
 function loadRules(file: string, output: Output): Rules | undefined {
   let text: string;
   try {
--- /dev/null
+++ b/packages/core/__tests__/placer.test.ts
@@ -0,0 +1,197 @@
+import { expect } from "chai";
+import { createQuarantine, createRunTimes, parseRules } from "../src/mod.ts";
+import { assignHomes } from "../src/mod.ts";
+import { createZone } from "./zone_fixture.ts";
+
+const gang = (parts: number, accelerators = 8) =>
+  ({ parts, accelerators, adjacent: "rack" }) as const;
+const part = (accelerators: number) =>
+  ({ parts: 1, accelerators, adjacent: "none" }) as const;
+const GUARANTEE =
+  "account routes guarantee 16 accelerators adjacent rack zone suva";
+
+it("placer: small work fills broken workers first", () => {
+  const zone = createZone({ racks: 2, workersPerRack: 2 });
+  for (let index = 0; index < 8; index++) zone.submit({ id: `s${index}` });
+  expect(new Set([...zone.placed.values()].flat()).size).to.equal(1);
+});
+
+it("placer: a gang job is placed within one rack or not at all", () => {
+  const zone = createZone({ racks: 2, workersPerRack: 2 });
+  zone.submit({ id: "a", shape: part(8) });
+  zone.submit({ id: "gang", shape: gang(2) });
+  const racks = zone.placed.get("gang")!.map((name) => name.slice(0, 2));
+  expect(new Set(racks).size).to.equal(1);
+  zone.submit({ id: "next", shape: gang(2) });
+  expect(zone.placed.has("next")).to.equal(false);
+});
+
+it("placer: a guarantee on a full zone is reclaimed from lent work", () => {
+  const zone = createZone({ racks: 2, workersPerRack: 2, rules: [GUARANTEE] });
+  for (let index = 0; index < 4; index++) {
+    zone.submit({ id: `lent${index}`, shape: part(8) });
+  }
+  zone.submit({ id: "claim", account: "routes", shape: gang(2) });
+  zone.advance(1);
+  expect(zone.placed.has("claim")).to.equal(true);
+  expect(zone.preempted).to.have.length(2);
+});
+
+it("placer: only as much is stopped as the guarantee needs", () => {
+  const zone = createZone({ racks: 1, workersPerRack: 4, rules: [GUARANTEE] });
+  for (let index = 0; index < 32; index++) zone.submit({ id: `s${index}` });
+  zone.submit({ id: "claim", account: "routes", shape: part(4) });
+  zone.advance(1);
+  expect(zone.preempted).to.have.length(4);
+});
+
+it("placer: a gang job is stopped as a whole", () => {
+  const zone = createZone({ racks: 1, workersPerRack: 2, rules: [GUARANTEE] });
+  zone.submit({ id: "gang", shape: gang(2) });
+  zone.submit({ id: "claim", account: "routes", shape: part(4) });
+  zone.advance(1);
+  expect(zone.preempted).to.deep.equal(["gang", "gang"]);
+  expect(zone.placed.has("claim")).to.equal(true);
+});
+
+it("placer: work that cannot be stopped stays off another's guarantee", () => {
+  const zone = createZone({ racks: 1, workersPerRack: 3, rules: [GUARANTEE] });
+  const firm = { preemptible: false, repeatable: false };
+  zone.submit({ id: "a", shape: part(8), ...firm });
+  zone.submit({ id: "b", shape: part(8), ...firm });
+  expect(zone.placed.has("a")).to.equal(true);
+  expect(zone.placed.has("b")).to.equal(false);
+  zone.submit({ id: "claim", account: "routes", shape: gang(2) });
+  expect(zone.placed.has("claim")).to.equal(true);
+});
+
+it("placer: urgent work stops borrowed work of much lower priority only", () => {
+  const zone = createZone({ racks: 1, workersPerRack: 1 });
+  zone.submit({ id: "low", shape: part(8), priority: 20 });
+  zone.submit({ id: "near", account: "drafts", priority: 40 });
+  zone.advance(1);
+  expect(zone.placed.has("near")).to.equal(false);
+  zone.submit({ id: "urgent", account: "drafts", priority: 90 });
+  zone.advance(1);
+  expect(zone.placed.has("urgent")).to.equal(true);
+});
+
+it("placer: a large job starts although small work never stops coming", () => {
+  const zone = createZone({ racks: 2, workersPerRack: 2 });
+  for (let index = 0; index < 32; index++) zone.submit({ id: `s${index}` });
+  zone.submit({ id: "gang", account: "plans", shape: gang(2) });
+  let next = 32;
+  for (let step = 0; step < 400 && !zone.placed.has("gang"); step++) {
+    zone.submit({ id: `s${next++}`, preemptible: false });
+    zone.end(`s${step}`);
+    zone.advance(500);
+  }
+  expect(zone.placed.has("gang")).to.equal(true);
+});
+
+it("placer: accounts beyond their guarantees share by weight", () => {
+  const rules = ["account a weight 3", "account b weight 1"];
+  const zone = createZone({ racks: 1, workersPerRack: 1, rules });
+  zone.submit({ id: "full", account: "c", shape: part(8), preemptible: false });
+  for (let index = 0; index < 8; index++) {
+    zone.submit({ id: `a${index}`, account: "a" });
+    zone.submit({ id: `b${index}`, account: "b" });
+  }
+  zone.end("full");
+  const ofA = [...zone.placed.keys()].filter((id) => id.startsWith("a"));
+  expect(ofA).to.have.length(6);
+});
+
+it("placer: what cannot start in time is refused at once with a time to come back", () => {
+  const rules = ["class quick wait 2s"];
+  const zone = createZone({ racks: 1, workersPerRack: 1, rules });
+  const quick = { class: "quick", isJob: false, expectedMs: 10_000 };
+  zone.submit({ id: "full", shape: part(8), preemptible: false });
+  for (let index = 0; index < 4; index++) {
+    zone.submit({ id: `q${index}`, ...quick });
+  }
+  expect(zone.refused.get("q3")?.reason).to.equal("queue-full");
+  expect(zone.refused.get("q3")?.retryAfterMs).to.be.at.least(2_000);
+  zone.advance(2_000);
+  expect(zone.refused.get("q0")?.reason).to.equal("waited-too-long");
+});
+
+it("placer: a request is explained while it waits", () => {
+  const zone = createZone({ racks: 1, workersPerRack: 1 });
+  zone.submit({ id: "full", shape: part(8), preemptible: false });
+  zone.submit({ id: "next", shape: part(4) });
+  expect(zone.placer.explain("next")).to.contain("needs 4 accelerators");
+  expect(zone.placer.explain("full")).to.equal(undefined);
+});
+
+it("placer: lent and borrowed accelerators are shown by account", () => {
+  const zone = createZone({ racks: 1, workersPerRack: 2, rules: [GUARANTEE] });
+  zone.submit({ id: "lent", shape: part(8) });
+  const rows = zone.placer.accounts();
+  expect(rows).to.deep.include({
+    account: "routes",
+    guaranteed: 16,
+    used: 0,
+    lent: 8,
+    borrowed: 0,
+    isMet: true,
+  });
+  expect(rows).to.deep.include({
+    account: "crates",
+    guaranteed: 0,
+    used: 8,
+    lent: 0,
+    borrowed: 8,
+    isMet: true,
+  });
+});
+
+it("homes: guarantees that do not fit beside each other are named", () => {
+  const zone = createZone({ racks: 2, workersPerRack: 2 });
+  const racks = new Map<string, ReturnType<typeof zone.placer.workers>>();
+  for (const worker of zone.placer.workers()) {
+    racks.set(worker.rack, [...racks.get(worker.rack) ?? [], worker]);
+  }
+  const { rules } = parseRules([
+    "account a guarantee 12 accelerators adjacent rack zone suva # asked by: x",
+    "account b guarantee 12 accelerators adjacent rack zone suva # asked by: x",
+    "account c guarantee 8 accelerators adjacent worker zone suva # asked by: x",
+  ].join("\n"));
+  expect(assignHomes(rules!, "suva", racks.values()).unmet).to.have.length(1);
+});
+
+it("quarantine: a worker that fails everything is closed, and opened by a success", () => {
+  const quarantine = createQuarantine();
+  const note = (worker: string, request: string, hasFailed: boolean) =>
+    quarantine.note({ worker, request, hasFailed, class: "c" }, 0);
+  for (let index = 0; index < 10; index++) note("good", `g${index}`, false);
+  note("bad", "1", true);
+  note("bad", "2", true);
+  expect(quarantine.isOpen("bad", 0)).to.equal(true);
+  note("bad", "3", true);
+  expect(quarantine.isOpen("bad", 0)).to.equal(false);
+  expect(quarantine.isOpen("bad", 10_000)).to.equal(true);
+  note("bad", "4", false);
+  expect(quarantine.members().size).to.equal(0);
+});
+
+it("quarantine: a class that fails everywhere closes no worker", () => {
+  const quarantine = createQuarantine();
+  for (let index = 0; index < 12; index++) {
+    const worker = `w${index % 3}`;
+    const request = String(index);
+    quarantine.note({ worker, request, hasFailed: true, class: "c" }, 0);
+  }
+  const open = ["w0", "w1", "w2"].filter((worker) =>
+    quarantine.isOpen(worker, 0)
+  );
+  expect(open).to.not.have.length(0);
+});
+
+it("run times: planning uses what tasks of the class took", () => {
+  const runTimes = createRunTimes();
+  const task = { account: "a", class: "c", expectedMs: 1_000 };
+  expect(runTimes.expect(task)).to.equal(1_000);
+  for (let index = 0; index < 20; index++) runTimes.learn(task, 3_000);
+  expect(runTimes.expect(task)).to.be.within(2_700, 3_300);
+});
--- /dev/null
+++ b/packages/core/__tests__/zone_fixture.ts
@@ -0,0 +1,155 @@
+import {
+  createPlacer,
+  type HoldPlan,
+  type LeaseDescriptor,
+  type LeaseReport,
+  LeaseState,
+  type LeaseView,
+  parseRules,
+  type Placer,
+  type PlaceRefusal,
+  type RequestSpec,
+  type WorkerReport,
+} from "../src/mod.ts";
+
+const BY = "# asked by: a test";
+
+/** A zone with its placer, whose holds are granted at once and run until they are ended. */
+export interface ZoneFixture {
+  placer: Placer;
+  /** Requests that were placed, with their workers. */
+  placed: Map<string, string[]>;
+  refused: Map<string, PlaceRefusal>;
+  /** Requests of which a lease was to be stopped. */
+  preempted: string[];
+  /** Submits a request and decides. */
+  submit(spec: Partial<RequestSpec> & { id: string }): void;
+  /** Ends all tasks of a request and decides. */
+  end(id: string, hasFailed?: boolean): void;
+  advance(duration: number): void;
+}
+
+/**
+ * Creates a zone.
+ *
+ * @param options racks with their workers of 8 accelerators, and lines of rules
+ * @returns the zone
+ */
+export function createZone(
+  options: { racks: number; workersPerRack: number; rules?: string[] },
+): ZoneFixture {
+  let now = 0;
+  let leases = 0;
+  const reports = new Map<string, WorkerReport>();
+  const placed = new Map<string, string[]>();
+  const refused = new Map<string, PlaceRefusal>();
+  const preempted: string[] = [];
+
+  const update = (worker: string, next: readonly LeaseReport[]): void => {
+    const report = reports.get(worker)!;
+    const sequence = report.sequence + 1;
+    reports.set(worker, { ...report, sequence, leases: next });
+    placer.report(reports.get(worker)!, now);
+  };
+  const run = (worker: string, lease: LeaseDescriptor): void => {
+    const report = reports.get(worker)!;
+    const state = LeaseState.running;
+    const running = { ...lease, state, runningMs: 0, sinceCheckpointMs: 0 };
+    update(worker, [...report.leases, running]);
+  };
+  const stop = (wanted: (lease: LeaseReport) => boolean): void => {
+    for (const [worker, { leases }] of reports) {
+      if (!leases.some(wanted)) continue;
+      update(worker, leases.filter((lease) => !wanted(lease)));
+    }
+  };
+
+  const placer = createPlacer({
+    zone: "suva",
+    host: {
+      hold: (plan: HoldPlan) => {
+        placed.set(plan.spec.id, plan.parts.map(({ target }) => target.name));
+        for (const { target, lease } of plan.parts) run(target.name, lease);
+        placer.holdsGranted(
+          plan,
+          plan.parts.map(({ target }) => reports.get(target.name)!.sequence),
+        );
+      },
+      preempt: (victims: readonly LeaseView[]) => {
+        const names = new Set(victims.map(({ lease }) => lease));
+        for (const { request } of victims) {
+          preempted.push(request);
+          placed.delete(request);
+        }
+        stop(({ lease }) => names.has(lease));
+      },
+      refuse: (id, _attempt, refusal) => refused.set(id, refusal),
+      createLeaseName: () => `lease-${++leases}`,
+      random: () => 0,
+    },
+  });
+  placer.configure(
+    parseRules((options.rules ?? []).map((rule) => `${rule} ${BY}`).join("\n"))
+      .rules!,
+  );
+  for (let rack = 0; rack < options.racks; rack++) {
+    for (let index = 0; index < options.workersPerRack; index++) {
+      const report: WorkerReport = {
+        worker: `r${rack}w${index}`,
+        address: "",
+        zone: "suva",
+        rack: `r${rack}`,
+        boot: "boot",
+        leaving: false,
+        accelerators: 8,
+        sequence: 0,
+        leases: [],
+      };
+      reports.set(report.worker, report);
+      placer.report(report, now);
+    }
+  }
+
+  const decide = () => placer.decide(now);
+  return {
+    placer,
+    placed,
+    refused,
+    preempted,
+    submit: (spec) => {
+      const submission = { attempt: 1, owner: "owner", avoid: [] };
+      placer.submit({ ...submission, spec: { ...PLAIN, ...spec } }, now);
+      decide();
+    },
+    end: (id, hasFailed = false) => {
+      for (const [worker, { leases }] of reports) {
+        for (const lease of leases) {
+          if (lease.request !== id) continue;
+          const task = { ...lease, worker, hasFailed };
+          placer.taskEnded(task, lease.expectedMs, now);
+        }
+      }
+      stop(({ request }) => request === id);
+      decide();
+    },
+    advance: (duration) => {
+      now += duration;
+      decide();
+    },
+  };
+}
+
+const PLAIN: RequestSpec = {
+  id: "",
+  account: "crates",
+  key: "",
+  class: "batch",
+  shape: { parts: 1, accelerators: 1, adjacent: "none" },
+  repeatable: true,
+  preemptible: true,
+  priority: 50,
+  expectedMs: 1_000,
+  deadlineMs: 3_600_000,
+  isJob: true,
+  bodyDigest: "",
+};
--- /dev/null
+++ b/packages/core/src/compaction.ts
@@ -0,0 +1,56 @@
+import type { LeaseView, WorkerView } from "./inventory.ts";
+
+/** Options of {@link planCompaction}. */
+export interface CompactionOptions {
+  racks: readonly (readonly WorkerView[])[];
+  /** @returns whether a lease may be stopped and placed elsewhere */
+  mayMove(lease: LeaseView): boolean;
+}
+
+const MAXIMUM_MOVED = 4; // accelerators that are moved at a time
+
+/**
+ * Finds a broken worker whose work fits into the gaps of other broken workers.
+ * Emptied, it is whole again, which large jobs need.
+ *
+ * @param options workers and which work may be moved
+ * @returns leases to stop; empty when no worker can be emptied
+ */
+export function planCompaction(
+  { racks, mayMove }: CompactionOptions,
+): readonly LeaseView[] {
+  const broken = racks.flat().filter(isBroken);
+  const gaps = broken.reduce((sum, { free }) => sum + free, 0);
+  let best: WorkerView | undefined;
+  for (const worker of broken) {
+    const used = worker.accelerators - worker.free;
+    if (used > MAXIMUM_MOVED || used > gaps - worker.free) continue;
+    if (best !== undefined && used >= best.accelerators - best.free) continue;
+    const leases = [...worker.leases.values()];
+    if (leases.every(mayMove) && fitsElsewhere(leases, worker, broken)) {
+      best = worker;
+    }
+  }
+  return best === undefined ? [] : [...best.leases.values()];
+}
+
+function isBroken({ free, accelerators }: WorkerView): boolean {
+  return free > 0 && free < accelerators;
+}
+
+function fitsElsewhere(
+  leases: readonly LeaseView[],
+  origin: WorkerView,
+  broken: readonly WorkerView[],
+): boolean {
+  const room = broken.filter((worker) => worker !== origin)
+    .map(({ free }) => free).sort((a, b) => a - b);
+  const sizes = leases.map(({ accelerators }) => accelerators)
+    .sort((a, b) => b - a);
+  for (const size of sizes) {
+    const index = room.findIndex((free) => free >= size);
+    if (index < 0) return false;
+    room[index] -= size;
+  }
+  return true;
+}
--- a/packages/core/src/homes.ts
+++ b/packages/core/src/homes.ts
@@ -135,10 +135,7 @@
 function keptBy(account: string, rooms: readonly Room[]): number {
   let kept = 0;
   for (const { worker } of rooms) {
-    for (const lease of worker.leases.values()) {
-      if (lease.preemptible) continue;
-      kept += lease.account === account ? lease.accelerators : 0;
-    }
+    kept += worker.firm.get(account) ?? 0;
   }
   return kept;
 }
@@ -162,12 +159,7 @@
 ): number {
   const home = homes.workers.get(worker.name);
   if (home === undefined) return worker.free;
-  const firm = new Map<string, number>();
-  for (const lease of worker.leases.values()) {
-    if (lease.preemptible) continue;
-    const used = (firm.get(lease.account) ?? 0) + lease.accelerators;
-    firm.set(lease.account, used);
-  }
+  const { firm } = worker;
   let overflow = 0;
   for (const [other, used] of firm) {
     overflow += Math.max(0, used - (home.shares.get(other) ?? 0));
--- a/packages/core/src/inventory.ts
+++ b/packages/core/src/inventory.ts
@@ -26,6 +26,8 @@
   /** Whether new work may be placed on it. */
   isUsable: boolean;
   leases: ReadonlyMap<string, LeaseView>;
+  /** Accelerators of leases that may not be stopped, by account. */
+  firm: ReadonlyMap<string, number>;
 }
 
 /** The workers of one availability zone and what runs on them. */
@@ -50,6 +52,8 @@
   racks(): ReadonlyMap<string, readonly WorkerView[]>;
   /** @returns all leases of a request, on every worker */
   leasesOf(request: string): readonly LeaseView[];
+  /** @returns the lowest priority of a lease that may be stopped, or infinity */
+  lowestPreemptible(): number;
   /** @returns accelerators used by an account; only leases of at least the given priority count */
   used(account: string, minimumPriority?: number): number;
 }
@@ -147,6 +151,7 @@
       ),
     racks: () => byRack ??= groupByRack(workers()),
     used: usage.used,
+    lowestPreemptible: usage.lowestPreemptible,
   };
 }
 
@@ -166,6 +171,7 @@
     isBlocked,
     sequence: -1,
     leases: new Map(),
+    firm: new Map(),
     expected: new Map(),
   };
 }
@@ -196,8 +202,14 @@
 
 function refresh(worker: MutableWorker): void {
   let free = worker.accelerators;
-  for (const lease of worker.leases.values()) free -= lease.accelerators;
+  const firm = new Map<string, number>();
+  for (const { account, accelerators, preemptible } of worker.leases.values()) {
+    free -= accelerators;
+    if (preemptible) continue;
+    firm.set(account, (firm.get(account) ?? 0) + accelerators);
+  }
   worker.free = free;
+  worker.firm = firm;
   worker.isUsable = !worker.leaving && !worker.isBlocked;
 }
 
@@ -237,12 +249,20 @@
   add(worker: WorkerView): void;
   subtract(worker: WorkerView): void;
   used(account: string, minimumPriority?: number): number;
+  lowestPreemptible(): number;
 }
 
 function createUsageIndex(): UsageIndex {
   const byAccount = new Map<string, Map<number, number>>();
+  const preemptible = new Map<number, number>();
   const apply = (worker: WorkerView, sign: 1 | -1): void => {
-    for (const { account, priority, accelerators } of worker.leases.values()) {
+    for (const lease of worker.leases.values()) {
+      const { account, priority, accelerators } = lease;
+      if (lease.preemptible) {
+        const count = (preemptible.get(priority) ?? 0) + sign;
+        if (count === 0) preemptible.delete(priority);
+        else preemptible.set(priority, count);
+      }
       let byPriority = byAccount.get(account);
       if (byPriority === undefined) {
         byPriority = new Map();
@@ -255,6 +275,7 @@
     }
   };
   return {
+    lowestPreemptible: () => Math.min(...preemptible.keys()),
     add: (worker) => apply(worker, 1),
     subtract: (worker) => apply(worker, -1),
     used: (account, minimumPriority = 0) => {
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -1,4 +1,5 @@
 export * from "./account_status.ts";
+export * from "./compaction.ts";
 export * from "./config_history.ts";
 export * from "./fit.ts";
 export * from "./fragmentation.ts";
--- a/packages/core/src/placer.ts
+++ b/packages/core/src/placer.ts
@@ -15,6 +15,7 @@
   type WaitingGroup,
   type WaitingRequest,
 } from "./queue.ts";
+import { planCompaction } from "./compaction.ts";
 import { planReclaim, type ReclaimPlan } from "./reclaim.ts";
 import { EndReason } from "./request.ts";
 import { planReservation, type Reservation } from "./reservation.ts";
@@ -76,6 +77,8 @@
   learning: boolean;
   /** Refuses at once what cannot start in time. */
   refusal: boolean;
+  /** Moves small work that can be stopped off broken workers. */
+  compaction: boolean;
 }
 
 /** The whole policy. */
@@ -84,6 +87,7 @@
   reservation: true,
   learning: true,
   refusal: true,
+  compaction: true,
 };
 
 /** Options of a placer. */
@@ -152,6 +156,9 @@
 const RECLAIM_TIMEOUT_MS: Milliseconds = 2_000; // a stop that took no effect is planned anew
 const REVIEW_INTERVAL_MS: Milliseconds = 500; // waiting alone changes what may be done
 const RACKS_PER_RESERVATION = 4;
+const COMPACTION_INTERVAL_MS: Milliseconds = 1_000;
+const COMPACTION_MINIMUM_AGE_MS: Milliseconds = 2_000; // work is not moved again and again
+const COMPACTION_MINIMUM_LEFT_MS: Milliseconds = 3_000; // work that ends soon frees its place by itself
 const LARGE_ACCELERATORS = 8; // a whole worker
 
 interface PendingReclaim {
@@ -160,6 +167,41 @@
   at: Milliseconds;
 }
 
+/** Reclaims in progress, with what they keep on each worker. */
+function createPendingReclaims() {
+  const pending = new Map<string, PendingReclaim>();
+  const totals = new Map<string, number>();
+  const add = ({ kept }: PendingReclaim, sign: 1 | -1): void => {
+    for (const [worker, accelerators] of kept) {
+      const total = (totals.get(worker) ?? 0) + sign * accelerators;
+      totals.set(worker, total);
+    }
+  };
+  const remove = (id: string): void => {
+    const known = pending.get(id);
+    if (known === undefined) return;
+    pending.delete(id);
+    add(known, -1);
+  };
+  return {
+    get: (id: string) => pending.get(id),
+    set: (id: string, reclaim: PendingReclaim): void => {
+      remove(id);
+      pending.set(id, reclaim);
+      add(reclaim, 1);
+    },
+    delete: remove,
+    kept: (worker: string): number => totals.get(worker) ?? 0,
+    size: () => pending.size,
+  };
+}
+
+/** One pass over the queue; capacity only shrinks during it, so what did not fit once does not fit later. */
+interface Pass {
+  racks: readonly (readonly WorkerView[])[];
+  misses: Set<string>;
+}
+
 interface Ranked {
   isWithin: boolean;
   priority: number;
@@ -181,7 +223,7 @@
   const runTimes = createRunTimes();
   const quarantine = createQuarantine();
   const owners = new Map<string, string>();
-  const reclaims = new Map<string, PendingReclaim>();
+  const reclaims = createPendingReclaims();
   const reservations = new Map<string, Reservation>();
   const peak = { largestWorker: 0, largestRack: 0, accelerators: 0 };
   let homes = NO_HOMES;
@@ -190,6 +232,7 @@
   let arrivals = 0;
   let isDirty = true;
   let reviewedAt = 0;
+  let compactedAt = 0;
 
   const allRacks = () => [...inventory.racks().values()];
   const usableRacks = () =>
@@ -245,10 +288,8 @@
     request: WaitingRequest,
     endsAt: Milliseconds,
   ): number => {
-    let kept = 0;
-    for (const [id, reclaim] of reclaims) {
-      if (id !== request.spec.id) kept += reclaim.kept.get(worker) ?? 0;
-    }
+    const own = reclaims.get(request.spec.id)?.kept.get(worker) ?? 0;
+    let kept = reclaims.kept(worker) - own;
     for (const [id, { workers, expectedAt }] of reservations) {
       if (id === request.spec.id) continue;
       // Work that can be stopped may run until the large job is expected to start.
@@ -270,11 +311,11 @@
     request: WaitingRequest,
     now: Milliseconds,
   ): (worker: WorkerView) => number => {
-    const probed = new Set(quarantine.members());
+    const probed = quarantine.members();
     const endsAt = now + request.plannedMs;
     return (worker) => {
       if (probed.has(worker.name) && !mayProbe(request)) return 0;
-      const kept = reclaims.size + reservations.size === 0
+      const kept = reclaims.size() + reservations.size === 0
         ? 0
         : keptForOthers(worker.name, request, endsAt);
       const free = Math.max(0, worker.free - kept);
@@ -298,6 +339,22 @@
       findPlacement(shape, racks, free);
   };
 
+  /** Names everything that decides whether a request that may be stopped fits; others depend on their account. */
+  const fitKind = (
+    { spec, avoid, plannedMs }: WaitingRequest,
+    now: Milliseconds,
+  ): string | undefined => {
+    const isOwnKept = reclaims.get(spec.id) !== undefined ||
+      reservations.has(spec.id);
+    if (!spec.preemptible || avoid.length > 0 || isOwnKept) return undefined;
+    const { parts, accelerators, adjacent } = spec.shape;
+    const backfills = [...reservations.values()].map(({ expectedAt }) =>
+      now + plannedMs <= expectedAt
+    );
+    return [parts, accelerators, adjacent, spec.repeatable, ...backfills]
+      .join("|");
+  };
+
   const place = (
     request: WaitingRequest,
     placement: Placement,
@@ -335,6 +392,13 @@
       return isWithin || lease.priority + PRIORITY_GAP <= spec.priority;
     };
 
+  /** Cheap check before a plan is made: without a guarantee or a gap in priority nothing may be stopped. */
+  const mayReclaim = ({ spec }: WaitingRequest): boolean =>
+    isWithinGuarantee(spec) ||
+    inventory.lowestPreemptible() + PRIORITY_GAP <= spec.priority ||
+    inventory.used(spec.account) >
+      inventory.used(spec.account, spec.priority);
+
   const reclaim = (
     request: WaitingRequest,
     racks: readonly (readonly WorkerView[])[],
@@ -454,23 +518,34 @@
     };
   };
 
+  /** Once all of its leases are gone, a plan that did not suffice is made anew. */
+  const isReclaiming = (id: string, now: Milliseconds): boolean => {
+    const pending = reclaims.get(id);
+    if (pending === undefined) return false;
+    if (now - pending.at >= RECLAIM_TIMEOUT_MS) return false;
+    return pending.plan.victims.some(({ worker, lease }) =>
+      inventory.find(worker)?.leases.has(lease)
+    );
+  };
+
   const tryRequest = (
     request: WaitingRequest,
-    racks: readonly (readonly WorkerView[])[],
+    { racks, misses }: Pass,
     now: Milliseconds,
   ): boolean => {
-    const placement = findFit(request, racks, now);
+    const kind = fitKind(request, now);
+    const isMiss = kind !== undefined && misses.has(kind);
+    const placement = isMiss ? undefined : findFit(request, racks, now);
     if (placement !== undefined) {
       place(request, placement, now);
       return true;
     }
+    if (kind !== undefined) misses.add(kind);
     const { id } = request.spec;
-    const isReclaiming = now - (reclaims.get(id)?.at ?? -Infinity) <
-      RECLAIM_TIMEOUT_MS;
-    if (!isReclaiming) {
+    if (!isReclaiming(id, now)) {
       reclaims.delete(id);
       const reservation = reservations.get(id);
-      if (policy.reclaim) reclaim(request, racks, now);
+      if (policy.reclaim && mayReclaim(request)) reclaim(request, racks, now);
       if (mayReserve(request, now)) reserve(request, racks, now);
       else if (reservation !== undefined && now >= reservation.expectedAt) {
         enforce(request, reservation, now);
@@ -480,7 +555,7 @@
   };
 
   const placeWaiting = (now: Milliseconds): void => {
-    const racks = usableRacks();
+    const pass: Pass = { racks: usableRacks(), misses: new Set() };
     const heads = new Map<string, { group: WaitingGroup; rank: Ranked }>();
     for (const group of queue.groups()) {
       heads.set(group.name, { group, rank: rank(firstOf(group)!, now) });
@@ -488,7 +563,7 @@
     while (heads.size > 0) {
       const { group } = bestOf(heads.values());
       const request = firstOf(group)!;
-      const isPlaced = tryRequest(request, racks, now);
+      const isPlaced = tryRequest(request, pass, now);
       const next = firstOf(group);
       // What stands behind a request that does not fit has the same shape.
       if (!isPlaced || next === undefined) heads.delete(group.name);
@@ -518,6 +593,25 @@
     return ahead > waitMs;
   };
 
+  /** Empties one broken worker into the gaps of others, so that it becomes whole. */
+  const compact = (now: Milliseconds): void => {
+    const isDue = now - compactedAt >= COMPACTION_INTERVAL_MS;
+    if (!policy.compaction || !isDue || reclaims.size() > 0) return;
+    compactedAt = now;
+    const victims = planCompaction({
+      racks: usableRacks(),
+      mayMove: (lease) =>
+        lease.preemptible && lease.parts === 1 &&
+        now - lease.seenAt >= COMPACTION_MINIMUM_AGE_MS &&
+        endOf(now)(lease) - now >= COMPACTION_MINIMUM_LEFT_MS,
+    });
+    if (victims.length === 0) return;
+    host.preempt(victims);
+    for (const { request } of victims) {
+      host.note?.(PlacerNote.preempted, request);
+    }
+  };
+
   const reviewWorkers = (now: Milliseconds): void => {
     for (const worker of quarantine.members()) {
       inventory.setBlocked(worker, !quarantine.isOpen(worker, now));
@@ -617,6 +711,7 @@
     },
     decide: (now) => {
       refuseOverdue(now);
+      compact(now);
       if (queue.size() === 0) return;
       const isReviewDue = now - reviewedAt >= REVIEW_INTERVAL_MS;
       if (!isDirty && !isReviewDue) return;
--- a/packages/core/src/quarantine.ts
+++ b/packages/core/src/quarantine.ts
@@ -17,7 +17,7 @@
   /** Notes that a probe was placed on the worker. */
   probe(worker: string, now: Milliseconds): void;
   /** @returns workers in quarantine */
-  members(): readonly string[];
+  members(): ReadonlySet<string>;
   /** Forgets a worker that is gone. */
   forget(worker: string): void;
 }
@@ -44,6 +44,7 @@
  */
 export function createQuarantine(): Quarantine {
   const workers = new Map<string, WorkerRecord>();
+  const closed = new Set<string>();
   const classes = new Map<string, { ended: number; failed: number }>();
 
   const recordOf = (worker: string): WorkerRecord => {
@@ -81,6 +82,7 @@
       if (!task.hasFailed) {
         record.failedRequests.clear();
         record.closedUntil = undefined;
+        closed.delete(task.worker);
         record.closedMs = FIRST_CLOSED_MS;
         return wasClosed;
       }
@@ -89,6 +91,7 @@
       if (failures < FAILED_REQUESTS) return false;
       if (failsElsewhere(task.class, failures)) return false;
       record.closedUntil = now + record.closedMs;
+      closed.add(task.worker);
       record.closedMs = Math.min(MAXIMUM_CLOSED_MS, record.closedMs * 2);
       return true;
     },
@@ -98,9 +101,10 @@
       if (record?.closedUntil === undefined) return;
       record.closedUntil = now + PROBE_MS;
     },
-    members: () =>
-      [...workers].filter(([, record]) => record.closedUntil !== undefined)
-        .map(([worker]) => worker),
-    forget: (worker) => workers.delete(worker),
+    members: () => closed,
+    forget: (worker) => {
+      workers.delete(worker);
+      closed.delete(worker);
+    },
   };
 }
--- a/packages/shared/src/events.ts
+++ b/packages/shared/src/events.ts
@@ -32,8 +32,6 @@
   requestJoined: { number: 1503, text: "duplicate joined its request" },
   requestAdopted: { number: 1504, text: "request adopted" },
   claimLost: { number: 1505, text: "claim lost to another entry" },
-  attemptEnded: { number: 1506, text: "attempt ended without a start" },
-  gangStopped: { number: 1507, text: "gang stopped as a whole" },
   leasePreempted: { number: 1600, text: "lease preempted" },
   reservationMade: { number: 1601, text: "reservation made" },
   reservationEnded: { number: 1602, text: "reservation ended" },
