feat(entry): tasks go on from their checkpoints; heartbeats in one direction

Cause 1: work stopped for a guarantee started again from its beginning, so compaction and reclaim could starve long tasks. Change: a worker gives the saved progress of a stopped task, the owner hands it to the next attempt's worker. Cause 2: each peer cost 0.88% of a core, as both ends sent heartbeats. Change: an entry that was asked need not ask. Ruled out: longer heartbeat intervals, which delay the takeover of a lead.

--- a/packages/core/src/request.ts
+++ b/packages/core/src/request.ts
@@ -81,6 +81,9 @@
   failure?: string;
 }
 
+/** Saved progress of a part, in the form its worker gave it. */
+export type Checkpoint = string;
+
 /** State of a request at its owner. */
 export interface RequestState {
   spec: RequestSpec;
@@ -100,6 +103,8 @@
   retries: number;
   /** Workers that refused or failed this request. */
   avoid: readonly string[];
+  /** Newest saved progress of each part, from earlier attempts. */
+  checkpoints: Readonly<Record<number, Checkpoint>>;
   /** What to do once every part has stopped. */
   afterStop?: "retry" | "end";
   result?: RequestResult;
@@ -150,7 +155,12 @@
   | { kind: "part-released"; attempt: number; part: number }
   | { kind: "part-ended"; attempt: number; part: number; answer: string }
   | { kind: "part-failed"; attempt: number; part: number; failure: string }
-  | { kind: "part-stopped"; attempt: number; part: number }
+  | {
+    kind: "part-stopped";
+    attempt: number;
+    part: number;
+    checkpoint?: Checkpoint;
+  }
   | { kind: "part-lost"; attempt: number; part: number }
   | { kind: "cancel" }
   | { kind: "deadline" }
@@ -167,8 +177,14 @@
   | { kind: "withdraw"; attempt: number }
   | { kind: "claim"; attempt: number; parts: readonly ClaimedPart[] }
   | { kind: "release-claim"; attempt: number }
-  | { kind: "prepare"; attempt: number; part: number; target: ClaimedPart }
-  | { kind: "run"; attempt: number; part: number; target: ClaimedPart }
+  | {
+    kind: "prepare" | "run";
+    attempt: number;
+    part: number;
+    target: ClaimedPart;
+    /** Progress from which the task goes on. */
+    checkpoint?: Checkpoint;
+  }
   | { kind: "watch"; attempt: number; part: number; target: ClaimedPart }
   | { kind: "stop"; attempt: number; part: number; target: ClaimedPart }
   | { kind: "join"; owner: string }
@@ -211,6 +227,7 @@
     lostBefore: false,
     retries: 0,
     avoid: [],
+    checkpoints: {},
   };
   const place: RequestEffect = {
     kind: "place",
@@ -364,6 +381,7 @@
     attempt: state.attempt,
     part,
     target,
+    checkpoint: state.checkpoints[part],
   }));
   const isRun = kind === "run";
   const parts = state.parts.map((part) => ({
@@ -383,7 +401,8 @@
 ): RequestStep {
   const known = state.parts[message.part];
   if (known === undefined || isSettled(known)) return unchanged(state);
-  const next = withPart(state, message.part, partAfter(known, message));
+  const changed = withPart(state, message.part, partAfter(known, message));
+  const next = withCheckpoint(changed, message);
   if (next.phase === RequestPhase.stopping) return finishStop(next);
   switch (message.kind) {
     case "part-ready":
@@ -678,6 +697,19 @@
   return state.ranBefore || state.parts.some(hasPossiblyRun);
 }
 
+function withCheckpoint(
+  state: RequestState,
+  message: PartMessage,
+): RequestState {
+  if (message.kind !== "part-stopped") return state;
+  const { part, checkpoint } = message;
+  if (checkpoint === undefined) return state;
+  return {
+    ...state,
+    checkpoints: { ...state.checkpoints, [part]: checkpoint },
+  };
+}
+
 function withPart(
   state: RequestState,
   index: number,
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -107,6 +107,7 @@
   const zoneOf = new Map<string, string>();
   const summaries = new Map<string, ZoneSummary>();
   const timers = new Map<string, NodeJS.Timeout>();
+  const receivedAt = new Map<string, Milliseconds>();
   const calls = new Map<string, Set<() => void>>();
   let sweep: NodeJS.Timeout | undefined;
   let sweptAt = clock.now();
@@ -221,10 +222,13 @@
     const interval = isNear ? timing.heartbeatMs : timing.remoteHeartbeatMs;
     const isGone = (failures.get(address) ?? 0) > FAILURES_BEFORE_SLOWDOWN;
     const delay = isGone ? interval * SLOWDOWN : interval;
-    timers.set(
-      address,
-      setTimeout(() => void beat(address).then(() => schedule(address)), delay),
-    );
+    const next = async () => {
+      // The reply to a peer's heartbeat tells it the same as one of our own would.
+      const received = receivedAt.get(address) ?? -Infinity;
+      if (clock.now() - received > interval) await beat(address);
+      schedule(address);
+    };
+    timers.set(address, setTimeout(() => void next(), delay));
   };
 
   const learn = (found: Iterable<string>): void => {
@@ -252,6 +256,7 @@
   const handlers: PeerHandlers = {
     ...options.handlers,
     Heartbeat: ({ request }, callback) => {
+      receivedAt.set(request.address, clock.now());
       receive(request);
       callback(null, options.heartbeat());
     },
@@ -323,6 +328,9 @@
   "grpc.initial_reconnect_backoff_ms": 100,
   "grpc.min_reconnect_backoff_ms": 100,
   "grpc.max_reconnect_backoff_ms": 500,
+  // Calls that wait long find out by themselves that their connection went silent.
+  "grpc.keepalive_time_ms": 500,
+  "grpc.keepalive_timeout_ms": 500,
   // A new client must open a new connection.
   "grpc.use_local_subchannel_pool": 1,
 };
--- a/packages/entry/src/task_commands.ts
+++ b/packages/entry/src/task_commands.ts
@@ -80,10 +80,13 @@
 
   const prepare = async (
     request: OwnedRequest,
-    { attempt, part, target }: TaskEffect,
+    effect: TaskEffect,
   ): Promise<void> => {
+    const { attempt, part, target } = effect;
+    const { payload } = request;
+    const checkpoint = checkpointOf(effect);
     const answer = await insist(
-      () => clientOf(target).prepare(target.lease, request.payload),
+      () => clientOf(target).prepare(target.lease, payload, checkpoint),
       timing.holdTtlMs,
     );
     const isReady = isAnswer(answer) && answer.boot === target.boot &&
@@ -104,7 +107,7 @@
     const payload = isGang ? undefined : request.payload;
     follow(request, effect);
     const answer = await insist(
-      () => clientOf(target).run(target.lease, payload),
+      () => clientOf(target).run(target.lease, payload, checkpointOf(effect)),
       patienceOf(request),
     );
     const message = runMessage(answer, target);
@@ -150,8 +153,8 @@
     if (!isAnswer(answer) || answer.state === undefined) return;
     if (answer.state === LeaseState.running) return;
     links.unfollow(target.lease);
-    const { state, failure } = answer;
-    await settle(request, effect, { state, failure });
+    const { state, failure, checkpoint } = answer;
+    await settle(request, effect, { state, failure, checkpoint });
   };
 
   const stop = async (
@@ -168,19 +171,18 @@
       answer.state !== undefined;
     if (!isKnown) request.send({ kind: "part-lost", attempt, part });
     else {
-      const { state, failure } = answer;
-      await settle(request, effect, { state: state!, failure });
+      const { state, failure, checkpoint } = answer;
+      await settle(request, effect, { state: state!, failure, checkpoint });
     }
   };
 
   const settle = async (
     request: OwnedRequest,
     effect: TaskEffect,
-    { state, failure }: LeaseEnd,
+    end: LeaseEnd,
   ): Promise<void> => {
-    const { attempt, part } = effect;
-    if (state === LeaseState.ended) return await fetchAnswer(request, effect);
-    request.send(endMessage(state, failure ?? "", attempt, part));
+    if (end.state !== LeaseState.ended) request.send(endMessage(end, effect));
+    else await fetchAnswer(request, effect);
   };
 
   const fetchAnswer = async (
@@ -210,17 +212,19 @@
   };
 }
 
+function checkpointOf(effect: TaskEffect): string | undefined {
+  return "checkpoint" in effect ? effect.checkpoint : undefined;
+}
+
 function endMessage(
-  state: LeaseState,
-  failure: string,
-  attempt: number,
-  part: number,
+  { state, failure = "", checkpoint }: LeaseEnd,
+  { attempt, part }: TaskEffect,
 ): RequestMessage {
   switch (state) {
     case LeaseState.failed:
       return { kind: "part-failed", attempt, part, failure };
     case LeaseState.stopped:
-      return { kind: "part-stopped", attempt, part };
+      return { kind: "part-stopped", attempt, part, checkpoint };
     default:
       return { kind: "part-released", attempt, part };
   }
--- a/packages/entry/src/worker_links.ts
+++ b/packages/entry/src/worker_links.ts
@@ -12,7 +12,7 @@
 import type { EntryTiming } from "./settings.ts";
 
 /** How a lease ended. */
-export type LeaseEnd = Pick<EndedLease, "state" | "failure">;
+export type LeaseEnd = Pick<EndedLease, "state" | "failure" | "checkpoint">;
 
 /** A lease that this entry owns, and who wants to hear of it. */
 export interface OwnedLease {
--- a/packages/platform/src/worker_client.ts
+++ b/packages/platform/src/worker_client.ts
@@ -5,6 +5,7 @@
   RefusedError,
 } from "@rattanhill/shared";
 import {
+  CHECKPOINT_HEADER,
   CONTENT_DIGEST_HEADER,
   contentDigest,
   type HoldRequest,
@@ -27,9 +28,17 @@
   /** Sets capacity aside. @throws RefusedError when it does not fit */
   hold(request: HoldRequest): Promise<LeaseAnswer>;
   /** Delivers the payload of a gang part. @throws RefusedError when the hold lapsed */
-  prepare(lease: string, payload: string): Promise<LeaseAnswer>;
+  prepare(
+    lease: string,
+    payload: string,
+    checkpoint?: string,
+  ): Promise<LeaseAnswer>;
   /** Starts the task under a live hold. @throws RefusedError when it did not start */
-  run(lease: string, payload?: string): Promise<LeaseAnswer>;
+  run(
+    lease: string,
+    payload?: string,
+    checkpoint?: string,
+  ): Promise<LeaseAnswer>;
   /** Releases or stops a lease. @returns its final state; none when the lease is not known */
   stop(lease: string): Promise<LeaseAnswer>;
   /** @returns the state of a lease; none when the lease is not known */
@@ -98,15 +107,22 @@
       reason: answer.reason ?? `status ${response.status}`,
     });
   };
-  const deliver = (step: "prepare" | "run", lease: string, payload?: string) =>
+  const deliver = (
+    step: "prepare" | "run",
+    lease: string,
+    { payload, checkpoint }: { payload?: string; checkpoint?: string },
+  ) =>
     command({
       method: "POST",
       path: `/leases/${lease}/${step}`,
       step: `worker.${step}`,
       body: payload ?? "",
-      headers: payload === undefined
-        ? {}
-        : { [CONTENT_DIGEST_HEADER]: contentDigest(payload) },
+      headers: {
+        ...payload === undefined
+          ? {}
+          : { [CONTENT_DIGEST_HEADER]: contentDigest(payload) },
+        ...checkpoint === undefined ? {} : { [CHECKPOINT_HEADER]: checkpoint },
+      },
     });
 
   return {
@@ -118,8 +134,10 @@
         body: JSON.stringify(request),
         headers: JSON_HEADERS,
       }),
-    prepare: (lease, payload) => deliver("prepare", lease, payload),
-    run: (lease, payload) => deliver("run", lease, payload),
+    prepare: (lease, payload, checkpoint) =>
+      deliver("prepare", lease, { payload, checkpoint }),
+    run: (lease, payload, checkpoint) =>
+      deliver("run", lease, { payload, checkpoint }),
     stop: (lease) =>
       command({
         method: "DELETE",
--- a/packages/protocol/src/worker_interface.ts
+++ b/packages/protocol/src/worker_interface.ts
@@ -5,6 +5,8 @@
 export const CONTENT_DIGEST_HEADER = "content-digest";
 /** Header naming the lease whose answer a response carries. */
 export const LEASE_HEADER = "rattanhill-lease";
+/** Header with the saved progress from which a task goes on. */
+export const CHECKPOINT_HEADER = "rattanhill-checkpoint";
 /** Header naming the start of the worker that answered. */
 export const BOOT_HEADER = "rattanhill-boot";
 
@@ -66,6 +68,8 @@
   state: leaseState.optional(),
   reason: z.string().optional(),
   failure: z.string().optional(),
+  /** Newest saved progress of the task. */
+  checkpoint: z.string().optional(),
   owner: z.string().optional(),
 });
 
@@ -102,6 +106,7 @@
   state: leaseState,
   runningMs: z.number(),
   failure: z.string().optional(),
+  checkpoint: z.string().optional(),
 });
 
 /** A lease that ended since the watch's `since`. */
--- a/packages/scenarios/__tests__/bad_input.test.ts
+++ b/packages/scenarios/__tests__/bad_input.test.ts
@@ -1,6 +1,11 @@
 import { expect } from "chai";
 import fastCheck from "fast-check";
-import { createLedger, foldConfig, NO_CONFIG, parseRules } from "@rattanhill/core";
+import {
+  createLedger,
+  foldConfig,
+  NO_CONFIG,
+  parseRules,
+} from "@rattanhill/core";
 import {
   decodeConfigRecord,
   decodeLedgerRecord,
--- a/packages/scenarios/__tests__/claim_model.ts
+++ b/packages/scenarios/__tests__/claim_model.ts
@@ -309,9 +309,9 @@
       tries: 0,
       perform: ({ table }) =>
         kind === "prepare"
-          ? table.prepare(target.lease, "", now)
+          ? table.prepare(target.lease, {}, now)
           : kind === "run"
-          ? table.run(target.lease, "", now)
+          ? table.run(target.lease, {}, now)
           : table.stop(target.lease, now),
       answered: ({ status, answer }) => {
         const isSame = answer.boot === target.boot;
--- a/packages/scenarios/src/runner.ts
+++ b/packages/scenarios/src/runner.ts
@@ -281,8 +281,10 @@
   return [usable[copy % usable.length].callers];
 }
 
+const PARTS_OF_CLASS: Readonly<Record<string, number>> = { venue: 4, dawn: 2 };
+
 function defaultParts(requestClass: string): number | undefined {
-  return requestClass === "venue" ? 4 : undefined;
+  return PARTS_OF_CLASS[requestClass];
 }
 
 function batchOf(run: Run, name: string): Batch {
--- a/packages/scenarios/src/scenario_file.ts
+++ b/packages/scenarios/src/scenario_file.ts
@@ -121,6 +121,8 @@
     workers: count,
   })),
   retentionMs: milliseconds.optional(),
+  /** Rules besides those that all scenarios share, without their comments. */
+  rules: z.array(z.string()).default([]),
   timing: z.record(z.string(), z.number()).optional(),
   steps: z.array(stepSchema),
 });
--- /dev/null
+++ b/packages/standins/__tests__/lease_table.test.ts
@@ -0,0 +1,96 @@
+import { expect } from "chai";
+import type { LeaseDescriptor } from "@rattanhill/core";
+import { createLeaseTable, type LeaseTable } from "../src/mod.ts";
+
+const TASK_MS = 1_000;
+
+function createTable(): LeaseTable {
+  return createLeaseTable({
+    worker: "w",
+    address: "",
+    zone: "z",
+    rack: "r",
+    boot: "boot",
+    accelerators: 8,
+    endedRetentionMs: 60_000,
+    journal: () => {},
+    plan: () => ({ runMs: TASK_MS }),
+    changed: () => {},
+  });
+}
+
+const lease = (name: string, accelerators = 1): LeaseDescriptor => ({
+  lease: name,
+  request: name,
+  key: "",
+  account: "a",
+  class: "c",
+  attempt: 1,
+  part: 0,
+  parts: 1,
+  accelerators,
+  owner: "owner",
+  priority: 0,
+  repeatable: true,
+  preemptible: true,
+  expectedMs: TASK_MS,
+});
+
+it("lease table: a hold that does not fit is refused", () => {
+  const table = createTable();
+  expect(table.hold(lease("a", 5), 100, 0).status).to.equal(201);
+  expect(table.hold(lease("b", 4), 100, 0).status).to.equal(409);
+});
+
+it("lease table: a start after the hold lapsed is refused", () => {
+  const table = createTable();
+  table.hold(lease("a"), 100, 0);
+  expect(table.run("a", {}, 100).answer.state).to.equal("released");
+  expect(table.run("a", {}, 100).status).to.equal(409);
+});
+
+it("lease table: the payload of a gang part does not prolong its hold", () => {
+  const table = createTable();
+  table.hold(lease("a"), 100, 0);
+  expect(table.prepare("a", { payload: "x" }, 90).status).to.equal(200);
+  expect(table.run("a", {}, 110).status).to.equal(409);
+});
+
+it("lease table: a running task whose lease is not renewed is stopped", () => {
+  const table = createTable();
+  table.hold(lease("a"), 100, 0);
+  table.run("a", {}, 0);
+  table.renew(["a"], "owner", 500, 100);
+  table.tick(600);
+  expect(table.find("a")?.state).to.equal("stopped");
+});
+
+it("lease table: a task goes on from its checkpoint", () => {
+  const table = createTable();
+  table.hold(lease("a"), 100, 0);
+  table.run("a", {}, 0);
+  table.checkpoint("a", 700);
+  const { checkpoint } = table.stop("a", 800).answer;
+  expect(checkpoint).to.equal("700");
+  table.hold(lease("b"), 100, 900);
+  table.run("b", { progressMs: Number(checkpoint) }, 900);
+  table.tick(1_200);
+  expect(table.find("b")?.state).to.equal("ended");
+});
+
+it("lease table: a task that is moved again keeps what it had saved before", () => {
+  const table = createTable();
+  table.hold(lease("a"), 100, 0);
+  table.run("a", { progressMs: 400 }, 0);
+  expect(table.stop("a", 50).answer.checkpoint).to.equal("400");
+});
+
+it("lease table: a worker that leaves refuses holds and ends its tasks", () => {
+  const table = createTable();
+  table.hold(lease("a"), 100, 0);
+  table.run("a", {}, 0);
+  table.setLeaving(true);
+  expect(table.hold(lease("b"), 100, 0).answer.reason).to.equal("leaving");
+  table.tick(TASK_MS);
+  expect(table.find("a")?.state).to.equal("ended");
+});
--- a/packages/standins/src/lease_table.ts
+++ b/packages/standins/src/lease_table.ts
@@ -44,16 +44,26 @@
   state: LeaseState;
   /** End of the hold, or of the renewal of a running task. */
   expiresAt: Milliseconds;
-  startedAt: Milliseconds;
+  /** Absent until the task starts. */
+  startedAt?: Milliseconds;
   endsAt: Milliseconds;
   checkpointAt: Milliseconds;
   endedAt: Milliseconds;
   /** Sequence of the change that ended it. */
   endedSequence: number;
   payload?: string;
+  /** Progress with which the task started. */
+  progressMs: Milliseconds;
   failure?: string;
 }
 
+/** What comes with a start. */
+export interface DeliveredTask {
+  payload?: string;
+  /** Progress from which the task goes on, in milliseconds. */
+  progressMs?: Milliseconds;
+}
+
 /** Result of an operation: an HTTP status and the answer. */
 export interface LeaseReply {
   status: number;
@@ -67,12 +77,8 @@
     ttlMs: Milliseconds,
     now: Milliseconds,
   ): LeaseReply;
-  prepare(lease: string, payload: string, now: Milliseconds): LeaseReply;
-  run(
-    lease: string,
-    payload: string | undefined,
-    now: Milliseconds,
-  ): LeaseReply;
+  prepare(lease: string, task: DeliveredTask, now: Milliseconds): LeaseReply;
+  run(lease: string, task: DeliveredTask, now: Milliseconds): LeaseReply;
   stop(lease: string, now: Milliseconds): LeaseReply;
   inspect(lease: string, now: Milliseconds): LeaseReply;
   checkpoint(lease: string, now: Milliseconds): LeaseReply;
@@ -118,6 +124,7 @@
     sequence,
     state,
     failure: row?.failure,
+    checkpoint: row && checkpointOf(row),
     owner: row?.descriptor.owner,
   });
   const accept = (row: LeaseRow, status = 200): LeaseReply => ({
@@ -187,7 +194,8 @@
     row.failure = plan.failure;
     row.startedAt = now;
     row.checkpointAt = now;
-    row.endsAt = now + Math.min(MAXIMUM_RUN_MS, plan.runMs);
+    const leftMs = Math.max(1, plan.runMs - row.progressMs);
+    row.endsAt = now + Math.min(MAXIMUM_RUN_MS, leftMs);
     row.expiresAt = now + RUNNING_TTL_MS;
     options.journal("started", row.descriptor, "");
     changed();
@@ -211,12 +219,13 @@
       changed();
       return accept(row, 201);
     },
-    prepare: (lease, payload, now) => {
+    prepare: (lease, { payload, progressMs }, now) => {
       tick(now);
       const row = find(lease);
       if (row === undefined) return unknown();
       if (row.state === LeaseState.held) {
         row.payload = payload;
+        row.progressMs = progressMs ?? 0;
         row.state = LeaseState.ready;
         changed();
       }
@@ -224,12 +233,13 @@
         row.state === LeaseState.stopped;
       return isOver ? refuse(WorkerRefusal.lapsed, row) : accept(row);
     },
-    run: (lease, payload, now) => {
+    run: (lease, { payload, progressMs }, now) => {
       tick(now);
       const row = find(lease);
       if (row === undefined) return unknown();
       if (row.state === LeaseState.held || row.state === LeaseState.ready) {
         row.payload ??= payload;
+        row.progressMs = progressMs ?? row.progressMs;
         start(row, now);
       }
       return row.state === LeaseState.released
@@ -303,7 +313,9 @@
         ...row.descriptor,
         state: row.state,
         runningMs: runningTime(row, now),
-        sinceCheckpointMs: row.startedAt === 0 ? 0 : now - row.checkpointAt,
+        sinceCheckpointMs: row.startedAt === undefined
+          ? 0
+          : now - row.checkpointAt,
       })),
     }),
     endedSince: (since, owner) =>
@@ -317,6 +329,7 @@
           state: row.state,
           runningMs: runningTime(row, row.endedAt),
           failure: row.failure,
+          checkpoint: checkpointOf(row),
         })),
     find,
     isBusy: () => live.size > 0,
@@ -331,14 +344,20 @@
     descriptor,
     state: LeaseState.held,
     expiresAt,
-    startedAt: 0,
     endsAt: 0,
     checkpointAt: 0,
     endedAt: 0,
     endedSequence: 0,
+    progressMs: 0,
   };
 }
 
+/** Progress at the newest checkpoint; a task that never saved any gives what it started with. */
+function checkpointOf(row: LeaseRow): string | undefined {
+  if (row.startedAt === undefined) return undefined;
+  return String(row.progressMs + row.checkpointAt - row.startedAt);
+}
+
 function runningTime(row: LeaseRow, now: Milliseconds): Milliseconds {
-  return row.startedAt === 0 ? 0 : now - row.startedAt;
+  return row.startedAt === undefined ? 0 : now - row.startedAt;
 }
--- a/packages/standins/src/worker_standin.ts
+++ b/packages/standins/src/worker_standin.ts
@@ -7,6 +7,7 @@
 } from "@rattanhill/shared";
 import {
   BOOT_HEADER,
+  CHECKPOINT_HEADER,
   CONTENT_DIGEST_HEADER,
   contentDigest,
   holdRequestSchema,
@@ -24,6 +25,7 @@
 } from "./http_service.ts";
 import {
   createLeaseTable,
+  type DeliveredTask,
   type JournalEvent,
   type LeaseRow,
   type TaskPlan,
@@ -147,8 +149,11 @@
     if (payload !== undefined && digest !== contentDigest(payload)) {
       return { status: 400, body: refusal(WorkerRefusal.damagedPayload) };
     }
-    if (action === "prepare") return prepare(lease, payload ?? "", now);
-    if (action === "run") return run(lease, payload, now, response);
+    const saved = message.headers[CHECKPOINT_HEADER];
+    const progressMs = saved === undefined ? undefined : Number(saved);
+    const task = { payload, progressMs };
+    if (action === "prepare") return prepare(lease, task, now);
+    if (action === "run") return run(lease, task, now, response);
     return { status: 404, body: {} };
   };
 
@@ -167,21 +172,21 @@
     return reply(table.hold(descriptor, ttlMs, now));
   };
 
-  const prepare = (lease: string, payload: string, now: Milliseconds) => {
+  const prepare = (lease: string, task: DeliveredTask, now: Milliseconds) => {
     if ((faults.refusePrepare ?? 0) > 0) {
       faults.refusePrepare! -= 1;
       table.stop(lease, now);
     }
-    return reply(table.prepare(lease, payload, now));
+    return reply(table.prepare(lease, task, now));
   };
 
   const run = (
     lease: string,
-    payload: string | undefined,
+    task: DeliveredTask,
     now: Milliseconds,
     response: ServerResponse,
   ): ServiceAnswer => {
-    const result = reply(table.run(lease, payload, now));
+    const result = reply(table.run(lease, task, now));
     if ((faults.loseRunAnswers ?? 0) === 0) return result;
     faults.loseRunAnswers! -= 1;
     response.destroy();
