--- a/packages/bench/src/baselines.ts
+++ b/packages/bench/src/baselines.ts
@@ -25,6 +25,8 @@
   /** Free accelerators by worker; only workers that the baseline believes alive. */
   free: FreeMap;
   racks: readonly (readonly string[])[];
+  /** Workers of each account by rack, for fixed partitions. */
+  partitions?: Map<string, string[][]>;
   /** Starts a job and takes it off the queue. */
   start(job: SimulatedJob, workers: readonly string[], now: Milliseconds): void;
 }
@@ -45,7 +47,7 @@
 
 /** Gives each account workers of its own and places in the order of arrival there. */
 export const fixedPartitions: SchedulerFactory = baseline((context, now) => {
-  const partitions = partitionsOf(context);
+  const partitions = context.partitions ??= partitionsOf(context);
   const misses = new Set<string>();
   for (const job of [...context.queue]) {
     const shape = job.account + JSON.stringify(job.shape);
@@ -135,6 +137,11 @@
     free,
     racks: [...racks.values()],
     start: (job, workers, now) => {
+      const dead = workers.find((worker) => !host.fleet.worker(worker).isAlive);
+      if (dead !== undefined) {
+        free.delete(dead);
+        return;
+      }
       context.queue.splice(context.queue.indexOf(job), 1);
       const accelerators = job.shape.accelerators;
       context.running.set(job.id, {
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,4 +1,4 @@
-import { writeFileSync } from "node:fs";
+import { appendFileSync, writeFileSync } from "node:fs";
 import process from "node:process";
 import type { PlacerPolicy } from "@rattanhill/core";
 import yargs from "yargs";
@@ -47,20 +47,22 @@
         report: { type: "string", describe: "file for an HTML report" },
       }),
     async (args) => {
+      if (args.json !== undefined) writeFileSync(args.json, "");
       const { results, targets } = runPolicyBench({
         ...args,
-        progress: (result) => console.error(describe(result)),
+        progress: (result) => {
+          console.error(describe(result));
+          if (args.json === undefined) return;
+          appendFileSync(args.json, JSON.stringify(result) + "\n");
+        },
       });
       console.table(results.map(flatten));
       console.table(targets);
       const missed = targets.filter(({ met }) => !met).length;
       console.log(`${targets.length - missed} targets met, ${missed} missed`);
       if (args.json !== undefined) {
-        const rows = [...results, ...targets];
-        writeFileSync(
-          args.json,
-          rows.map((row) => JSON.stringify(row) + "\n").join(""),
-        );
+        const rows = targets.map((row) => JSON.stringify(row) + "\n");
+        appendFileSync(args.json, rows.join(""));
       }
       if (args.report !== undefined) {
         writeFileSync(args.report, await drawReport({ results, targets }));
--- a/packages/bench/src/our_scheduler.ts
+++ b/packages/bench/src/our_scheduler.ts
@@ -29,6 +29,14 @@
       policy,
       host: {
         hold: (plan) => {
+          const dead = plan.parts.find(({ target }) =>
+            !host.fleet.worker(target.name).isAlive
+          );
+          if (dead !== undefined) {
+            placer.holdsRefused(plan);
+            placer.lose(dead.target.name);
+            return;
+          }
           host.start(
             jobs.get(plan.spec.id)!,
             plan.parts.map(({ target, lease }) => ({
--- a/packages/core/src/fit.ts
+++ b/packages/core/src/fit.ts
@@ -45,6 +45,23 @@
   return findPlacement(shape, racks, everything) !== undefined;
 }
 
+/**
+ * Lists the sets of workers that are close enough together for a shape.
+ *
+ * @param shape accelerators needed
+ * @param racks workers by rack
+ * @returns groups of workers; all parts must be placed within one of them
+ */
+export function adjacentGroups(
+  shape: Shape,
+  racks: readonly (readonly WorkerView[])[],
+): readonly (readonly WorkerView[])[] {
+  const isOnOneWorker = shape.adjacent === Adjacency.worker ||
+    (shape.adjacent === Adjacency.none && shape.parts === 1);
+  if (isOnOneWorker) return racks.flat().map((worker) => [worker]);
+  return shape.adjacent === Adjacency.rack ? racks : [racks.flat()];
+}
+
 function findOnOneWorker(
   shape: Shape,
   racks: Iterable<readonly WorkerView[]>,
--- a/packages/core/src/placer.ts
+++ b/packages/core/src/placer.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from "@rattanhill/shared";
-import { type AccountStatus, describeAccounts } from "./account_status.ts";
+import { describeAccounts } from "./account_status.ts";
+import { planCompaction } from "./compaction.ts";
 import { findPlacement, type Placement } from "./fit.ts";
 import { measureFragmentation } from "./fragmentation.ts";
 import { assignHomes, firmCapacity, NO_HOMES } from "./homes.ts";
@@ -8,143 +9,27 @@
   type LeaseView,
   type WorkerView,
 } from "./inventory.ts";
-import type { LeaseDescriptor, WorkerReport } from "./lease.ts";
-import { createQuarantine, type EndedTask } from "./quarantine.ts";
+import { describeLease } from "./lease_descriptor.ts";
+import { createPendingReclaims } from "./pending_reclaims.ts";
+import {
+  FULL_POLICY,
+  type Placer,
+  PlacerNote,
+  type PlacerOptions,
+} from "./placer_types.ts";
+import { createQuarantine } from "./quarantine.ts";
 import {
   createWaitingQueue,
   type WaitingGroup,
   type WaitingRequest,
 } from "./queue.ts";
-import { planCompaction } from "./compaction.ts";
-import { planReclaim, type ReclaimPlan } from "./reclaim.ts";
-import { EndReason } from "./request.ts";
+import { goesBefore, type Rank } from "./rank.ts";
+import { planReclaim } from "./reclaim.ts";
+import { EndReason } from "./request_types.ts";
 import { planReservation, type Reservation } from "./reservation.ts";
-import { NO_RULES, type Rules } from "./rules.ts";
+import { NO_RULES } from "./rules.ts";
 import { createRunTimes, type DeclaredTask } from "./run_times.ts";
 import { type RequestSpec, totalAccelerators } from "./shape.ts";
-import type { ZoneSummary } from "./zone_summary.ts";
-
-/** Holds that the host has to obtain from the workers, all or none. */
-export interface HoldPlan {
-  spec: RequestSpec;
-  attempt: number;
-  /** Time at which the request began to wait. */
-  since: Milliseconds;
-  parts: readonly { target: WorkerView; lease: LeaseDescriptor }[];
-}
-
-/** Refusal of a placement. */
-export interface PlaceRefusal {
-  reason: EndReason;
-  retryAfterMs: Milliseconds;
-}
-
-/** A decision that operators see in the log. */
-export const PlacerNote = {
-  preempted: "preempted",
-  reserved: "reserved",
-  reservationEnded: "reservation-ended",
-  quarantined: "quarantined",
-  releasedWorker: "released-worker",
-} as const;
-
-/** One of the values of {@link PlacerNote}. */
-export type PlacerNote = typeof PlacerNote[keyof typeof PlacerNote];
-
-/** Operations of the host. */
-export interface PlacerHost {
-  /** Asks the workers for the holds of a plan. */
-  hold(plan: HoldPlan): void;
-  /** Saves the progress of running tasks and stops them. */
-  preempt(leases: readonly LeaseView[]): void;
-  /** Tells the owner of a request that it will not be placed. */
-  refuse(id: string, attempt: number, refusal: PlaceRefusal): void;
-  /** Tells operators of a decision. */
-  note?(note: PlacerNote, subject: string): void;
-  /** @returns a new lease name */
-  createLeaseName(): string;
-  /** @returns a number from 0 up to 1 */
-  random(): number;
-}
-
-/** Parts of the policy that can be left out, to measure what each is worth. */
-export interface PlacerPolicy {
-  /** Stops lent work when a guarantee is claimed. */
-  reclaim: boolean;
-  /** Keeps capacity for large jobs that waited long. */
-  reservation: boolean;
-  /** Plans with learned run times in place of declared ones. */
-  learning: boolean;
-  /** Refuses at once what cannot start in time. */
-  refusal: boolean;
-  /** Moves small work that can be stopped off broken workers. */
-  compaction: boolean;
-}
-
-/** The whole policy. */
-export const FULL_POLICY: PlacerPolicy = {
-  reclaim: true,
-  reservation: true,
-  learning: true,
-  refusal: true,
-  compaction: true,
-};
-
-/** Options of a placer. */
-export interface PlacerOptions {
-  /** Availability zone whose workers it decides about. */
-  zone: string;
-  host: PlacerHost;
-  policy?: PlacerPolicy;
-}
-
-/** A request that an owner wants to have placed. */
-export interface PlaceSubmission {
-  spec: RequestSpec;
-  attempt: number;
-  /** Process that will start it. */
-  owner: string;
-  /** Workers that must not be used. */
-  avoid: readonly string[];
-}
-
-/** Decides which request of a zone runs on which workers. */
-export interface Placer {
-  /** Takes new rules into force. */
-  configure(rules: Rules): void;
-  /** Adds a request of an owner; answered by `hold` or `refuse` of the host. */
-  submit(submission: PlaceSubmission, now: Milliseconds): void;
-  /** Removes a waiting request in constant time. @returns whether it was waiting */
-  withdraw(id: string): boolean;
-  /** Notes that all holds of a plan were granted. */
-  holdsGranted(plan: HoldPlan, sequences: readonly number[]): void;
-  /** Returns a request to the queue after a worker refused its hold. */
-  holdsRefused(plan: HoldPlan): void;
-  /** Notes that a hold was given back. */
-  release(worker: string, lease: string): void;
-  /** Takes a worker's report. */
-  report(report: WorkerReport, now: Milliseconds): void;
-  /** Learns from a task that ended by itself. */
-  taskEnded(
-    task: EndedTask & DeclaredTask,
-    ranMs: Milliseconds,
-    now: Milliseconds,
-  ): void;
-  /** Removes a worker that cannot be asked. */
-  lose(worker: string): void;
-  /** Places what fits, reclaims guarantees and refuses what waited too long. */
-  decide(now: Milliseconds): void;
-  /** @returns the state for peers */
-  summarize(): ZoneSummary;
-  /** @returns use of guarantees by account */
-  accounts(): AccountStatus[];
-  /** @returns accounts whose guarantee does not fit the zone's workers */
-  unmetGuarantees(): readonly string[];
-  /** @returns why a request waits, or `undefined` when it does not wait here */
-  explain(id: string): string | undefined;
-  /** @returns the workers of the zone */
-  workers(): readonly WorkerView[];
-}
 
 /** A request with this much more priority may stop borrowed work. */
 export const PRIORITY_GAP = 30;
@@ -161,54 +46,12 @@
 const COMPACTION_MINIMUM_LEFT_MS: Milliseconds = 3_000; // work that ends soon frees its place by itself
 const LARGE_ACCELERATORS = 8; // a whole worker
 
-interface PendingReclaim {
-  plan: ReclaimPlan;
-  kept: ReadonlyMap<string, number>;
-  at: Milliseconds;
-}
-
-/** Reclaims in progress, with what they keep on each worker. */
-function createPendingReclaims() {
-  const pending = new Map<string, PendingReclaim>();
-  const totals = new Map<string, number>();
-  const add = ({ kept }: PendingReclaim, sign: 1 | -1): void => {
-    for (const [worker, accelerators] of kept) {
-      const total = (totals.get(worker) ?? 0) + sign * accelerators;
-      totals.set(worker, total);
-    }
-  };
-  const remove = (id: string): void => {
-    const known = pending.get(id);
-    if (known === undefined) return;
-    pending.delete(id);
-    add(known, -1);
-  };
-  return {
-    get: (id: string) => pending.get(id),
-    set: (id: string, reclaim: PendingReclaim): void => {
-      remove(id);
-      pending.set(id, reclaim);
-      add(reclaim, 1);
-    },
-    delete: remove,
-    kept: (worker: string): number => totals.get(worker) ?? 0,
-    size: () => pending.size,
-  };
-}
-
 /** One pass over the queue; capacity only shrinks during it, so what did not fit once does not fit later. */
 interface Pass {
   racks: readonly (readonly WorkerView[])[];
   misses: Set<string>;
 }
 
-interface Ranked {
-  isWithin: boolean;
-  priority: number;
-  share: number;
-  arrival: number;
-}
-
 /**
  * Creates the placer of a zone. It keeps nothing that the workers and the
  * owners of waiting requests could not tell it again.
@@ -507,7 +350,7 @@
   const agedPriority = ({ spec, since }: WaitingRequest, now: Milliseconds) =>
     spec.priority + (now - since) / AGE_PER_PRIORITY_MS;
 
-  const rank = (request: WaitingRequest, now: Milliseconds): Ranked => {
+  const rank = (request: WaitingRequest, now: Milliseconds): Rank => {
     const { spec } = request;
     const weight = rules.accounts.get(spec.account)?.weight ?? 1;
     return {
@@ -556,7 +399,7 @@
 
   const placeWaiting = (now: Milliseconds): void => {
     const pass: Pass = { racks: usableRacks(), misses: new Set() };
-    const heads = new Map<string, { group: WaitingGroup; rank: Ranked }>();
+    const heads = new Map<string, { group: WaitingGroup; rank: Rank }>();
     for (const group of queue.groups()) {
       heads.set(group.name, { group, rank: rank(firstOf(group)!, now) });
     }
@@ -750,48 +593,20 @@
 }
 
 function bestOf(
-  heads: Iterable<{ group: WaitingGroup; rank: Ranked }>,
-): { group: WaitingGroup; rank: Ranked } {
-  let best: { group: WaitingGroup; rank: Ranked } | undefined;
+  heads: Iterable<{ group: WaitingGroup; rank: Rank }>,
+): { group: WaitingGroup; rank: Rank } {
+  let best: { group: WaitingGroup; rank: Rank } | undefined;
   for (const head of heads) {
     if (best === undefined || goesBefore(head.rank, best.rank)) best = head;
   }
   return best!;
 }
 
-function goesBefore(a: Ranked, b: Ranked): boolean {
-  if (a.isWithin !== b.isWithin) return a.isWithin;
-  if (Math.floor(a.priority) !== Math.floor(b.priority)) {
-    return a.priority > b.priority;
-  }
-  if (a.share !== b.share) return a.share < b.share;
-  return a.arrival < b.arrival;
-}
-
 function firstOf(group: WaitingGroup): WaitingRequest | undefined {
   for (const request of group.requests.values()) return request;
   return undefined;
 }
 
-function describeLease(
-  spec: RequestSpec,
-  given: Pick<LeaseDescriptor, "lease" | "attempt" | "part" | "owner">,
-): LeaseDescriptor {
-  return {
-    ...given,
-    request: spec.id,
-    key: spec.key,
-    account: spec.account,
-    class: spec.class,
-    parts: spec.shape.parts,
-    accelerators: spec.shape.accelerators,
-    priority: spec.priority,
-    repeatable: spec.repeatable,
-    preemptible: spec.preemptible,
-    expectedMs: spec.expectedMs,
-  };
-}
-
 function sumAccelerators(workers: readonly WorkerView[]): number {
   return workers.reduce((sum, { accelerators }) => sum + accelerators, 0);
 }
--- a/packages/core/src/reclaim.ts
+++ b/packages/core/src/reclaim.ts
@@ -1,6 +1,6 @@
 import type { LeaseView, WorkerView } from "./inventory.ts";
-import type { Placement } from "./fit.ts";
-import { Adjacency, type Shape } from "./shape.ts";
+import { adjacentGroups, type Placement } from "./fit.ts";
+import type { Shape } from "./shape.ts";
 
 /** A placement that needs running work to be stopped. */
 export interface ReclaimPlan {
@@ -38,28 +38,13 @@
  */
 export function planReclaim(options: ReclaimOptions): ReclaimPlan | undefined {
   let best: ReclaimPlan | undefined;
-  for (const group of groupsOf(options)) {
+  for (const group of adjacentGroups(options.shape, options.racks)) {
     const plan = planInGroup(group, options, best?.cost ?? Infinity);
     if (plan !== undefined) best = plan;
   }
   return best;
 }
 
-function groupsOf(
-  { shape, racks }: ReclaimOptions,
-): readonly (readonly WorkerView[])[] {
-  switch (shape.adjacent) {
-    case Adjacency.worker:
-      return racks.flat().map((worker) => [worker]);
-    case Adjacency.rack:
-      return racks;
-    case Adjacency.none:
-      return shape.parts === 1
-        ? racks.flat().map((worker) => [worker])
-        : [racks.flat()];
-  }
-}
-
 interface Draft {
   victims: Map<string, LeaseView>;
   /** Accelerators freed on each worker. */
--- a/packages/core/src/reservation.ts
+++ b/packages/core/src/reservation.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from "@rattanhill/shared";
+import { adjacentGroups } from "./fit.ts";
 import type { LeaseView, WorkerView } from "./inventory.ts";
-import { Adjacency, type Shape } from "./shape.ts";
+import type { Shape } from "./shape.ts";
 
 /** Capacity that a large job waits for. */
 export interface Reservation {
@@ -34,7 +35,7 @@
   options: ReservationOptions,
 ): Reservation | undefined {
   let best: Reservation | undefined;
-  for (const group of groupsOf(options)) {
+  for (const group of adjacentGroups(options.shape, options.racks)) {
     const found = planInGroup(group, options);
     if (found === undefined) continue;
     if (best !== undefined && found.expectedAt >= best.expectedAt) continue;
@@ -43,19 +44,6 @@
   return best;
 }
 
-function groupsOf(
-  { shape, racks }: ReservationOptions,
-): readonly (readonly WorkerView[])[] {
-  switch (shape.adjacent) {
-    case Adjacency.worker:
-      return racks.flat().map((worker) => [worker]);
-    case Adjacency.rack:
-      return racks;
-    case Adjacency.none:
-      return [racks.flat()];
-  }
-}
-
 interface Slot {
   worker: WorkerView;
   freeAt: Milliseconds;
--- a/packages/entry/src/adopter.ts
+++ b/packages/entry/src/adopter.ts
@@ -8,13 +8,13 @@
 import {
   type ClaimedPart,
   EndReason,
-  LeaseState,
   type LedgerEntry,
   ledgerKey,
   LedgerVerdict,
   type Membership,
   Outcome,
   PartPhase,
+  partPhaseOf,
   type RequestPart,
   type RequestResult,
   type RequestSpec,
@@ -131,7 +131,7 @@
       try {
         const answer = await client.changeOwner(part.lease, from, owner);
         const isKnown = answer.boot === part.boot;
-        return { ...part, phase: isKnown ? phaseOf(answer.state) : "lost" };
+        return { ...part, phase: isKnown ? partPhaseOf(answer.state) : "lost" };
       } catch (error) {
         if (error instanceof RefusedError) return { ...part, phase: "lost" };
         await pause(POLL_MS);
@@ -270,20 +270,3 @@
     step: "join",
   };
 }
-
-function phaseOf(state: LeaseState | undefined): PartPhase {
-  switch (state) {
-    case LeaseState.running:
-      return PartPhase.running;
-    case LeaseState.ended:
-      // The answer is fetched when the part is watched.
-      return PartPhase.running;
-    case LeaseState.failed:
-    case LeaseState.stopped:
-      return PartPhase.stopped;
-    case undefined:
-      return PartPhase.lost;
-    default:
-      return PartPhase.released;
-  }
-}
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -7,37 +7,27 @@
   createIdentifier,
   createSystemClock,
   describeError,
-  ErrorCode,
   type Event,
   type EventLog,
   Events,
   type Milliseconds,
   pause,
-  UnavailableError,
 } from "@rattanhill/shared";
 import {
-  chooseZone,
   type ConfigState,
   createMembership,
-  EndReason,
   type EntryInfo,
   LeaseState,
   NO_RULES,
   parseRules,
   PlacerNote,
-  type RequestSpec,
   type Rules,
-  type ZoneChoice,
   type ZoneView,
 } from "@rattanhill/core";
 import {
   type ConfigReply,
-  encodeSpec,
   type EndedLease,
-  type FindReply__Output,
   type HeartbeatMessage,
-  type PlaceReply,
-  type PlaceReply__Output,
 } from "@rattanhill/protocol";
 import { createPlatformClient } from "@rattanhill/platform";
 import { createAccess } from "./access.ts";
@@ -51,6 +41,7 @@
 import { createOperatorsServer } from "./operators_server.ts";
 import { createPeerHandlers } from "./peer_handlers.ts";
 import { createPeers } from "./peers.ts";
+import { createPeerLookup } from "./peer_lookup.ts";
 import { createPlacerHost } from "./placer_host.ts";
 import { createRequestHost } from "./request_host.ts";
 import { createRequestRegistry } from "./request_registry.ts";
@@ -58,6 +49,7 @@
 import type { EntrySettings } from "./settings.ts";
 import { createTaskCommands } from "./task_commands.ts";
 import { createWorkerLinks } from "./worker_links.ts";
+import { createZoneRouter } from "./zone_router.ts";
 
 /** A running entry. */
 export interface Entry {
@@ -77,11 +69,8 @@
 const LIST_INTERVAL_MS: Milliseconds = 1_000;
 const SCAN_INTERVAL_MS: Milliseconds = 500;
 const DRAIN_POLL_MS: Milliseconds = 50;
-const FIND_TIMEOUT_MS: Milliseconds = 300;
 const CONFIG_TIMEOUT_MS: Milliseconds = 1_000;
 const CONFIG_DIVERSION_MS: Milliseconds = 500;
-const NEVER_FITS_AFTER_MS: Milliseconds = 5_000; // a fresh entry has not heard of all workers
-const NO_CAPACITY_RETRY_MS: Milliseconds = 1_000;
 
 /**
  * Creates an entry: the one program that runs on every entry VM.
@@ -276,121 +265,15 @@
       rules,
     };
   };
-
-  /** Zones may be unknown for a moment, at the start and after a pause. */
-  const waitForZone = async (spec: RequestSpec): Promise<ZoneChoice> => {
-    const until = clock.now() + Math.min(ZONE_PATIENCE_MS, spec.deadlineMs);
-    for (;;) {
-      const choice = chooseZone(spec, zoneView());
-      const isMissing = "refusal" in choice &&
-        choice.refusal === "no-capacity";
-      if (!isMissing || clock.now() >= until) return choice;
-      await pause(ZONE_POLL_MS);
-    }
-  };
-
-  const place = async (
-    spec: RequestSpec,
-    attempt: number,
-    avoid: readonly string[],
-  ): Promise<PlaceReply & { peer: string }> => {
-    const choice = await waitForZone(spec);
-    if ("refusal" in choice) {
-      const isSettled = clock.now() - startedAt > NEVER_FITS_AFTER_MS;
-      const reason = choice.refusal === "never-fits" && isSettled
-        ? EndReason.neverFits
-        : EndReason.noCapacity;
-      return { reason, retryAfterMs: NO_CAPACITY_RETRY_MS, peer: "self" };
-    }
-    const lead = membership.lead(choice.zone);
-    if (lead === undefined) {
-      throw new UnavailableError(ErrorCode.peerUnreachable, "no lead", {
-        step: "place",
-        peer: choice.zone,
-      });
-    }
-    const placing = { spec, attempt, owner: info.id, avoid };
-    if (lead.id === info.id) {
-      return { ...await placerHost.place(placing), peer: info.name };
-    }
-    const reply = await peers.call<PlaceReply__Output>(
-      lead.address,
-      (client, callOptions, callback) =>
-        client.Place(
-          { ...placing, spec: encodeSpec(spec), avoid: [...avoid] },
-          new Metadata(),
-          callOptions,
-          callback,
-        ),
-      { step: "peer.place", timeoutMs: spec.deadlineMs + PLACE_GRACE_MS },
-    );
-    return { ...reply, peer: lead.name };
-  };
-
-  const withdraw = (id: string, attempt: number): void => {
-    if (placerHost.withdraw(id, attempt)) return;
-    const lead = membership.lead(zone);
-    if (lead === undefined || lead.id === info.id) return;
-    peers.call(
-      lead.address,
-      (client, callOptions, callback) =>
-        client.Withdraw({ id, attempt }, new Metadata(), callOptions, callback),
-      { step: "peer.withdraw", timeoutMs: FIND_TIMEOUT_MS },
-    ).catch(() => {}); // a hold that is granted all the same is given back or lapses
-  };
-
-  const find = (
-    address: string,
-    query: { account: string; key?: string; id?: string; waitMs: Milliseconds },
-  ): Promise<FindReply__Output> =>
-    peers.call<FindReply__Output>(
-      address,
-      (client, callOptions, callback) =>
-        client.Find(query, new Metadata(), callOptions, callback),
-      { step: "peer.find", timeoutMs: query.waitMs + FIND_TIMEOUT_MS },
-    );
-
-  const findElsewhere = (
-    query: { account: string; key?: string; id?: string; waitMs: Milliseconds },
-  ): Promise<FindReply__Output | undefined> =>
-    firstFound(membership.alive().map((peer) => find(peer.address, query)));
-
-  /** Only when the log was read to its end and every entry denies it, nobody knows a request. */
-  const isUnknownEverywhere = async (
-    account: string,
-    id: string,
-  ): Promise<boolean> => {
-    if (!peers.reachesAll() || !await follower.readToEnd()) return false;
-    if (follower.ledger.findRequest(id)?.account === account) return false;
-    const replies = await Promise.allSettled(
-      membership.alive().map((peer) =>
-        find(peer.address, { account, id, waitMs: 0 })
-      ),
-    );
-    return replies.every((reply) =>
-      reply.status === "fulfilled" && !reply.value.found
-    );
-  };
-
-  const cancelElsewhere = (
-    account: string,
-    id: string,
-  ): Promise<FindReply__Output | undefined> =>
-    firstFound(
-      membership.alive().map((peer) =>
-        peers.call<FindReply__Output>(
-          peer.address,
-          (client, callOptions, callback) =>
-            client.Cancel(
-              { account, id },
-              new Metadata(),
-              callOptions,
-              callback,
-            ),
-          { step: "peer.cancel", timeoutMs: CANCEL_TIMEOUT_MS },
-        )
-      ),
-    );
+  const router = createZoneRouter({
+    self: info,
+    clock,
+    membership,
+    peers,
+    placerHost,
+    zoneView,
+  });
+  const lookup = createPeerLookup({ membership, peers, follower });
 
   const adopter = createAdopter({
     owner: info.id,
@@ -404,7 +287,7 @@
     links,
     host: () => host,
     nextOrdinal,
-    find,
+    find: lookup.find,
   });
   const host = createRequestHost({
     owner: info.id,
@@ -417,8 +300,8 @@
     appender,
     tasks: createTaskCommands({ timing, clock, log, links }),
     nextOrdinal,
-    place,
-    withdraw,
+    place: router.place,
+    withdraw: router.withdraw,
     join: (spec, payload) => adopter.join(spec, payload),
   });
   const service = createRequestService({
@@ -435,10 +318,10 @@
     nextOrdinal,
     rules: () => rules,
     isLeaving: () => info.leaving,
-    isUnknownEverywhere,
+    isUnknownEverywhere: lookup.isUnknownEverywhere,
     joined: metrics.joined,
-    findElsewhere,
-    cancelElsewhere,
+    findElsewhere: lookup.findElsewhere,
+    cancelElsewhere: lookup.cancelElsewhere,
   });
 
   const carrier = createJobCarrier({
@@ -464,24 +347,8 @@
     return isYoung && !hasWorkers ? "no worker was found yet" : undefined;
   };
 
-  const explain = async (id: string): Promise<string | undefined> => {
-    const own = placerHost.placer.explain(id);
-    if (own !== undefined) return own;
-    const replies = await Promise.allSettled(
-      membership.alive().map((peer) =>
-        peers.call<{ found?: boolean; explanation?: string }>(
-          peer.address,
-          (client, callOptions, callback) =>
-            client.Explain({ id }, new Metadata(), callOptions, callback),
-          { step: "peer.explain", timeoutMs: FIND_TIMEOUT_MS },
-        )
-      ),
-    );
-    const found = replies.find((reply) =>
-      reply.status === "fulfilled" && reply.value.found
-    );
-    return found?.status === "fulfilled" ? found.value.explanation : undefined;
-  };
+  const explain = async (id: string): Promise<string | undefined> =>
+    placerHost.placer.explain(id) ?? await lookup.explainElsewhere(id);
 
   const describeState = () => ({
     entry: info,
@@ -618,22 +485,7 @@
   [PlacerNote.quarantined]: Events.workerQuarantined,
   [PlacerNote.releasedWorker]: Events.workerReleased,
 };
-const ZONE_PATIENCE_MS: Milliseconds = 2_000;
-const ZONE_POLL_MS: Milliseconds = 50;
 const STARTUP_MS: Milliseconds = 5_000;
-const PLACE_GRACE_MS: Milliseconds = 1_000;
-const CANCEL_TIMEOUT_MS: Milliseconds = 6_000;
-
-function firstFound(
-  calls: readonly Promise<FindReply__Output>[],
-): Promise<FindReply__Output | undefined> {
-  const found = calls.map(async (call) => {
-    const reply = await call;
-    if (!reply.found) throw new Error("not found");
-    return reply;
-  });
-  return Promise.any(found).catch(() => undefined);
-}
 
 function listen(server: Server, host: string, port: number): Promise<number> {
   return new Promise((resolve, reject) => {
--- /dev/null
+++ b/packages/entry/src/peer_lookup.ts
@@ -0,0 +1,112 @@
+import { Metadata } from "@grpc/grpc-js";
+import type { Milliseconds } from "@rattanhill/shared";
+import type { Membership } from "@rattanhill/core";
+import type { FindReply__Output } from "@rattanhill/protocol";
+import type { LogFollower } from "./log_follower.ts";
+import type { Peers } from "./peers.ts";
+
+/** Names a request by its key or by its identifier. */
+export interface RequestQuery {
+  account: string;
+  key?: string;
+  id?: string;
+  /** Longest time to wait for its end. */
+  waitMs: Milliseconds;
+}
+
+/** Looks for requests at other entries. */
+export interface PeerLookup {
+  /** Asks one entry. @throws when it does not answer */
+  find(address: string, query: RequestQuery): Promise<FindReply__Output>;
+  /** Asks all entries. @returns the reply of the one that has it */
+  findElsewhere(query: RequestQuery): Promise<FindReply__Output | undefined>;
+  /** Cancels at the entry that has it. */
+  cancelElsewhere(
+    account: string,
+    id: string,
+  ): Promise<FindReply__Output | undefined>;
+  /** @returns whether the log, read to its end, and every entry deny that they know a request */
+  isUnknownEverywhere(account: string, id: string): Promise<boolean>;
+  /** @returns why a request waits at another lead */
+  explainElsewhere(id: string): Promise<string | undefined>;
+}
+
+/** Options of {@link createPeerLookup}. */
+export interface PeerLookupOptions {
+  membership: Membership;
+  peers: Peers;
+  follower: LogFollower;
+}
+
+const FIND_TIMEOUT_MS: Milliseconds = 300;
+const CANCEL_TIMEOUT_MS: Milliseconds = 6_000;
+
+/**
+ * Creates the lookup of one entry.
+ *
+ * @param options links to the other entries and the log
+ * @returns the lookup
+ */
+export function createPeerLookup(
+  { membership, peers, follower }: PeerLookupOptions,
+): PeerLookup {
+  const find: PeerLookup["find"] = (address, query) =>
+    peers.call<FindReply__Output>(
+      address,
+      (client, callOptions, callback) =>
+        client.Find(query, new Metadata(), callOptions, callback),
+      { step: "peer.find", timeoutMs: query.waitMs + FIND_TIMEOUT_MS },
+    );
+  const cancel = (address: string, account: string, id: string) =>
+    peers.call<FindReply__Output>(
+      address,
+      (client, callOptions, callback) =>
+        client.Cancel({ account, id }, new Metadata(), callOptions, callback),
+      { step: "peer.cancel", timeoutMs: CANCEL_TIMEOUT_MS },
+    );
+  const explain = (address: string, id: string) =>
+    peers.call<{ found?: boolean; explanation?: string }>(
+      address,
+      (client, callOptions, callback) =>
+        client.Explain({ id }, new Metadata(), callOptions, callback),
+      { step: "peer.explain", timeoutMs: FIND_TIMEOUT_MS },
+    );
+  const addresses = () => membership.alive().map(({ address }) => address);
+
+  return {
+    find,
+    findElsewhere: (query) =>
+      firstFound(addresses().map((address) => find(address, query))),
+    cancelElsewhere: (account, id) =>
+      firstFound(addresses().map((address) => cancel(address, account, id))),
+    isUnknownEverywhere: async (account, id) => {
+      if (!peers.reachesAll() || !await follower.readToEnd()) return false;
+      const entry = follower.ledger.findRequest(id);
+      if (entry?.account === account) return false;
+      const query = { account, id, waitMs: 0 };
+      const replies = await Promise.allSettled(
+        addresses().map((address) => find(address, query)),
+      );
+      return replies.every((reply) =>
+        reply.status === "fulfilled" && !reply.value.found
+      );
+    },
+    explainElsewhere: async (id) => {
+      const reply = await firstFound(
+        addresses().map((address) => explain(address, id)),
+      );
+      return reply?.explanation;
+    },
+  };
+}
+
+function firstFound<Reply extends { found?: boolean }>(
+  calls: readonly Promise<Reply>[],
+): Promise<Reply | undefined> {
+  const found = calls.map(async (call) => {
+    const reply = await call;
+    if (!reply.found) throw new Error("not found");
+    return reply;
+  });
+  return Promise.any(found).catch(() => undefined);
+}
--- a/packages/scenarios/__tests__/claim_model.ts
+++ b/packages/scenarios/__tests__/claim_model.ts
@@ -2,11 +2,13 @@
   type ClaimedPart,
   createLedger,
   createRequest,
+  describeLease,
   LeaseState,
   type Ledger,
   type LedgerRecord,
   Outcome,
   PartPhase,
+  partPhaseOf,
   type RequestEffect,
   type RequestMessage,
   type RequestPart,
@@ -246,7 +248,7 @@
         tries: 0,
         perform: ({ table }) =>
           table.hold(
-            describe(instance.state.spec, {
+            describeLease(instance.state.spec, {
               lease,
               attempt,
               part,
@@ -402,7 +404,9 @@
     const found = claimed.parts.map((part): RequestPart => {
       const { table, boot } = workers[Number(part.worker)];
       const { answer } = table.inspect(part.lease, now);
-      const phase = boot === part.boot ? phaseOf(answer.state) : PartPhase.lost;
+      const phase = boot === part.boot
+        ? partPhaseOf(answer.state)
+        : PartPhase.lost;
       return { ...part, phase };
     });
     const spec = { ...specOf(), id: claimed.request };
@@ -517,37 +521,3 @@
       return "part-released";
   }
 }
-
-function phaseOf(state: LeaseState | undefined): PartPhase {
-  switch (state) {
-    case LeaseState.running:
-    case LeaseState.ended:
-      return PartPhase.running;
-    case LeaseState.failed:
-    case LeaseState.stopped:
-      return PartPhase.stopped;
-    case undefined:
-      return PartPhase.lost;
-    default:
-      return PartPhase.released;
-  }
-}
-
-function describe(
-  spec: RequestSpec,
-  given: { lease: string; attempt: number; part: number; owner: string },
-) {
-  return {
-    ...given,
-    request: spec.id,
-    key: spec.key,
-    account: spec.account,
-    class: spec.class,
-    parts: spec.shape.parts,
-    accelerators: spec.shape.accelerators,
-    priority: spec.priority,
-    repeatable: spec.repeatable,
-    preemptible: spec.preemptible,
-    expectedMs: spec.expectedMs,
-  };
-}
