fix(core): guarantees go before reservations and before work on their share

Cause 1: at 70% load welcome drafts within their guarantee had p99 5.7 s, as their home shares were kept for a large job's reservation. Ruled out: stale home shares (assigned once and unchanged), refusals (0), and cause 2 alone (figures did not move). Change: a request within its guarantee disregards reservations. Cause 2: work within its own guarantee that stood on another account's share could not be reclaimed, so that account's guarantee was not there. Change: it gives way, since its own share is elsewhere; the new test failed before.

--- a/packages/core/__tests__/placer.test.ts
+++ b/packages/core/__tests__/placer.test.ts
@@ -65,6 +65,21 @@
   expect(zone.placed.has("claim")).to.equal(true);
 });
 
+it("placer: work within its guarantee gives way on another's share", () => {
+  const rules = [
+    "account a guarantee 8 accelerators adjacent worker zone suva",
+    "account b guarantee 8 accelerators adjacent worker zone suva",
+  ];
+  const zone = createZone({ racks: 1, workersPerRack: 2, rules });
+  zone.submit({ id: "filler", account: "c", shape: part(8) });
+  zone.submit({ id: "a1", account: "a", shape: part(8) });
+  zone.end("filler");
+  expect(zone.placed.get("a1")).to.deep.equal(["r0w1"]);
+  zone.submit({ id: "b1", account: "b", preemptible: false, shape: part(8) });
+  zone.advance(1);
+  expect(zone.placed.has("b1")).to.equal(true);
+});
+
 it("placer: urgent work stops borrowed work of much lower priority only", () => {
   const zone = createZone({ racks: 1, workersPerRack: 1 });
   zone.submit({ id: "low", shape: part(8), priority: 20 });
--- a/packages/core/src/placer.ts
+++ b/packages/core/src/placer.ts
@@ -129,10 +129,12 @@
   const keptForOthers = (
     worker: string,
     request: WaitingRequest,
-    endsAt: Milliseconds,
+    { endsAt, isWithin }: { endsAt: Milliseconds; isWithin: boolean },
   ): number => {
     const own = reclaims.get(request.spec.id)?.kept.get(worker) ?? 0;
     let kept = reclaims.kept(worker) - own;
+    // A guarantee goes before a reservation, which is only a matter of order.
+    if (isWithin) return kept;
     for (const [id, { workers, expectedAt }] of reservations) {
       if (id === request.spec.id) continue;
       // Work that can be stopped may run until the large job is expected to start.
@@ -156,11 +158,12 @@
   ): (worker: WorkerView) => number => {
     const probed = quarantine.members();
     const endsAt = now + request.plannedMs;
+    const isWithin = isWithinGuarantee(request.spec);
     return (worker) => {
       if (probed.has(worker.name) && !mayProbe(request)) return 0;
       const kept = reclaims.size() + reservations.size === 0
         ? 0
-        : keptForOthers(worker.name, request, endsAt);
+        : keptForOthers(worker.name, request, { endsAt, isWithin });
       const free = Math.max(0, worker.free - kept);
       return request.spec.preemptible
         ? free
@@ -194,7 +197,9 @@
     const backfills = [...reservations.values()].map(({ expectedAt }) =>
       now + plannedMs <= expectedAt
     );
-    return [parts, accelerators, adjacent, spec.repeatable, ...backfills]
+    const isWithin = reservations.size > 0 && isWithinGuarantee(spec);
+    const facts = [spec.repeatable, isWithin, ...backfills];
+    return [parts, accelerators, adjacent, ...facts]
       .join("|");
   };
 
@@ -231,10 +236,19 @@
       if (lease.account === spec.account) {
         return lease.priority < spec.priority;
       }
-      if (spare(lease.account) <= 0) return false;
+      if (spare(lease.account) <= 0) {
+        return isWithin && isOnHomeOf(spec.account, lease);
+      }
       return isWithin || lease.priority + PRIORITY_GAP <= spec.priority;
     };
 
+  /** Work within its own guarantee still gives way where it stands on another's share: its own is elsewhere. */
+  const isOnHomeOf = (account: string, lease: LeaseView): boolean => {
+    const shares = homes.workers.get(lease.worker)?.shares;
+    return (shares?.get(account) ?? 0) > 0 &&
+      !(shares?.has(lease.account) ?? false);
+  };
+
   /** Cheap check before a plan is made: without a guarantee or a gap in priority nothing may be stopped. */
   const mayReclaim = ({ spec }: WaitingRequest): boolean =>
     isWithinGuarantee(spec) ||
@@ -256,7 +270,10 @@
       limit: (worker) => limitOf(request, worker),
       free,
       isVictim: isVictimFor(request, isWithin),
-      spare: (account) => account === spec.account ? Infinity : spare(account),
+      spare: (account) => {
+        const isGivingWay = account === spec.account || isWithin;
+        return isGivingWay ? Infinity : spare(account);
+      },
       leasesOf: inventory.leasesOf,
     });
     if (plan === undefined) return false;
