--- a/packages/scenarios/__tests__/callers_interface.test.ts
+++ b/packages/scenarios/__tests__/callers_interface.test.ts
@@ -138,6 +138,12 @@
   expect(reply.body.outcome).to.equal("done");
 });
 
+it("callers: of a request that nobody knows nothing is said about its run", async () => {
+  const reply = await system.send("GET", `${PATH}/${createIdentifier()}`);
+  expect(reply.status).to.equal(404);
+  expect(reply.body.outcome).to.equal("unknown");
+});
+
 it("callers: a running request is cancelled and told that it had run", async () => {
   const headers = { prefer: "respond-async" };
   const body = draft({ payload: { runMs: 5_000 } });
