--- a/packages/core/__tests__/placer.test.ts
+++ b/packages/core/__tests__/placer.test.ts
@@ -91,8 +91,9 @@
   expect(zone.placed.has("urgent")).to.equal(true);
 });
 
-it("placer: a large job starts although small work never stops coming", () => {
-  const zone = createZone({ racks: 2, workersPerRack: 2 });
+/** Small work that cannot be stopped arrives as fast as it ends. */
+function startsAmongSmallWork(policy: { reservation: boolean }): boolean {
+  const zone = createZone({ racks: 2, workersPerRack: 2, policy });
   for (let index = 0; index < 32; index++) zone.submit({ id: `s${index}` });
   zone.submit({ id: "gang", account: "plans", shape: gang(2) });
   let next = 32;
@@ -101,7 +102,15 @@
     zone.end(`s${step}`);
     zone.advance(500);
   }
-  expect(zone.placed.has("gang")).to.equal(true);
+  return zone.placed.has("gang");
+}
+
+it("placer: a large job starts although small work never stops coming", () => {
+  expect(startsAmongSmallWork({ reservation: true })).to.equal(true);
+});
+
+it("placer: without a reservation the same large job starves", () => {
+  expect(startsAmongSmallWork({ reservation: false })).to.equal(false);
 });
 
 it("placer: accounts beyond their guarantees share by weight", () => {
--- a/packages/core/__tests__/zone_fixture.ts
+++ b/packages/core/__tests__/zone_fixture.ts
@@ -1,5 +1,6 @@
 import {
   createPlacer,
+  FULL_POLICY,
   type HoldPlan,
   type LeaseDescriptor,
   type LeaseReport,
@@ -8,6 +9,7 @@
   parseRules,
   type Placer,
   type PlaceRefusal,
+  type PlacerPolicy,
   type RequestSpec,
   type WorkerReport,
 } from "../src/mod.ts";
@@ -36,7 +38,12 @@
  * @returns the zone
  */
 export function createZone(
-  options: { racks: number; workersPerRack: number; rules?: string[] },
+  options: {
+    racks: number;
+    workersPerRack: number;
+    rules?: string[];
+    policy?: Partial<PlacerPolicy>;
+  },
 ): ZoneFixture {
   let now = 0;
   let leases = 0;
@@ -66,6 +73,7 @@
 
   const placer = createPlacer({
     zone: "suva",
+    policy: { ...FULL_POLICY, ...options.policy },
     host: {
       hold: (plan: HoldPlan) => {
         placed.set(plan.spec.id, plan.parts.map(({ target }) => target.name));
