fix(entry): not run is said without the log only when every entry denies the key

Change: without a current log, not run needs every known entry to deny the key; otherwise 503 with outcome unknown. Change: a gang is run only while half of its holds is left.

--- a/packages/bench/src/mod.ts
+++ b/packages/bench/src/mod.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./policy_bench.ts";
+export * from "./simulation.ts";
+export * from "./targets.ts";
--- a/packages/core/__tests__/request.test.ts
+++ b/packages/core/__tests__/request.test.ts
@@ -99,6 +99,16 @@
     .length(2);
 });
 
+it("request: a gang job is not run when its holds are half over", () => {
+  const messages = [
+    placed(2),
+    part("part-ready", 0),
+    part("part-ready", 1),
+  ];
+  const { effects } = run(specOf({}, 2), messages, HOLDS_END_AT / 2);
+  expect(kinds(effects)).to.include("stop").and.not.include("run");
+});
+
 it("request: a gang job with a part that is refused is stopped as a whole and placed anew", () => {
   const { state, effects } = run(specOf({ repeatable: false }, 2), [
     placed(2),
--- a/packages/core/src/request.ts
+++ b/packages/core/src/request.ts
@@ -16,6 +16,8 @@
 
 /** Time before the end of a hold after which no start is sent under it. */
 export const START_MARGIN_MS: Milliseconds = 250;
+/** Added for gang jobs: run messages that straddle the end of the holds start a part of the gang only. */
+const GANG_START_MARGIN_MS: Milliseconds = 750;
 const MAXIMUM_RETRIES = 2; // after failures; refused starts and preemptions are not counted
 const MAXIMUM_ATTEMPTS = 50;
 const QUICK_ATTEMPTS = 3; // attempts that follow each other without a delay
@@ -271,7 +273,9 @@
   const isReady = state.phase === RequestPhase.starting &&
     state.parts.every((part) => part.phase === PartPhase.ready);
   if (!isReady) return unchanged(state);
-  if (!holdsAreLive(state, now)) return stopParts(state, "retry");
+  if (!holdsAreLive(state, now + GANG_START_MARGIN_MS)) {
+    return stopParts(state, "retry");
+  }
   return sendToParts(state, "run");
 }
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -319,6 +319,7 @@
     rules: () => rules,
     isLeaving: () => info.leaving,
     isUnknownEverywhere: lookup.isUnknownEverywhere,
+    isDeniedByAll: lookup.isDeniedByAll,
     joined: metrics.joined,
     findElsewhere: lookup.findElsewhere,
     cancelElsewhere: lookup.cancelElsewhere,
--- a/packages/entry/src/peer_lookup.ts
+++ b/packages/entry/src/peer_lookup.ts
@@ -27,6 +27,8 @@
   ): Promise<FindReply__Output | undefined>;
   /** @returns whether the log, read to its end, and every entry deny that they know a request */
   isUnknownEverywhere(account: string, id: string): Promise<boolean>;
+  /** @returns whether every known entry could be asked and denies the key */
+  isDeniedByAll(account: string, key: string): Promise<boolean>;
   /** @returns why a request waits at another lead */
   explainElsewhere(id: string): Promise<string | undefined>;
 }
@@ -73,6 +75,15 @@
     );
   const addresses = () => membership.alive().map(({ address }) => address);
 
+  const denyAll = async (query: RequestQuery): Promise<boolean> => {
+    const replies = await Promise.allSettled(
+      addresses().map((address) => find(address, query)),
+    );
+    return replies.every((reply) =>
+      reply.status === "fulfilled" && !reply.value.found
+    );
+  };
+
   return {
     find,
     findElsewhere: (query) =>
@@ -83,14 +94,10 @@
       if (!peers.reachesAll() || !await follower.readToEnd()) return false;
       const entry = follower.ledger.findRequest(id);
       if (entry?.account === account) return false;
-      const query = { account, id, waitMs: 0 };
-      const replies = await Promise.allSettled(
-        addresses().map((address) => find(address, query)),
-      );
-      return replies.every((reply) =>
-        reply.status === "fulfilled" && !reply.value.found
-      );
+      return await denyAll({ account, id, waitMs: 0 });
     },
+    isDeniedByAll: async (account, key) =>
+      peers.reachesAll() && await denyAll({ account, key, waitMs: 0 }),
     explainElsewhere: async (id) => {
       const reply = await firstFound(
         addresses().map((address) => explain(address, id)),
--- a/packages/entry/src/request_service.ts
+++ b/packages/entry/src/request_service.ts
@@ -84,6 +84,8 @@
   isLeaving(): boolean;
   /** @returns whether the log and every entry deny that they know a request */
   isUnknownEverywhere(account: string, id: string): Promise<boolean>;
+  /** @returns whether every known entry could be asked and denies the key */
+  isDeniedByAll(account: string, key: string): Promise<boolean>;
   joined(): void;
   /** Asks all other entries for a request. @returns the reply of the one that has it */
   findElsewhere(
@@ -121,7 +123,7 @@
       if (earlier !== undefined) return earlier;
     }
     refuseOverLimits(submission.account, spec);
-    if (!spec.repeatable) requireCurrentLog();
+    if (!spec.repeatable || spec.isJob) await requireCurrentLog(spec);
     if (spec.isJob) return await acceptJob(spec, payload);
     const attempt =
       (follower.ledger.find(spec.account, spec.key)?.attempt ?? 0) + 1;
@@ -273,16 +275,24 @@
     throw new RequestProblem(429, text, { retryAfterMs: RETRY_AFTER_MS });
   };
 
-  const requireCurrentLog = (): void => {
+  /** Without the log, an earlier try of the same key may run under an entry that cannot be asked. */
+  const requireCurrentLog = async (
+    { account, key }: RequestSpec,
+  ): Promise<void> => {
     if (follower.isCurrent()) return;
-    throw notNow("the platform's log does not answer", RETRY_AFTER_MS);
+    const text = "the platform's log does not answer";
+    if (await options.isDeniedByAll(account, key)) throw notNow(text);
+    throw new RequestProblem(503, text, {
+      step: "admit",
+      outcome: Outcome.unknown,
+      retryAfterMs: RETRY_AFTER_MS,
+    });
   };
 
   const acceptJob = async (
     spec: RequestSpec,
     payload: string,
   ): Promise<RequestView> => {
-    requireCurrentLog();
     const record = recordBase(spec);
     const verdict = await options.appender.append(
       { kind: "accept", ...record, spec, payload },
--- a/packages/scenarios/__tests__/claim_model.ts
+++ b/packages/scenarios/__tests__/claim_model.ts
@@ -46,9 +46,9 @@
 
 const ENTRIES = 3;
 const WORKERS = 3;
-const HOLD_TTL_MS = 1_000;
+const HOLD_TTL_MS = 2_000;
 const STEP_MS = 200;
-const LONG_STEP_MS = 1_200;
+const LONG_STEP_MS = 2_200;
 const RUN_MS = 3_000;
 const MAXIMUM_TRIES = 2;
 const NEVER_MS = 1e12;
