fix(entry): only the zone's lead moves work to make workers whole

Cause, found on reading: compaction runs before the check for waiting requests, and every entry fed its placer and let it decide, so entries that do not lead moved work too, on views that lag. Change: an entry decides only when it leads or has requests waiting with it; without either, deciding did nothing else.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -181,6 +181,7 @@
     clock,
     actors,
     links: () => links,
+    isLead,
     note: (note, subject) => log(PLACER_EVENTS[note], { subject }),
   });
 
--- a/packages/entry/src/placer_host.ts
+++ b/packages/entry/src/placer_host.ts
@@ -51,6 +51,8 @@
   clock: Clock;
   actors: ActorSystem;
   links(): WorkerLinks;
+  /** @returns whether this entry leads the zone */
+  isLead(): boolean;
   /** Tells operators of a decision. */
   note(note: PlacerNote, subject: string): void;
 }
@@ -193,7 +195,8 @@
 
   const decider = actors.spawn<"decide">("placer", () => {
     isDeciding = false;
-    placer.decide(clock.now());
+    // An entry that does not lead must not move the work of one that does.
+    if (options.isLead() || waiters.size > 0) placer.decide(clock.now());
   });
   const decideSoon = (): void => {
     if (isDeciding) return;
