refactor(core): one way to stop leases, one drain time, dead exports removed

Cause, found on reading the whole change: three copies of preempt-and-note, two of the drain time, the router's operations described again in the request host, and couldEverFit, PeerServiceConstructor and the links' isAlive without a caller. Change: stopLeases, drainTime, RequestHostOptions extends ZoneRouter; behaviour unchanged.

--- a/packages/core/src/fit.ts
+++ b/packages/core/src/fit.ts
@@ -30,21 +30,6 @@
   }
 }
 
-/**
- * Tells whether a shape fits workers that run nothing.
- *
- * @param shape accelerators needed
- * @param racks workers by rack
- * @returns whether the shape could ever be placed
- */
-export function couldEverFit(
-  shape: Shape,
-  racks: Iterable<readonly WorkerView[]>,
-): boolean {
-  const everything: Capacity = (worker) => worker.accelerators;
-  return findPlacement(shape, racks, everything) !== undefined;
-}
-
 /**
  * Lists the sets of workers that are close enough together for a shape.
  *
--- a/packages/core/src/placer.ts
+++ b/packages/core/src/placer.ts
@@ -104,10 +104,14 @@
     }
   };
 
+  /** Time in which the zone could do all waiting work of at least this priority. */
+  const drainTime = (priority: number): Milliseconds =>
+    queue.work(priority) / Math.max(1, zoneAccelerators());
+
   const retryAfter = (priority: number): Milliseconds => {
-    const drainMs = queue.work(priority) / Math.max(1, zoneAccelerators());
     const jitter = 1 + host.random() * 0.5;
-    const bounded = Math.max(MINIMUM_RETRY_AFTER_MS, drainMs) * jitter;
+    const bounded = Math.max(MINIMUM_RETRY_AFTER_MS, drainTime(priority)) *
+      jitter;
     return Math.round(Math.min(MAXIMUM_RETRY_AFTER_MS, bounded));
   };
 
@@ -256,11 +260,18 @@
     inventory.used(spec.account) >
       inventory.used(spec.account, spec.priority);
 
+  const stopLeases = (leases: readonly LeaseView[]): void => {
+    host.preempt(leases);
+    for (const { request } of leases) {
+      host.note?.(PlacerNote.preempted, request);
+    }
+  };
+
   const reclaim = (
     request: WaitingRequest,
     racks: readonly (readonly WorkerView[])[],
     now: Milliseconds,
-  ): boolean => {
+  ): void => {
     const { spec } = request;
     const isWithin = isWithinGuarantee(spec);
     const free = freeFor(request, now);
@@ -276,17 +287,13 @@
       },
       leasesOf: inventory.leasesOf,
     });
-    if (plan === undefined) return false;
+    if (plan === undefined) return;
     const kept = new Map<string, number>();
     for (const { name } of plan.placement) {
       kept.set(name, (kept.get(name) ?? 0) + spec.shape.accelerators);
     }
     reclaims.set(spec.id, { plan, kept, at: now });
-    host.preempt(plan.victims);
-    for (const { request: id } of plan.victims) {
-      host.note?.(PlacerNote.preempted, id);
-    }
-    return true;
+    stopLeases(plan.victims);
   };
 
   const endOf = (now: Milliseconds) => (lease: LeaseView): Milliseconds => {
@@ -358,10 +365,7 @@
       kept: reservation.workers,
       at: now,
     });
-    host.preempt(plan.victims);
-    for (const victim of plan.victims) {
-      host.note?.(PlacerNote.preempted, victim.request);
-    }
+    stopLeases(plan.victims);
   };
 
   const agedPriority = ({ spec, since }: WaitingRequest, now: Milliseconds) =>
@@ -449,8 +453,7 @@
     if (queue.size(spec.class) >= rule.refuseOver) return true;
     if (!policy.refusal || isWithinGuarantee(spec)) return false;
     const waitMs = Math.min(rule.waitMs, spec.deadlineMs);
-    const ahead = queue.work(spec.priority) / Math.max(1, zoneAccelerators());
-    return ahead > waitMs;
+    return drainTime(spec.priority) > waitMs;
   };
 
   /** Empties one broken worker into the gaps of others, so that it becomes whole. */
@@ -465,11 +468,7 @@
         now - lease.seenAt >= COMPACTION_MINIMUM_AGE_MS &&
         endOf(now)(lease) - now >= COMPACTION_MINIMUM_LEFT_MS,
     });
-    if (victims.length === 0) return;
-    host.preempt(victims);
-    for (const { request } of victims) {
-      host.note?.(PlacerNote.preempted, request);
-    }
+    if (victims.length > 0) stopLeases(victims);
   };
 
   const reviewWorkers = (now: Milliseconds): void => {
--- a/packages/entry/src/request_host.ts
+++ b/packages/entry/src/request_host.ts
@@ -28,6 +28,7 @@
 import { type Metrics, Timing } from "./metrics.ts";
 import type { OwnedRequest, RequestRegistry } from "./request_registry.ts";
 import type { TaskCommands } from "./task_commands.ts";
+import type { ZoneRouter } from "./zone_router.ts";
 
 /** Runs the requests that this entry owns. */
 export interface RequestHost {
@@ -46,7 +47,7 @@
 }
 
 /** Options of {@link createRequestHost}. */
-export interface RequestHostOptions {
+export interface RequestHostOptions extends ZoneRouter {
   /** Identifier of this start of the entry. */
   owner: string;
   clock: Clock;
@@ -59,14 +60,6 @@
   tasks: TaskCommands;
   /** @returns the next ordinal of this entry's records */
   nextOrdinal(): number;
-  /** Obtains holds from the lead of a zone. @throws when the lead is lost */
-  place(
-    spec: RequestSpec,
-    attempt: number,
-    avoid: readonly string[],
-  ): Promise<PlaceReply & { peer: string }>;
-  /** Ends the wait of a placement. */
-  withdraw(id: string, attempt: number): void;
   /** Follows the request at whoever owns its key now, up to its final result. */
   join(spec: RequestSpec, payload: string): Promise<RequestResult>;
 }
--- a/packages/entry/src/worker_links.ts
+++ b/packages/entry/src/worker_links.ts
@@ -41,8 +41,6 @@
   refresh(): void;
   /** Asks one worker at once. */
   ask(worker: string): void;
-  /** @returns whether the worker answered lately */
-  isAlive(worker: string): boolean;
   /** @returns links for the state dump */
   describe(): unknown[];
   stop(): Promise<void>;
@@ -283,7 +281,6 @@
       const link = links.get(worker);
       if (link !== undefined) askNow(link);
     },
-    isAlive: (worker) => links.get(worker)?.isAlive === true,
     describe: () =>
       [...links.values()].map((link) => ({
         worker: link.name,
--- a/packages/protocol/src/peer_service.ts
+++ b/packages/protocol/src/peer_service.ts
@@ -1,8 +1,5 @@
 import { fileURLToPath } from "node:url";
-import {
-  loadPackageDefinition,
-  type ServiceClientConstructor,
-} from "@grpc/grpc-js";
+import { loadPackageDefinition } from "@grpc/grpc-js";
 import { loadSync } from "@grpc/proto-loader";
 import type {
   Adjacency,
@@ -32,9 +29,6 @@
 export const PeerService: ProtoGrpcType["rattanhill"]["Peer"] =
   loaded.rattanhill.Peer;
 
-/** Untyped view of the same constructor, for hosts that build servers. */
-export type PeerServiceConstructor = ServiceClientConstructor;
-
 /**
  * Converts a request to its message.
  *
