--- /dev/null
+++ b/packages/cell/src/cell_lead.ts
@@ -0,0 +1,202 @@
+import type { Clock, Logger, Milliseconds } from "@rattanhill/shared";
+import {
+  createScheduler,
+  type JobBook,
+  type JobSpec,
+  type Order,
+  type Rules,
+  type Scheduler,
+  type WorkerEntry,
+  type WorkerState,
+} from "@rattanhill/scheduler";
+import { createJournal } from "./journal.ts";
+import type { Store } from "./store.ts";
+import type { ConnectWorker } from "./worker_calls.ts";
+import {
+  createWorkerLink,
+  INHERITED_LEASE_MS,
+  type WorkerLink,
+} from "./worker_link.ts";
+
+/** The lead of a cell during one term. */
+export interface CellLead {
+  /** Becomes ready to give orders. */
+  start(): Promise<void>;
+  submitted(spec: JobSpec): void;
+  cancelled(job: string): void;
+  listed(entries: readonly WorkerEntry[]): void;
+  rulesChanged(rules: Rules): void;
+  /** @returns everything that the lead knows; undefined before it is ready */
+  scheduler(): Scheduler | undefined;
+  close(): void;
+}
+
+/** Options of {@link createCellLead}. */
+export interface CellLeadOptions {
+  store: Store;
+  topic: string;
+  term: number;
+  book: JobBook;
+  clock: Clock;
+  log: Logger;
+  connect: ConnectWorker;
+  isLeading(): boolean;
+  /** Waits until the book reflects the journal up to an offset. */
+  bookReached(offset: number): Promise<void>;
+  /** Current list of workers; waits until there is one. */
+  workers(): Promise<readonly WorkerEntry[]>;
+  rules(): Rules;
+}
+
+/** Pause before planning, to take in what arrives together. */
+const GATHER_MS: Milliseconds = 4;
+/** Planning interval while nothing happens; due times, leases and stuck runs are checked then. */
+const TICK_MS: Milliseconds = 100;
+
+/**
+ * Creates the lead of a cell for one term.
+ *
+ * @param options the cell's book, store and workers
+ * @returns the lead
+ */
+export function createCellLead(options: CellLeadOptions): CellLead {
+  const { book, clock, log, term, connect } = options;
+  const links = new Map<WorkerState, { link: WorkerLink; address: string }>();
+  const journal = createJournal({
+    ...options,
+    isLeading: () => !isClosed && options.isLeading(),
+  });
+  let scheduler: Scheduler | undefined;
+  let isClosed = false;
+  let isStoring = false;
+  let isWoken = false;
+  let tick: NodeJS.Timeout | undefined;
+
+  const isLeading = (): boolean => !isClosed && options.isLeading();
+
+  const linkTo = (worker: WorkerState): WorkerLink | undefined => {
+    const known = links.get(worker);
+    if (known?.address === worker.address) return known.link;
+    known?.link.close();
+    links.delete(worker);
+    if (worker.address === "") return undefined;
+    const link = createWorkerLink({
+      worker,
+      connection: connect(worker.id, worker.address),
+      term,
+      clock,
+      log,
+      isLeading,
+      report: (lifetime, report) => {
+        scheduler?.report(worker, lifetime, report);
+        wake();
+      },
+      startAnswered: (run, answer, reason) => {
+        scheduler?.startAnswered(run, answer, reason);
+        if (answer !== "started") wake();
+      },
+      stopAnswered: (run) => scheduler?.stopAnswered(run),
+    });
+    links.set(worker, { link, address: worker.address });
+    return link;
+  };
+
+  const order = (order: Order): void => {
+    const worker = order.kind === "start" ? order.run.worker : order.worker;
+    const link = linkTo(worker);
+    if (link !== undefined) return link.order(order);
+    log.warn({ worker: worker.id, kind: order.kind }, "order without a link");
+  };
+
+  const refreshLinks = (): void => {
+    if (scheduler === undefined) return;
+    const { workers } = scheduler.state;
+    for (const worker of workers.values()) linkTo(worker);
+    for (const [worker, { link }] of links) {
+      if (workers.get(worker.id) === worker) continue;
+      link.close();
+      links.delete(worker);
+    }
+  };
+
+  const store = async (): Promise<void> => {
+    if (isStoring) return;
+    isStoring = true;
+    try {
+      while (scheduler !== undefined && isLeading()) {
+        const batch = scheduler.takeBatch();
+        for (const { link } of links.values()) link.endsStored();
+        if (batch === undefined) return;
+        if (!await journal.append(batch.records) || !isLeading()) return;
+        scheduler.stored(batch);
+        scheduler.plan();
+      }
+    } finally {
+      isStoring = false;
+    }
+  };
+
+  const work = (): void => {
+    isWoken = false;
+    if (scheduler === undefined || !isLeading()) return;
+    scheduler.plan();
+    refreshLinks();
+    void store();
+  };
+
+  const wake = (): void => {
+    if (isWoken || isClosed) return;
+    isWoken = true;
+    setTimeout(work, GATHER_MS);
+  };
+
+  return {
+    start: async () => {
+      const takenOverAt = clock.now();
+      const end = await journal.open();
+      if (end === undefined) return;
+      await options.bookReached(end);
+      const entries = await options.workers();
+      if (!isLeading()) return;
+      scheduler = createScheduler({
+        now: clock.now,
+        wallTime: clock.wallTime,
+        order,
+        log,
+      });
+      scheduler.setRules(options.rules());
+      scheduler.list(entries);
+      for (const job of book.jobs()) {
+        scheduler.restore(job, takenOverAt + INHERITED_LEASE_MS);
+      }
+      const jobs = scheduler.state.jobs.size;
+      const tookMs = clock.now() - takenOverAt;
+      log.info({ term, jobs, workers: entries.length, tookMs }, "lead ready");
+      tick = setInterval(wake, TICK_MS);
+      work();
+    },
+    submitted: (spec) => {
+      scheduler?.submit(spec);
+      wake();
+    },
+    cancelled: (job) => {
+      scheduler?.cancel(job);
+      wake();
+    },
+    listed: (entries) => {
+      scheduler?.list(entries);
+      wake();
+    },
+    rulesChanged: (rules) => {
+      scheduler?.setRules(rules);
+      wake();
+    },
+    scheduler: () => scheduler,
+    close: () => {
+      isClosed = true;
+      clearInterval(tick);
+      for (const { link } of links.values()) link.close();
+      links.clear();
+    },
+  };
+}
--- /dev/null
+++ b/packages/cell/src/entry.ts
@@ -0,0 +1,243 @@
+import type { Clock, Logger, Milliseconds } from "@rattanhill/shared";
+import {
+  createJobBook,
+  decodeRecord,
+  type WorkerEntry,
+} from "@rattanhill/scheduler";
+import { type CellLead, createCellLead } from "./cell_lead.ts";
+import {
+  type ClusterConfig,
+  type ConfigInForce,
+  enforceConfig,
+} from "./cluster_config.ts";
+import {
+  type CallerCall,
+  type CallerReply,
+  createJobService,
+} from "./job_service.ts";
+import { createLeadLease } from "./lead_lease.ts";
+import type { Metrics } from "./metrics.ts";
+import {
+  journalTopic,
+  leadTopic,
+  PlatformTopic,
+  type Store,
+  type StoredRecord,
+} from "./store.ts";
+import { createTopicFollower } from "./topic_follower.ts";
+import type { ConnectWorker } from "./worker_calls.ts";
+import { createWorkerList } from "./worker_list.ts";
+
+/** Limits of the deployment. */
+export interface EntryLimits {
+  /** Time after which a revoked key must not be served. */
+  revocationMs: Milliseconds;
+  /** Time after which an accepted job must be visible everywhere. */
+  visibleMs: Milliseconds;
+  /** Factor by which a wrong rack slows a task. */
+  remoteFactor: number;
+  /** How long the state of an ended job is kept. */
+  keepEndedMs: Milliseconds;
+}
+
+/** Options of {@link createCellEntry}. */
+export interface CellEntryOptions {
+  /** Name of this process, different in each of its lives. */
+  name: string;
+  cell: number;
+  store: Store;
+  clock: Clock;
+  log: Logger;
+  limits: EntryLimits;
+  connect: ConnectWorker;
+  metrics: Metrics;
+  /** Uniform random number from 0 to 1. */
+  random(): number;
+  /** Decodes the configuration. @throws InvalidError */
+  decodeConfig(text: string): ClusterConfig;
+  /** Key of the configuration in the operators' topic. */
+  configKey: string;
+  /** Decodes an entry of the workers' list. @throws InvalidError */
+  decodeWorker(id: string, text: string): WorkerEntry;
+}
+
+/** One entry: answers callers, and leads the cell when it is its turn. */
+export interface CellEntry {
+  handle(call: CallerCall): Promise<CallerReply>;
+  /** @returns whether new callers should be sent here */
+  isReady(): boolean;
+  /** Gives the lead away and stops being ready. */
+  drain(): Promise<void>;
+  /** @returns a summary of the state, for operators */
+  dump(): unknown;
+  close(): void;
+}
+
+const CONFIG_WAIT_MS: Milliseconds = 1_000; // well below the bound on revoked keys
+const BOOK_WAIT_MS: Milliseconds = 1_000;
+const LEAD_PACE_MS: Milliseconds = 10;
+const ENTRY_PACE_MS: Milliseconds = 120; // callers ask for states every few hundred milliseconds
+const CONFIG_PACE_MS: Milliseconds = 50;
+/** Answers on keys stop this long before the bound on revocation. */
+const REVOCATION_MARGIN_MS: Milliseconds = 700;
+/** Jobs are not said to be unknown from this long before the bound on visibility. */
+const VISIBILITY_MARGIN_MS: Milliseconds = 500;
+/** An entry that has not heard from the store for this long takes no new callers. */
+const READY_AGE_MS: Milliseconds = 2_600; // a read that waits 1 s, and one that fails
+
+/**
+ * Starts an entry.
+ *
+ * @param options the store, the workers and the deployment's limits
+ * @returns the entry
+ */
+export function createCellEntry(options: CellEntryOptions): CellEntry {
+  const { store, clock, log, limits, metrics } = options;
+  const topic = journalTopic(options.cell);
+  let config: ConfigInForce | undefined;
+  let lead: CellLead | undefined;
+  let isDraining = false;
+
+  const book = createJobBook({
+    submitted: (spec) => lead?.submitted(spec),
+    cancelled: (job) => lead?.cancelled(job),
+  });
+  const bookFollower = createTopicFollower({
+    store,
+    topic,
+    clock,
+    log,
+    waitMs: BOOK_WAIT_MS,
+    paceMs: () => lead === undefined ? ENTRY_PACE_MS : LEAD_PACE_MS,
+    apply: (records) => records.forEach(takeRecord),
+  });
+  const configFollower = createTopicFollower({
+    store,
+    topic: PlatformTopic.operators,
+    clock,
+    log,
+    waitMs: CONFIG_WAIT_MS,
+    paceMs: () => CONFIG_PACE_MS,
+    apply: (records) => records.forEach(takeConfig),
+  });
+  const workers = createWorkerList({
+    store,
+    clock,
+    log,
+    decode: options.decodeWorker,
+    changed: (entries) => lead?.listed(entries),
+  });
+  const lease = createLeadLease({
+    store,
+    topic: leadTopic(options.cell),
+    holder: options.name,
+    clock,
+    log,
+    random: options.random,
+    mayLead: () =>
+      !isDraining && bookFollower.isLoaded() && config !== undefined,
+    gained: (term) => {
+      metrics.count("lead.gained");
+      lead = createCellLead({
+        store,
+        topic,
+        term,
+        book,
+        clock,
+        log,
+        connect: options.connect,
+        isLeading: lease.isHeld,
+        bookReached: bookFollower.reached,
+        workers: workers.follow,
+        rules: () => config!.rules,
+      });
+      void lead.start();
+    },
+    lost: () => {
+      metrics.count("lead.lost");
+      lead?.close();
+      lead = undefined;
+      workers.rest();
+    },
+  });
+  const service = createJobService({
+    store,
+    topic,
+    book,
+    clock,
+    log,
+    config: () => config,
+    configAge: configFollower.age,
+    bookAge: bookFollower.age,
+    maximumConfigAgeMs: limits.revocationMs - REVOCATION_MARGIN_MS,
+    maximumBookAgeMs: limits.visibleMs - VISIBILITY_MARGIN_MS,
+    storeOutageMs: () => Math.max(0, bookFollower.age() - BOOK_WAIT_MS),
+    count: metrics.count,
+  });
+
+  function takeRecord({ key, value, offset }: StoredRecord): void {
+    try {
+      const record = decodeRecord(key, value);
+      if (record !== undefined) book.apply(record);
+    } catch (error) {
+      log.warn({ key, offset, error: String(error) }, "journal record skipped");
+    }
+  }
+
+  function takeConfig({ key, value, offset }: StoredRecord): void {
+    if (key !== options.configKey || value === undefined) return;
+    try {
+      const next = options.decodeConfig(value);
+      const current = config?.config.version ?? -1;
+      if (next.version <= current) return;
+      config = enforceConfig(next, limits.remoteFactor);
+      lead?.rulesChanged(config.rules);
+      const { version, queues, accounts } = next;
+      log.info(
+        { version, queues: queues.length, accounts: accounts.length, offset },
+        "configuration in force",
+      );
+    } catch (error) {
+      log.warn({ offset, error: String(error) }, "configuration skipped");
+    }
+  }
+
+  const isReady = (): boolean =>
+    !isDraining && config !== undefined && bookFollower.isLoaded() &&
+    configFollower.age() < READY_AGE_MS && bookFollower.age() < READY_AGE_MS;
+
+  return {
+    handle: service.handle,
+    isReady,
+    drain: async () => {
+      isDraining = true;
+      await lease.release();
+    },
+    dump: () => ({
+      name: options.name,
+      isReady: isReady(),
+      version: config?.config.version,
+      lead: lease.holder(),
+      isLeading: lease.isHeld(),
+      configAgeMs: configFollower.age(),
+      bookAgeMs: bookFollower.age(),
+      jobs: [...book.jobs()].length,
+      workers: [...lead?.scheduler()?.state.workers.values() ?? []].map(
+        ({ id, used, capacity, isDraining, runs }) => ({
+          id,
+          used,
+          capacity,
+          isDraining,
+          runs: runs.size,
+        }),
+      ),
+    }),
+    close: () => {
+      lease.close();
+      lead?.close();
+      workers.rest();
+      bookFollower.close();
+      configFollower.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/cell/src/job_service.ts
@@ -0,0 +1,280 @@
+import {
+  type Clock,
+  describeError,
+  type Logger,
+  type Milliseconds,
+  pause,
+  UnavailableError,
+} from "@rattanhill/shared";
+import {
+  encodeRecord,
+  type JobBook,
+  type JobSpec,
+  type JobState,
+  type KeyedValue,
+} from "@rattanhill/scheduler";
+import type { ConfigInForce, Queue } from "./cluster_config.ts";
+import type { Store } from "./store.ts";
+
+/** A call of a client program. */
+export interface CallerCall {
+  action: "submit" | "cancel" | "ask";
+  host: string;
+  path: string;
+  /** Key of its account. */
+  key?: string;
+  /** How long the caller waits. */
+  deadlineMs?: Milliseconds;
+  /** Reads a submitted job. @throws InvalidError when it is not one */
+  readJob?(): SubmittedJob;
+}
+
+/** What a caller submits. */
+export type SubmittedJob = Pick<JobSpec, "payload" | "steps" | "repetition">;
+
+/** Answer to a call. */
+export type CallerReply =
+  | { kind: "accepted" }
+  | { kind: "cancelled" }
+  | { kind: "state"; state: JobState }
+  | { kind: "pending"; count: number }
+  /** Nothing was done; the caller may come back after a while. */
+  | { kind: "unavailable"; retryAfterMs: Milliseconds; reason: string }
+  /** It may have been done. */
+  | { kind: "uncertain" }
+  | { kind: "unknownQueue" }
+  | { kind: "unknownJob" }
+  | { kind: "unknownKey" }
+  | { kind: "invalid"; reason: string };
+
+/** Answers callers from the book and the store. */
+export interface JobService {
+  handle(call: CallerCall): Promise<CallerReply>;
+}
+
+/** Options of {@link createJobService}. */
+export interface JobServiceOptions {
+  store: Store;
+  topic: string;
+  book: JobBook;
+  clock: Clock;
+  log: Logger;
+  config(): ConfigInForce | undefined;
+  /** Time since the configuration was last known to be the newest. */
+  configAge(): Milliseconds;
+  /** Time since the book was last known to be complete. */
+  bookAge(): Milliseconds;
+  /** Age of the configuration from which keys are no longer trusted. */
+  maximumConfigAgeMs: Milliseconds;
+  /** Age of the book from which unknown jobs may exist. */
+  maximumBookAgeMs: Milliseconds;
+  /** Time that the store has been failing; 0 while it works. */
+  storeOutageMs(): Milliseconds;
+  count(name: string): void;
+}
+
+const JOB_ID = /^[0-9a-f]{16}$/;
+const DEFAULT_DEADLINE_MS: Milliseconds = 3_000; // clients of the milestone's sites wait this long
+/** Left of the caller's time for the answer to arrive. */
+const ANSWER_MARGIN_MS: Milliseconds = 250;
+const APPEND_TIMEOUT_MS: Milliseconds = 1_000; // a store slowed sixtyfold takes 0.3 s
+const REFUSED_TRIES = 2; // a full partition clears within 2 s, an outage does not
+const RETRY_MS: Milliseconds = 150;
+const SHORT_OUTAGE_MS: Milliseconds = 1_000;
+const RETRY_AFTER_SHORT_MS: Milliseconds = 1_000;
+const RETRY_AFTER_LONG_MS: Milliseconds = 2_000; // four retries then span outages of 8 s
+
+/**
+ * Creates the service.
+ *
+ * @param options the book, the store and the configuration
+ * @returns the service
+ */
+export function createJobService(options: JobServiceOptions): JobService {
+  const { book, clock, log } = options;
+  const writer = createGroupWriter(options);
+
+  const unavailable = (reason: string): CallerReply => ({
+    kind: "unavailable",
+    retryAfterMs: options.storeOutageMs() > SHORT_OUTAGE_MS
+      ? RETRY_AFTER_LONG_MS
+      : RETRY_AFTER_SHORT_MS,
+    reason,
+  });
+
+  /** Stores a record within the caller's time. */
+  const store = async (
+    value: KeyedValue,
+    deadline: Milliseconds,
+  ): Promise<"stored" | "refused" | "uncertain"> => {
+    let isUncertain = false;
+    let refusals = 0;
+    while (true) {
+      const left = deadline - clock.now();
+      if (left <= 0) return isUncertain ? "uncertain" : "refused";
+      try {
+        await writer.append(value, Math.min(left, APPEND_TIMEOUT_MS));
+        return "stored";
+      } catch (error) {
+        if (error instanceof UnavailableError) refusals += 1;
+        else isUncertain = true;
+      }
+      if (!isUncertain && refusals >= REFUSED_TRIES) return "refused";
+      await pause(RETRY_MS);
+    }
+  };
+
+  const submit = async (
+    call: CallerCall,
+    { queue, id, account }: Target,
+  ): Promise<CallerReply> => {
+    if (book.find(id) !== undefined) return { kind: "accepted" };
+    let job: SubmittedJob;
+    try {
+      job = call.readJob!();
+    } catch (error) {
+      return { kind: "invalid", reason: describeError(error) };
+    }
+    const spec: JobSpec = {
+      id,
+      queue: queue.name,
+      account,
+      service: queue.service,
+      submittedAt: clock.wallTime(),
+      ...job,
+    };
+    const [value] = encodeRecord({ kind: "submission", spec });
+    const outcome = await store(value, deadlineOf(call));
+    if (outcome === "uncertain") return { kind: "uncertain" };
+    if (outcome === "refused") return unavailable("the store refuses writes");
+    book.apply({ kind: "submission", spec });
+    return { kind: "accepted" };
+  };
+
+  const cancel = async (
+    call: CallerCall,
+    { id }: Target,
+  ): Promise<CallerReply> => {
+    const job = book.find(id);
+    if (job === undefined) return unknownJob();
+    if (job.isCancelled || job.outcome !== undefined) {
+      return { kind: "cancelled" };
+    }
+    const record = { kind: "cancellation", job: id } as const;
+    const [value] = encodeRecord(record);
+    const outcome = await store(value, deadlineOf(call));
+    if (outcome === "uncertain") return { kind: "uncertain" };
+    if (outcome === "refused") return unavailable("the store refuses writes");
+    book.apply(record);
+    return { kind: "cancelled" };
+  };
+
+  const unknownJob = (): CallerReply =>
+    options.bookAge() > options.maximumBookAgeMs
+      ? unavailable("the book of jobs may be out of date")
+      : { kind: "unknownJob" };
+
+  const ask = ({ id }: Target): CallerReply => {
+    const state = book.stateOf(id);
+    return state === undefined ? unknownJob() : { kind: "state", state };
+  };
+
+  const deadlineOf = ({ deadlineMs }: CallerCall): Milliseconds =>
+    clock.now() + (deadlineMs ?? DEFAULT_DEADLINE_MS) - ANSWER_MARGIN_MS;
+
+  const dispatch = async (call: CallerCall): Promise<CallerReply> => {
+    const config = options.config();
+    if (config === undefined) return unavailable("no configuration yet");
+    const queue = config.findQueue(call.host, call.path);
+    if (queue === undefined) return { kind: "unknownQueue" };
+    let account = "";
+    if (!queue.isPublic) {
+      if (options.configAge() > options.maximumConfigAgeMs) {
+        return unavailable("keys may have been revoked");
+      }
+      const found = config.findAccount(call.key ?? "");
+      if (found === undefined) return { kind: "unknownKey" };
+      account = found;
+    }
+    const id = call.path.slice(queue.pathPrefix.length);
+    if (id === "" && call.action === "ask") {
+      if (options.bookAge() > options.maximumBookAgeMs) {
+        return unavailable("the book of jobs may be out of date");
+      }
+      return { kind: "pending", count: book.pending(queue.name) };
+    }
+    if (!JOB_ID.test(id)) return { kind: "unknownQueue" };
+    const target = { queue, id, account };
+    if (call.action === "submit") return await submit(call, target);
+    if (call.action === "cancel") return await cancel(call, target);
+    return ask(target);
+  };
+
+  return {
+    handle: async (call) => {
+      const startedAt = clock.now();
+      const reply = await dispatch(call);
+      options.count(`calls.${call.action}.${reply.kind}`);
+      if (call.action === "ask" && reply.kind !== "unavailable") return reply;
+      log.info(
+        {
+          path: call.path,
+          action: call.action,
+          outcome: reply.kind,
+          reason: "reason" in reply ? reply.reason : undefined,
+          version: options.config()?.config.version,
+          configAgeMs: Math.round(options.configAge()),
+          tookMs: clock.now() - startedAt,
+        },
+        "call answered",
+      );
+      return reply;
+    },
+  };
+}
+
+interface Target {
+  queue: Queue;
+  id: string;
+  account: string;
+}
+
+/** Appends what arrives while an append is in flight with one call. */
+function createGroupWriter({ store, topic }: JobServiceOptions) {
+  interface Entry {
+    value: KeyedValue;
+    timeoutMs: Milliseconds;
+    resolve(): void;
+    reject(error: unknown): void;
+  }
+  let queue: Entry[] = [];
+  let inFlight = 0;
+
+  const flush = async (): Promise<void> => {
+    if (queue.length === 0 || inFlight >= MAXIMUM_IN_FLIGHT) return;
+    const group = queue.splice(0, MAXIMUM_GROUP);
+    inFlight += 1;
+    try {
+      await store.append(topic, group.map(({ value }) => value), {
+        timeoutMs: Math.min(...group.map(({ timeoutMs }) => timeoutMs)),
+      });
+      for (const { resolve } of group) resolve();
+    } catch (error) {
+      for (const { reject } of group) reject(error);
+    } finally {
+      inFlight -= 1;
+      void flush();
+    }
+  };
+
+  return {
+    append: (value: KeyedValue, timeoutMs: Milliseconds): Promise<void> =>
+      new Promise((resolve, reject) => {
+        queue.push({ value, timeoutMs, resolve, reject });
+        void flush();
+      }),
+  };
+}
+
+const MAXIMUM_GROUP = 50; // 50 jobs of 5 KB stay far below the store's 2 MB a call
+const MAXIMUM_IN_FLIGHT = 2; // one lost answer does not hold up the others
--- /dev/null
+++ b/packages/cell/src/topic_follower.ts
@@ -0,0 +1,133 @@
+import {
+  type Clock,
+  describeError,
+  type Logger,
+  type Milliseconds,
+  pause,
+} from "@rattanhill/shared";
+import type { Store, StoredRecord } from "./store.ts";
+
+/** Reads a topic from its newest records on and keeps up with it. */
+export interface TopicFollower {
+  /** @returns time since the topic's end was last known, both by the monotonic clock and the time of day */
+  age(): Milliseconds;
+  /** @returns whether the newest record of each key has been taken in */
+  isLoaded(): boolean;
+  /** @returns offset before which everything has been taken in */
+  position(): number;
+  /** Waits until everything before an offset has been taken in, or the follower is closed. */
+  reached(offset: number): Promise<void>;
+  close(): void;
+}
+
+/** Options of {@link createTopicFollower}. */
+export interface TopicFollowerOptions {
+  store: Store;
+  topic: string;
+  clock: Clock;
+  log: Logger;
+  /**
+   * Takes in records.
+   *
+   * @param isWhole whether they are all keys of the topic, not only changes
+   */
+  apply(records: readonly StoredRecord[], isWhole: boolean): void;
+  /** Shortest time between the starts of two reads. */
+  paceMs(): Milliseconds;
+  /** Longest time that the store holds a read open. */
+  waitMs: Milliseconds;
+}
+
+const ANSWER_TIMEOUT_MS: Milliseconds = 1_500; // a store slowed sixtyfold answers in 0.5 s
+const RETRY_MS: Milliseconds = 200;
+
+/**
+ * Starts to follow a topic.
+ *
+ * @param options the topic and what to do with its records
+ * @returns the follower
+ */
+export function createTopicFollower(
+  options: TopicFollowerOptions,
+): TopicFollower {
+  const { store, topic, clock, log, apply, paceMs, waitMs } = options;
+  let next = 0;
+  let isLoaded = false;
+  let isClosed = false;
+  let confirmed: { now: Milliseconds; wall: Milliseconds } | undefined;
+  let failures = 0;
+  let waiting: { offset: number; resolve: () => void }[] = [];
+
+  const settle = (): void => {
+    const due = waiting.filter(({ offset }) => isClosed || offset <= next);
+    waiting = waiting.filter(({ offset }) => !isClosed && offset > next);
+    for (const { resolve } of due) resolve();
+  };
+
+  const load = async (): Promise<void> => {
+    const { records, endOffset } = await store.newest(topic, ANSWER_TIMEOUT_MS);
+    if (isClosed) return;
+    apply(records, true);
+    next = Math.max(next, endOffset);
+    isLoaded = true;
+  };
+
+  const follow = async (): Promise<void> => {
+    const timeoutMs = waitMs + ANSWER_TIMEOUT_MS;
+    const result = await store.read(topic, next, { waitMs, timeoutMs });
+    if (isClosed) return;
+    if (result.kind === "expired") {
+      log.warn({ topic, from: next }, "history deleted ahead of the reader");
+      isLoaded = false;
+      return;
+    }
+    if (result.records.length > 0) apply(result.records, false);
+    next = result.nextOffset;
+  };
+
+  const run = async (): Promise<void> => {
+    while (!isClosed) {
+      const sent = { now: clock.now(), wall: clock.wallTime() };
+      try {
+        if (isLoaded) await follow();
+        else await load();
+        if (failures > 0) log.info({ topic, failures }, "store read again");
+        failures = 0;
+        if (isLoaded) confirmed = sent;
+        settle();
+      } catch (error) {
+        failures += 1;
+        if (failures === 1) {
+          log.warn({ topic, error: describeError(error) }, "store not read");
+        }
+        await pause(RETRY_MS);
+      }
+      const rest = sent.now + paceMs() - clock.now();
+      if (rest > 0) await pause(rest);
+    }
+    settle();
+  };
+  void run();
+
+  return {
+    age: () => {
+      if (confirmed === undefined) return Infinity;
+      // The monotonic clock stands still while the VM is suspended.
+      return Math.max(
+        clock.now() - confirmed.now,
+        clock.wallTime() - confirmed.wall,
+      );
+    },
+    isLoaded: () => isLoaded,
+    position: () => next,
+    reached: (offset) =>
+      new Promise((resolve) => {
+        waiting.push({ offset, resolve });
+        settle();
+      }),
+    close: () => {
+      isClosed = true;
+      settle();
+    },
+  };
+}
--- /dev/null
+++ b/packages/cell/src/worker_link.ts
@@ -0,0 +1,233 @@
+import {
+  type Clock,
+  describeError,
+  type Logger,
+  type Milliseconds,
+  pause,
+  UnavailableError,
+} from "@rattanhill/shared";
+import {
+  describeRun,
+  type Order,
+  type Run,
+  type StartAnswer,
+  taskOf,
+  type WorkerReport,
+  type WorkerState,
+} from "@rattanhill/scheduler";
+import type { WorkerConnection } from "./worker_calls.ts";
+
+/** Keeps in touch with one worker and hands orders to it. */
+export interface WorkerLink {
+  order(order: Order): void;
+  /** Ends that were waiting to be stored are stored. */
+  endsStored(): void;
+  close(): void;
+}
+
+/** Options of {@link createWorkerLink}. */
+export interface WorkerLinkOptions {
+  worker: WorkerState;
+  connection: WorkerConnection;
+  term: number;
+  clock: Clock;
+  log: Logger;
+  /** Whether this process still leads; nothing is sent otherwise. */
+  isLeading(): boolean;
+  report(lifetime: number, report: WorkerReport): void;
+  startAnswered(run: Run, answer: StartAnswer, reason?: string): void;
+  stopAnswered(run: Run | undefined): void;
+}
+
+/** How long work goes on without hearing from a lead. */
+export const WORKER_LEASE_MS: Milliseconds = 9_700; // the platform shortens leases to 10 s; outlasts store outages
+/** Workers' clocks may be this much slow. */
+const SLOWEST_CLOCK = 0.98;
+/** Latest end of leases that earlier leads may have given, from our first moment as lead. */
+export const INHERITED_LEASE_MS: Milliseconds = WORKER_LEASE_MS /
+    SLOWEST_CLOCK + 300;
+const HOLD_WAIT_MS: Milliseconds = 1_000; // bounds how much of a lease is used up when the lead is lost
+const ANSWER_TIMEOUT_MS: Milliseconds = 1_500; // workers answer in 1 to 3 ms; covers a slow VM of our own
+const START_TIMEOUT_MS: Milliseconds = 700;
+const STOP_TIMEOUT_MS: Milliseconds = 700;
+const START_TRIES = 2;
+const RETRY_MS: Milliseconds = 250;
+const STORED_WAIT_MS: Milliseconds = 500; // a store that is away must not stop renewals
+
+/**
+ * Starts to keep in touch with a worker.
+ *
+ * @param options the worker and what to do with its answers
+ * @returns the link
+ */
+export function createWorkerLink(options: WorkerLinkOptions): WorkerLink {
+  const { worker, connection, term, clock, log, isLeading } = options;
+  /** Last reading of the worker's clock and when it arrived. */
+  let reading: { clock: Milliseconds; at: Milliseconds } | undefined;
+  let isClosed = false;
+  let failures = 0;
+  let storedSignal: (() => void) | undefined;
+
+  const noteClock = (value: Milliseconds): void => {
+    reading = { clock: value, at: clock.now() };
+  };
+
+  /** @returns end of a new lease by the worker's clock */
+  const extendLease = (): Milliseconds | undefined => {
+    if (reading === undefined) return undefined;
+    const now = clock.now();
+    const leaseUntil = Math.floor(
+      reading.clock + (now - reading.at) + WORKER_LEASE_MS,
+    );
+    const latest = reading.at + (leaseUntil - reading.clock) / SLOWEST_CLOCK;
+    worker.leasesEndBy = Math.max(worker.leasesEndBy, latest);
+    return leaseUntil;
+  };
+
+  const hold = async (waitMs: Milliseconds): Promise<void> => {
+    const askedAt = clock.now();
+    const answer = await connection.hold({
+      term,
+      leaseUntil: extendLease(),
+      acknowledgedEnd: worker.storedEnd,
+      waitMs,
+      timeoutMs: waitMs + ANSWER_TIMEOUT_MS,
+    });
+    if (isClosed) return;
+    if (answer === undefined) {
+      throw new Error("another lifetime answered");
+    }
+    if (answer.lifetime !== 0 && answer.lifetime !== worker.lifetime) {
+      reading = undefined;
+    }
+    noteClock(answer.clock);
+    const { running, ended } = answer;
+    options.report(answer.lifetime, { askedAt, running, ended });
+  };
+
+  const waitForStore = (): Promise<void> =>
+    new Promise((resolve) => {
+      const timer = setTimeout(resolve, STORED_WAIT_MS);
+      storedSignal = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+
+  const run = async (): Promise<void> => {
+    let waitMs = 0;
+    while (!isClosed) {
+      if (!isLeading()) {
+        await pause(RETRY_MS);
+        continue;
+      }
+      try {
+        await hold(waitMs);
+        if (failures > 0) {
+          log.info({ worker: worker.id, failures }, "worker answers again");
+        }
+        failures = 0;
+        // Right after the first answer the lease is renewed by the worker's clock.
+        waitMs = HOLD_WAIT_MS;
+        if (worker.handledEnd > worker.storedEnd) await waitForStore();
+      } catch (error) {
+        failures += 1;
+        if (failures === 1) {
+          log.warn(
+            { worker: worker.id, error: describeError(error) },
+            "worker does not answer",
+          );
+        }
+        waitMs = 0;
+        await pause(RETRY_MS);
+      }
+    }
+  };
+  void run();
+
+  const start = async (target: Run): Promise<void> => {
+    const name = taskOf(target);
+    for (let attempt = 1; attempt <= START_TRIES; attempt++) {
+      const leaseUntil = extendLease();
+      if (!isLeading() || leaseUntil === undefined) {
+        if (attempt === 1) options.startAnswered(target, "refused", "not sent");
+        return;
+      }
+      try {
+        const result = await connection.start({
+          term,
+          task: name,
+          number: target.number,
+          payload: target.step.job.spec.payload,
+          leaseUntil,
+          checkpoint: target.checkpoint,
+          timeoutMs: START_TIMEOUT_MS,
+        });
+        if (isClosed) return;
+        if (result.kind === "started") {
+          log.info(describeRun(target), "start answered");
+          return options.startAnswered(target, "started");
+        }
+        const { reason } = result;
+        // A repeated start may find its own run, which has ended meanwhile.
+        if (reason === "superseded" && attempt > 1) break;
+        const answer = reason === "unhealthy" ? "unhealthy" : "refused";
+        return options.startAnswered(target, answer, reason);
+      } catch (error) {
+        log.warn(
+          { ...describeRun(target), attempt, error: describeError(error) },
+          "start not answered",
+        );
+        if (error instanceof UnavailableError && attempt === 1) {
+          await pause(RETRY_MS / 2);
+        }
+      }
+    }
+    if (!isClosed) options.startAnswered(target, "uncertain");
+  };
+
+  /** Repeats a stop until the worker has taken note, or the run is released. */
+  const stop = async (order: Order & { kind: "stop" }): Promise<void> => {
+    const { task, number, run: target } = order;
+    while (!isClosed && isLeading()) {
+      if (target !== undefined && !worker.runs.has(target)) return;
+      try {
+        const isNoted = await connection.stop({
+          term,
+          task,
+          number,
+          timeoutMs: STOP_TIMEOUT_MS,
+        });
+        if (isNoted && !isClosed) return options.stopAnswered(target);
+      } catch (error) {
+        log.warn(
+          {
+            worker: worker.id,
+            ...task,
+            run: number,
+            error: describeError(error),
+          },
+          "stop not answered",
+        );
+      }
+      await pause(RETRY_MS);
+      if (target === undefined) return;
+    }
+  };
+
+  return {
+    order: (order) => {
+      if (order.kind === "start") void start(order.run);
+      else void stop(order);
+    },
+    endsStored: () => {
+      const signal = storedSignal;
+      storedSignal = undefined;
+      signal?.();
+    },
+    close: () => {
+      isClosed = true;
+      void connection.close();
+    },
+  };
+}
--- a/packages/platform/src/http_client.ts
+++ b/packages/platform/src/http_client.ts
@@ -85,16 +85,21 @@
   return {
     call: async ({ method, path, step, timeoutMs, body, headers, signal }) => {
       const current = pool;
-      const timeout = AbortSignal.timeout(timeoutMs);
+      const abort = new AbortController();
+      let isTimedOut = false;
+      const timer = setTimeout(() => {
+        isTimedOut = true;
+        abort.abort();
+      }, timeoutMs);
+      const cancel = () => abort.abort();
+      signal?.addEventListener("abort", cancel);
       try {
         const response = await current.request({
           method,
           path,
           body,
           headers,
-          signal: signal === undefined
-            ? timeout
-            : AbortSignal.any([timeout, signal]),
+          signal: abort.signal,
         });
         const bytes = await response.body.bytes();
         return {
@@ -103,17 +108,20 @@
           body: bytes,
         };
       } catch (cause) {
-        if (timeout.aborted) {
+        if (isTimedOut) {
           replace(current);
           options.timedOut?.();
         }
         const context = { step, peer, cause };
-        const reason = timeout.aborted
+        const reason = isTimedOut
           ? `no answer within ${timeoutMs} ms`
           : "connection failed";
         throw wasDelivered(cause)
           ? new UncertainError(options.errorCode, reason, context)
           : new UnavailableError(options.errorCode, reason, context);
+      } finally {
+        clearTimeout(timer);
+        signal?.removeEventListener("abort", cancel);
       }
     },
     reset: () => replace(pool),
--- /dev/null
+++ b/packages/scheduler/src/job_book.ts
@@ -0,0 +1,116 @@
+import type { Milliseconds } from "@rattanhill/shared";
+import type { JobOutcome, JobSpec, JobState } from "./job_types.ts";
+import type { CellRecord, StepRecord } from "./records.ts";
+
+/** What the store says of one job. */
+export interface BookedJob {
+  spec: JobSpec;
+  isCancelled: boolean;
+  outcome?: JobOutcome;
+  endedAt?: Milliseconds;
+  steps: Map<string, StepRecord>;
+  hasStarted: boolean;
+}
+
+/** All jobs of a cell, as stored. */
+export interface JobBook {
+  /**
+   * Takes in a stored record. Records of a job may come in any order and more
+   * than once.
+   */
+  apply(record: CellRecord): void;
+  /** @returns the job, if it was submitted and not removed */
+  find(id: string): BookedJob | undefined;
+  /** @returns the state of a job as its submitter sees it */
+  stateOf(id: string): JobState | undefined;
+  /** @returns the number of accepted jobs of a queue of which no task has started */
+  pending(queue: string): number;
+  /** @returns all jobs */
+  jobs(): Iterable<BookedJob>;
+}
+
+/** Receives what {@link JobBook} learns. */
+export interface BookListener {
+  submitted?(spec: JobSpec): void;
+  cancelled?(job: string): void;
+}
+
+/**
+ * Creates an empty book.
+ *
+ * @param listener hears of each job and each cancellation once
+ * @returns the book
+ */
+export function createJobBook(listener: BookListener = {}): JobBook {
+  const jobs = new Map<string, BookedJob>();
+  /** Records that came ahead of their job's submission. */
+  const early = new Map<string, CellRecord[]>();
+  const waiting = new Map<string, number>();
+
+  const isWaiting = (job: BookedJob) =>
+    !job.hasStarted && !job.isCancelled && job.outcome === undefined;
+  const count = (job: BookedJob, change: () => void): void => {
+    const before = isWaiting(job);
+    change();
+    const difference = Number(isWaiting(job)) - Number(before);
+    const { queue } = job.spec;
+    waiting.set(queue, (waiting.get(queue) ?? 0) + difference);
+  };
+
+  const applyTo = (job: BookedJob, record: CellRecord): void => {
+    if (record.kind === "cancellation") {
+      if (job.isCancelled) return;
+      count(job, () => job.isCancelled = true);
+      listener.cancelled?.(job.spec.id);
+    } else if (record.kind === "progress") {
+      job.steps.set(record.step, record.progress);
+      count(job, () => job.hasStarted ||= record.progress.highestRun > 0);
+    } else if (record.kind === "outcome") {
+      count(job, () => job.outcome = record.outcome);
+      job.endedAt = record.at;
+    }
+  };
+
+  const submit = (spec: JobSpec): void => {
+    if (jobs.has(spec.id)) return;
+    const job: BookedJob = {
+      spec,
+      isCancelled: false,
+      steps: new Map(),
+      hasStarted: false,
+    };
+    jobs.set(spec.id, job);
+    waiting.set(spec.queue, (waiting.get(spec.queue) ?? 0) + 1);
+    listener.submitted?.(spec);
+    for (const record of early.get(spec.id) ?? []) applyTo(job, record);
+    early.delete(spec.id);
+  };
+
+  return {
+    apply: (record) => {
+      if (record.kind === "submission") return submit(record.spec);
+      if (record.kind === "removal") {
+        const job = jobs.get(record.job);
+        if (job !== undefined) count(job, () => job.isCancelled = true);
+        jobs.delete(record.job);
+        return;
+      }
+      const id = record.kind === "progress"
+        ? record.step.slice(0, record.step.indexOf("."))
+        : record.job;
+      const job = jobs.get(id);
+      if (job !== undefined) return applyTo(job, record);
+      early.set(id, [...early.get(id) ?? [], record]);
+    },
+    find: (id) => jobs.get(id),
+    stateOf: (id) => {
+      const job = jobs.get(id);
+      if (job === undefined) return undefined;
+      if (job.outcome !== undefined) return job.outcome;
+      if (job.isCancelled) return "cancelled";
+      return job.hasStarted ? "running" : "queued";
+    },
+    pending: (queue) => waiting.get(queue) ?? 0,
+    jobs: () => jobs.values(),
+  };
+}
--- /dev/null
+++ b/packages/scheduler/src/order_of_work.ts
@@ -0,0 +1,137 @@
+import type { Milliseconds } from "@rattanhill/shared";
+import { type ActiveJob, isStepDone, type StepState } from "./cell_state.ts";
+import { dueAt, type JobSpec } from "./job_types.ts";
+
+/** Rules of a queue that decide the order of work. */
+export interface QueueRules {
+  name: string;
+  service: string;
+  /** 0 comes first and may preempt others. */
+  priority: number;
+  maximumAttempts: number;
+  /** Objective: this many times the longest chain of tasks... */
+  stretch: number;
+  /** ...plus this time. */
+  targetMs: Milliseconds;
+}
+
+/** A step that waits for workers. */
+export interface WaitingStep {
+  step: StepState;
+  /** Tasks without a run. */
+  tasks: readonly number[];
+  rules: QueueRules;
+  /** Expected duration of a task. */
+  expectedMs: Milliseconds;
+  /** Time since its occurrence could first start. */
+  waitedMs: Milliseconds;
+  rank: Rank;
+}
+
+/** Place in the order of work; compared field by field, smaller goes first. */
+export interface Rank {
+  /** 0 guaranteed, 1 other urgent work, then by what can still be gained. */
+  group: number;
+  key: number;
+}
+
+/** Groups of the order of work. */
+export const Group = {
+  guaranteed: 0,
+  urgent: 1,
+  /** Can still meet its objective. */
+  inTime: 2,
+  /** Can be late but still of use. */
+  late: 3,
+  /** Too late to be of use; done because it was promised. */
+  overdue: 4,
+} as const;
+
+/** A result after this many times the objective is of no use any more. */
+const USEFUL_OBJECTIVES = 3;
+
+/**
+ * Ranks a waiting step. Work that can meet its objective goes before work
+ * that cannot, and the one that runs out of time first goes first.
+ *
+ * @param waiting the step with its expected duration and wait
+ * @param remainingMs expected duration of the rest of its chain
+ * @param isGuaranteed whether its account's guarantee covers it
+ * @returns its place
+ */
+export function rankStep(
+  waiting: Omit<WaitingStep, "rank">,
+  remainingMs: Milliseconds,
+  isGuaranteed: boolean,
+): Rank {
+  const { rules, waitedMs } = waiting;
+  const objective = objectiveOf(waiting.step.job.spec, rules, remainingMs);
+  const slack = objective - waitedMs - remainingMs;
+  if (rules.priority === 0) {
+    const group = isGuaranteed ? Group.guaranteed : Group.urgent;
+    return { group, key: slack };
+  }
+  if (slack >= 0) return { group: Group.inTime, key: slack };
+  const lateSlack = USEFUL_OBJECTIVES * objective - waitedMs - remainingMs;
+  if (lateSlack >= 0) return { group: Group.late, key: lateSlack };
+  return { group: Group.overdue, key: -waitedMs };
+}
+
+/** Orders waiting steps. */
+export function compareRanks(a: WaitingStep, b: WaitingStep): number {
+  return a.rank.group - b.rank.group || a.rank.key - b.rank.key;
+}
+
+/** Time within which a job is to be done. */
+function objectiveOf(
+  _spec: JobSpec,
+  rules: QueueRules,
+  chainMs: Milliseconds,
+): Milliseconds {
+  return rules.stretch * chainMs + rules.targetMs;
+}
+
+/**
+ * Finds the steps of a job that may run now and have tasks without a run.
+ *
+ * @param job the job
+ * @param stepAt gives a step of an occurrence
+ * @param wallTime time of day
+ * @returns the steps with the tasks to place
+ */
+export function runnableSteps(
+  job: ActiveJob,
+  stepAt: (occurrence: number, index: number) => StepState,
+  wallTime: Milliseconds,
+): { step: StepState; tasks: number[] }[] {
+  const runnable: { step: StepState; tasks: number[] }[] = [];
+  const { spec } = job;
+  const count = spec.repetition?.count ?? 1;
+  for (let occurrence = 0; occurrence < count; occurrence++) {
+    if (job.finished.has(occurrence)) continue;
+    if (spec.repetition !== undefined && dueAt(spec, occurrence) > wallTime) {
+      break;
+    }
+    for (let index = 0; index < spec.steps.length; index++) {
+      const step = stepAt(occurrence, index);
+      if (isStepDone(step)) continue;
+      const isReady = step.spec.after.every((before) =>
+        isStepDone(stepAt(occurrence, before))
+      );
+      if (!isReady) continue;
+      const tasks = missingTasks(step);
+      if (tasks.length > 0) runnable.push({ step, tasks });
+    }
+  }
+  return runnable;
+}
+
+/** A gang starts as a whole, once nothing of an earlier run is left. */
+function missingTasks(step: StepState): number[] {
+  if (step.spec.isGang && step.runs.size > 0) return [];
+  const tasks: number[] = [];
+  for (let index = 0; index < step.spec.taskCount; index++) {
+    if (!step.done.has(index) && !step.runs.has(index)) tasks.push(index);
+  }
+  return tasks;
+}
--- /dev/null
+++ b/packages/scheduler/src/planner.ts
@@ -0,0 +1,358 @@
+import type { Logger, Milliseconds } from "@rattanhill/shared";
+import type { Quarantine, RunTimes } from "@rattanhill/core";
+import {
+  type CellState,
+  isOver,
+  isStepDone,
+  needsOf,
+  reserve,
+  type Resources,
+  type Run,
+  RunPhase,
+  stepOf,
+  type StepState,
+  type WorkerState,
+} from "./cell_state.ts";
+import { dueAt, type JobSpec } from "./job_types.ts";
+import {
+  compareRanks,
+  Group,
+  type QueueRules,
+  rankStep,
+  runnableSteps,
+  type WaitingStep,
+} from "./order_of_work.ts";
+import { type Assignment, placeStep } from "./placement.ts";
+import { chooseVictims } from "./preemption.ts";
+import { findStuckRuns } from "./stuck_runs.ts";
+
+/** Rules of the operators that planning needs. */
+export interface Rules {
+  queues: ReadonlyMap<string, QueueRules>;
+  /** Accelerators that belong to an account's urgent jobs, by account. */
+  guarantees: ReadonlyMap<string, number>;
+  /** Factor by which a wrong rack slows a task. */
+  remoteFactor: number;
+}
+
+/** Places waiting work. */
+export interface Planner {
+  setRules(rules: Rules): void;
+  rulesOf(queue: string): QueueRules | undefined;
+  /** Factor by which the placement slows a run. */
+  slownessOf(run: Run): number;
+  plan(): void;
+}
+
+/** Options of {@link createPlanner}. */
+export interface PlannerOptions {
+  state: CellState;
+  quarantine: Quarantine;
+  runTimes: RunTimes;
+  now(): Milliseconds;
+  wallTime(): Milliseconds;
+  stop(run: Run, reason: string): void;
+  log: Logger;
+}
+
+/** Wait after which guaranteed work no longer insists on one rack. */
+const GUARANTEED_RACK_PATIENCE_MS: Milliseconds = 300; // a stop and a start must still fit into the bound
+/** Share of the extra time on a wrong rack that is waited for the right one. */
+const RACK_PATIENCE = 0.5; // queues move meanwhile
+/** Score added for a worker that failed something lately. */
+const FAILURE_PENALTY = 10; // above any score of room
+/** A draining worker must stay this much longer than the task needs. */
+const DRAIN_MARGIN_MS: Milliseconds = 300;
+
+/**
+ * Creates the planner of a cell.
+ *
+ * @param options the cell's state, what was learned, and clocks
+ * @returns the planner
+ */
+export function createPlanner(options: PlannerOptions): Planner {
+  const { state, quarantine, runTimes, now, wallTime, stop, log } = options;
+  let rules: Rules = {
+    queues: new Map(),
+    guarantees: new Map(),
+    remoteFactor: 1,
+  };
+  /** Capacity that is kept in this pass for work that waits for stops. */
+  let pledged = new Map<WorkerState, Resources>();
+
+  const expectedOf = (spec: JobSpec, estimateMs: Milliseconds) =>
+    runTimes.expect({
+      account: spec.account,
+      class: spec.queue,
+      expectedMs: estimateMs,
+    });
+
+  const slownessOf = ({ step, worker }: Run): number => {
+    const { spec } = step;
+    const isFar = spec.dataRack !== undefined && spec.dataRack !== worker.rack;
+    const isSplit = spec.needsOneRack &&
+      [...step.runs.values()].some((run) => run.worker.rack !== worker.rack);
+    return isFar || isSplit ? rules.remoteFactor : 1;
+  };
+
+  const freeOn = (worker: WorkerState, countsStopping: boolean): Resources => {
+    const { capacity, used } = worker;
+    const kept = pledged.get(worker);
+    const free = {
+      milliCores: capacity.milliCores - used.milliCores -
+        (kept?.milliCores ?? 0),
+      memoryMegabytes: capacity.memoryMegabytes - used.memoryMegabytes -
+        (kept?.memoryMegabytes ?? 0),
+      accelerators: capacity.accelerators - used.accelerators -
+        (kept?.accelerators ?? 0),
+    };
+    if (!countsStopping) return free;
+    for (const run of worker.runs) {
+      if (run.stopReason === undefined) continue;
+      const needs = needsOf(run.step.spec);
+      free.milliCores += needs.milliCores;
+      free.memoryMegabytes += needs.memoryMegabytes;
+      free.accelerators += needs.accelerators;
+    }
+    return free;
+  };
+
+  const pledge = (assignment: Assignment, step: StepState): void => {
+    const needs = needsOf(step.spec);
+    for (const worker of assignment.values()) {
+      const kept = pledged.get(worker) ??
+        { milliCores: 0, memoryMegabytes: 0, accelerators: 0 };
+      kept.milliCores += needs.milliCores;
+      kept.memoryMegabytes += needs.memoryMegabytes;
+      kept.accelerators += needs.accelerators;
+      pledged.set(worker, kept);
+    }
+  };
+
+  const penaltyOf = (worker: WorkerState): number =>
+    quarantine.isOpen(worker.id, now()) ? 0 : FAILURE_PENALTY;
+
+  const serviceOf = (spec: JobSpec): string =>
+    rules.queues.get(spec.queue)?.service ?? spec.service;
+
+  const isCandidate = (worker: WorkerState): boolean =>
+    worker.isListed && worker.hasAnswered && !worker.isDraining &&
+    worker.closedUntil <= now();
+
+  const collect = (): WaitingStep[] => {
+    const waiting: WaitingStep[] = [];
+    const guaranteed = guaranteedJobs();
+    for (const job of state.jobs.values()) {
+      if (isOver(job)) continue;
+      const queue = rules.queues.get(job.spec.queue) ??
+        fallbackRules(job.spec);
+      const stepAt = (occurrence: number, index: number) =>
+        stepOf(job, occurrence, index);
+      for (const { step, tasks } of runnableSteps(job, stepAt, wallTime())) {
+        if (step.notBefore > now()) continue;
+        const expectedMs = expectedOf(job.spec, step.spec.estimateMs);
+        const remainingMs = job.spec.steps
+          .filter((_, index) => !isStepDone(stepAt(step.occurrence, index)))
+          .reduce(
+            (sum, spec) => sum + expectedOf(job.spec, spec.estimateMs),
+            0,
+          );
+        const waitedMs = job.spec.repetition === undefined
+          ? now() - job.since
+          : wallTime() - dueAt(job.spec, step.occurrence);
+        const entry = { step, tasks, rules: queue, expectedMs, waitedMs };
+        const rank = rankStep(entry, remainingMs, guaranteed.has(job.spec.id));
+        waiting.push({ ...entry, rank });
+      }
+    }
+    return waiting.sort(compareRanks);
+  };
+
+  /** Urgent jobs that their accounts' guarantees cover, oldest first. */
+  const guaranteedJobs = (): Set<string> => {
+    const covered = new Set<string>();
+    const left = new Map(rules.guarantees);
+    for (const { spec, outcome, isCancelled } of state.jobs.values()) {
+      if (outcome !== undefined || isCancelled) continue;
+      if (rules.queues.get(spec.queue)?.priority !== 0) continue;
+      const needed = Math.max(
+        ...spec.steps.map((step) => step.taskCount * step.accelerators),
+      );
+      const room = left.get(spec.account) ?? 0;
+      if (needed > room) continue;
+      left.set(spec.account, room - needed);
+      covered.add(spec.id);
+    }
+    return covered;
+  };
+
+  const place = (waiting: WaitingStep): void => {
+    const { step, tasks, rules: queue } = waiting;
+    const name = serviceOf(step.job.spec);
+    const service = [...state.workers.values()].filter((worker) =>
+      worker.isListed && worker.service === name
+    );
+    const candidates = service.filter(isCandidate);
+    const isGuaranteed = waiting.rank.group === Group.guaranteed;
+    const patience = isGuaranteed
+      ? GUARANTEED_RACK_PATIENCE_MS
+      : RACK_PATIENCE * (rules.remoteFactor - 1) * waiting.expectedMs;
+    const view = {
+      candidates,
+      service,
+      penaltyOf,
+      mayUseAnyRack: waiting.waitedMs > patience,
+    };
+    const assignment = placeStep(step, tasks, {
+      ...view,
+      freeOn: (worker) => freeOn(worker, false),
+    });
+    if (assignment.size > 0) startRuns(step, assignment);
+    const rest = tasks.filter((task) => !assignment.has(task));
+    if (rest.length === 0 || !isGuaranteed) return;
+    reclaim(step, rest, queue.priority, {
+      ...view,
+      freeOn: (worker) => freeOn(worker, true),
+    });
+  };
+
+  /** Stops work of lower priority for guaranteed tasks and keeps the room for them. */
+  const reclaim = (
+    step: StepState,
+    tasks: readonly number[],
+    priority: number,
+    view: Parameters<typeof placeStep>[2],
+  ): void => {
+    let assignment = placeStep(step, tasks, view);
+    if (assignment.size < tasks.length) {
+      const victims = chooseVictims(step, tasks.length, {
+        candidates: view.candidates,
+        now: now(),
+        isVictim: (run) => {
+          const queue = rules.queues.get(run.step.job.spec.queue);
+          return run.stopReason === undefined &&
+            (queue?.priority ?? 0) > priority;
+        },
+      });
+      for (const run of victims) {
+        stop(run, `capacity reclaimed for ${step.key}`);
+      }
+      assignment = placeStep(step, tasks, { ...view, mayUseAnyRack: true });
+    }
+    pledge(assignment, step);
+  };
+
+  const startRuns = (step: StepState, assignment: Assignment): void => {
+    const number = step.highestRun + 1;
+    step.highestRun = number;
+    const placedAt = now();
+    for (const [index, worker] of assignment) {
+      reserve({
+        step,
+        index,
+        number,
+        worker,
+        phase: RunPhase.storing,
+        placedAt,
+        percent: 0,
+        percentAt: placedAt,
+        checkpoint: step.checkpoints.get(step.spec.isGang ? 0 : index) ?? "",
+      });
+    }
+    state.unsavedSteps.add(step);
+    const workers = [...new Set([...assignment.values()].map(({ id }) => id))];
+    log.info(
+      {
+        job: step.job.spec.id,
+        step: step.key,
+        run: number,
+        tasks: assignment.size,
+        of: step.spec.taskCount,
+        workers,
+        waitedMs: Math.round(placedAt - step.job.since),
+      },
+      "tasks placed",
+    );
+  };
+
+  /** Moves work off workers that leave before it can end. */
+  const evacuate = (): void => {
+    for (const worker of state.workers.values()) {
+      if (!worker.isDraining || worker.drainingSince === undefined) continue;
+      const left = worker.drainingSince + worker.remainingMs - now();
+      for (const run of worker.runs) {
+        if (run.phase !== RunPhase.running) continue;
+        if (!run.step.spec.isCheckpointing || run.step.spec.isGang) continue;
+        const expected = expectedOf(
+          run.step.job.spec,
+          run.step.spec.estimateMs,
+        );
+        const rest = expected * (1 - run.percent / 100);
+        if (rest > left + DRAIN_MARGIN_MS) stop(run, "its worker leaves");
+      }
+    }
+  };
+
+  return {
+    // Jobs of a queue that was removed keep its last rules.
+    setRules: (next) => {
+      rules = { ...next, queues: new Map([...rules.queues, ...next.queues]) };
+    },
+    rulesOf: (queue) => rules.queues.get(queue),
+    slownessOf,
+    plan: () => {
+      pledged = new Map();
+      evacuate();
+      for (const run of findStuckRuns(state)) {
+        const { worker, step } = run;
+        quarantine.note({
+          worker: worker.id,
+          class: step.job.spec.queue,
+          request: step.key,
+          hasFailed: true,
+        }, now());
+        step.avoided.add(worker.id);
+        stop(run, "it makes no progress");
+      }
+      const failedShapes = new Set<string>();
+      for (const waiting of collect()) {
+        const shape = shapeOf(waiting);
+        if (shape !== undefined && failedShapes.has(shape)) continue;
+        const before = waiting.step.runs.size;
+        place(waiting);
+        const isPlaced =
+          waiting.step.runs.size >= before + waiting.tasks.length;
+        if (shape !== undefined && !isPlaced) failedShapes.add(shape);
+      }
+    },
+  };
+}
+
+/** Steps with the same shape find room, or none, alike; undefined when a step is special. */
+function shapeOf({ step, rank }: WaitingStep): string | undefined {
+  const { spec } = step;
+  const isSpecial = spec.isGang || spec.dataRack !== undefined ||
+    spec.maximumPerWorker !== undefined || step.avoided.size > 0 ||
+    rank.group === Group.guaranteed;
+  if (isSpecial) return undefined;
+  const { milliCores, memoryMegabytes, accelerators } = needsOf(spec);
+  return [
+    milliCores,
+    memoryMegabytes,
+    accelerators,
+    spec.requiredLabel,
+    step.job.spec.service,
+  ].join("/");
+}
+
+/** Used for jobs whose queue was removed. */
+function fallbackRules(spec: JobSpec): QueueRules {
+  return {
+    name: spec.queue,
+    service: spec.service,
+    priority: 1,
+    maximumAttempts: 1,
+    stretch: 1,
+    targetMs: 0,
+  };
+}
--- a/packages/shared/src/mod.ts
+++ b/packages/shared/src/mod.ts
@@ -2,4 +2,5 @@
 export * from "./errors.ts";
 export * from "./events.ts";
 export * from "./identifiers.ts";
+export * from "./logger.ts";
 export * from "./pause.ts";
