--- a/packages/cell/src/job_service.ts
+++ b/packages/cell/src/job_service.ts
@@ -247,7 +247,7 @@
     resolve(): void;
     reject(error: unknown): void;
   }
-  let queue: Entry[] = [];
+  const queue: Entry[] = [];
   let inFlight = 0;
 
   const flush = async (): Promise<void> => {
