fix(scheduler): runs of workers that left are lost at once; reclaim only when due

A silent worker is now asked without a new lease, and a drained worker that withdrew its entry loses its runs at once.

--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -6,7 +6,7 @@
   type Order,
   type Rules,
   type Scheduler,
-  type WorkerEntry,
+  type WorkerListing,
   type WorkerState,
 } from "@rattanhill/scheduler";
 import { createJournal } from "./journal.ts";
@@ -24,7 +24,7 @@
   start(): Promise<void>;
   submitted(spec: JobSpec): void;
   cancelled(job: string): void;
-  listed(entries: readonly WorkerEntry[]): void;
+  listed(listing: WorkerListing): void;
   rulesChanged(rules: Rules): void;
   /** @returns everything that the lead knows; undefined before it is ready */
   scheduler(): Scheduler | undefined;
@@ -44,7 +44,7 @@
   /** Waits until the book reflects the journal up to an offset. */
   bookReached(offset: number): Promise<void>;
   /** Current list of workers; waits until there is one. */
-  workers(): Promise<readonly WorkerEntry[]>;
+  workers(): Promise<WorkerListing>;
   rules(): Rules;
 }
 
@@ -52,6 +52,7 @@
 const GATHER_MS: Milliseconds = 4;
 /** Planning interval while nothing happens; due times, leases and stuck runs are checked then. */
 const TICK_MS: Milliseconds = 100;
+const LOAD_LOG_MS: Milliseconds = 1_000;
 
 /**
  * Creates the lead of a cell for one term.
@@ -71,6 +72,7 @@
   let isStoring = false;
   let isWoken = false;
   let tick: NodeJS.Timeout | undefined;
+  let loadLog: NodeJS.Timeout | undefined;
 
   const isLeading = (): boolean => !isClosed && options.isLeading();
 
@@ -95,6 +97,7 @@
         scheduler?.startAnswered(run, answer, reason);
         if (answer !== "started") wake();
       },
+      silent: () => scheduler?.silent(worker),
       stopAnswered: (run) => scheduler?.stopAnswered(run),
     });
     links.set(worker, { link, address: worker.address });
@@ -156,7 +159,7 @@
       const end = await journal.open();
       if (end === undefined) return;
       await options.bookReached(end);
-      const entries = await options.workers();
+      const listing = await options.workers();
       if (!isLeading()) return;
       scheduler = createScheduler({
         now: clock.now,
@@ -165,14 +168,20 @@
         log,
       });
       scheduler.setRules(options.rules());
-      scheduler.list(entries);
+      scheduler.list(listing);
       for (const job of book.jobs()) {
         scheduler.restore(job, takenOverAt + INHERITED_LEASE_MS);
       }
       const jobs = scheduler.state.jobs.size;
       const tookMs = clock.now() - takenOverAt;
-      log.info({ term, jobs, workers: entries.length, tookMs }, "lead ready");
+      log.info(
+        { term, jobs, workers: listing.entries.length, tookMs },
+        "lead ready",
+      );
       tick = setInterval(wake, TICK_MS);
+      loadLog = setInterval(() => {
+        if (isLeading()) log.info({ ...scheduler?.load() }, "load");
+      }, LOAD_LOG_MS);
       work();
     },
     submitted: (spec) => {
@@ -183,8 +192,8 @@
       scheduler?.cancel(job);
       wake();
     },
-    listed: (entries) => {
-      scheduler?.list(entries);
+    listed: (listing) => {
+      scheduler?.list(listing);
       wake();
     },
     rulesChanged: (rules) => {
@@ -195,6 +204,7 @@
     close: () => {
       isClosed = true;
       clearInterval(tick);
+      clearInterval(loadLog);
       for (const { link } of links.values()) link.close();
       links.clear();
     },
--- a/packages/cell/src/cluster_config.ts
+++ b/packages/cell/src/cluster_config.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from "@rattanhill/shared";
-import type { QueueRules, Rules } from "@rattanhill/scheduler";
+import type { Deployment, QueueRules, Rules } from "@rattanhill/scheduler";
 
 /** A queue that callers submit jobs to. */
 export interface Queue extends QueueRules {
@@ -40,12 +40,12 @@
  * Prepares a configuration for use.
  *
  * @param config the configuration
- * @param remoteFactor factor by which a wrong rack slows a task
+ * @param deployment what planning has to know of the deployment
  * @returns the configuration with its indices
  */
 export function enforceConfig(
   config: ClusterConfig,
-  remoteFactor: number,
+  deployment: Deployment,
 ): ConfigInForce {
   const byHost = new Map<string, Queue[]>();
   for (const queue of config.queues) {
@@ -70,7 +70,7 @@
           [name, guaranteedAccelerators] as const
         ),
       ),
-      remoteFactor,
+      deployment,
     },
   };
 }
--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -2,6 +2,7 @@
 import {
   createJobBook,
   decodeRecord,
+  type Deployment,
   type WorkerEntry,
 } from "@rattanhill/scheduler";
 import { type CellLead, createCellLead } from "./cell_lead.ts";
@@ -29,13 +30,13 @@
 import { createWorkerList } from "./worker_list.ts";
 
 /** Limits of the deployment. */
-export interface EntryLimits {
+export interface EntryLimits extends Deployment {
+  /** Interval at which workers write their entries. */
+  heartbeatMs: Milliseconds;
   /** Time after which a revoked key must not be served. */
   revocationMs: Milliseconds;
   /** Time after which an accepted job must be visible everywhere. */
   visibleMs: Milliseconds;
-  /** Factor by which a wrong rack slows a task. */
-  remoteFactor: number;
   /** How long the state of an ended job is kept. */
   keepEndedMs: Milliseconds;
 }
@@ -125,7 +126,8 @@
     clock,
     log,
     decode: options.decodeWorker,
-    changed: (entries) => lead?.listed(entries),
+    heartbeatMs: limits.heartbeatMs,
+    changed: (listing) => lead?.listed(listing),
   });
   const lease = createLeadLease({
     store,
@@ -190,7 +192,7 @@
       const next = options.decodeConfig(value);
       const current = config?.config.version ?? -1;
       if (next.version <= current) return;
-      config = enforceConfig(next, limits.remoteFactor);
+      config = enforceConfig(next, limits);
       lead?.rulesChanged(config.rules);
       const { version, queues, accounts } = next;
       log.info(
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -35,6 +35,8 @@
   /** Whether this process still leads; nothing is sent otherwise. */
   isLeading(): boolean;
   report(lifetime: number, report: WorkerReport): void;
+  /** The worker gave no answer. */
+  silent(): void;
   startAnswered(run: Run, answer: StartAnswer, reason?: string): void;
   stopAnswered(run: Run | undefined): void;
 }
@@ -88,7 +90,8 @@
     const askedAt = clock.now();
     const answer = await connection.hold({
       term,
-      leaseUntil: extendLease(),
+      // A worker that may be gone must not keep its runs for ever.
+      leaseUntil: failures > 0 ? undefined : extendLease(),
       acknowledgedEnd: worker.storedEnd,
       waitMs,
       timeoutMs: waitMs + ANSWER_TIMEOUT_MS,
@@ -122,16 +125,18 @@
         continue;
       }
       try {
-        await hold(waitMs);
+        const isRenewed = failures === 0 && reading !== undefined;
+        await hold(isRenewed ? waitMs : 0);
         if (failures > 0) {
           log.info({ worker: worker.id, failures }, "worker answers again");
         }
         failures = 0;
-        // Right after the first answer the lease is renewed by the worker's clock.
-        waitMs = HOLD_WAIT_MS;
+        // The first answer tells the worker's clock; the lease is renewed at once.
+        waitMs = isRenewed ? HOLD_WAIT_MS : 0;
         if (worker.handledEnd > worker.storedEnd) await waitForStore();
       } catch (error) {
         failures += 1;
+        options.silent();
         if (failures === 1) {
           log.warn(
             { worker: worker.id, error: describeError(error) },
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -109,6 +109,10 @@
   hasAnswered: boolean;
   /** Monotonic time of its last report. */
   reportedAt: Milliseconds;
+  /** Monotonic time from which it has not answered; undefined while it does. */
+  silentSince?: Milliseconds;
+  /** Its entry says that it left by itself. */
+  hasLeft: boolean;
   /** Monotonic time from which every lease on it has surely run out. */
   leasesEndBy: Milliseconds;
   /** Monotonic time before which nothing is placed, after a refusal. */
--- a/packages/scheduler/src/mod.ts
+++ b/packages/scheduler/src/mod.ts
@@ -6,6 +6,7 @@
 export * from "./planner.ts";
 export * from "./preemption.ts";
 export * from "./records.ts";
+export * from "./reservation.ts";
 export * from "./run_ends.ts";
 export * from "./scheduler.ts";
 export * from "./stuck_runs.ts";
--- a/packages/scheduler/src/order_of_work.ts
+++ b/packages/scheduler/src/order_of_work.ts
@@ -30,21 +30,26 @@
 
 /** Place in the order of work; compared field by field, smaller goes first. */
 export interface Rank {
-  /** 0 guaranteed, 1 other urgent work, then by what can still be gained. */
+  /** One of {@link Group}. */
   group: number;
+  /** The operators' priority of the queue. */
+  priority: number;
   key: number;
 }
 
 /** Groups of the order of work. */
 export const Group = {
   guaranteed: 0,
+  /** Urgent and still able to meet its objective. */
   urgent: 1,
+  /** Urgent, late, but still of use. */
+  urgentLate: 2,
   /** Can still meet its objective. */
-  inTime: 2,
-  /** Can be late but still of use. */
-  late: 3,
+  inTime: 3,
+  /** Late, but still of use. */
+  late: 4,
   /** Too late to be of use; done because it was promised. */
-  overdue: 4,
+  overdue: 5,
 } as const;
 
 /** A result after this many times the objective is of no use any more. */
@@ -67,19 +72,22 @@
   const { rules, waitedMs } = waiting;
   const objective = objectiveOf(waiting.step.job.spec, rules, remainingMs);
   const slack = objective - waitedMs - remainingMs;
-  if (rules.priority === 0) {
-    const group = isGuaranteed ? Group.guaranteed : Group.urgent;
-    return { group, key: slack };
-  }
-  if (slack >= 0) return { group: Group.inTime, key: slack };
+  const { priority } = rules;
   const lateSlack = USEFUL_OBJECTIVES * objective - waitedMs - remainingMs;
-  if (lateSlack >= 0) return { group: Group.late, key: lateSlack };
-  return { group: Group.overdue, key: -waitedMs };
+  const isUrgent = priority === 0;
+  const place = (group: number, key: number) => ({ group, priority, key });
+  if (isGuaranteed) return place(Group.guaranteed, slack);
+  if (slack >= 0) return place(isUrgent ? Group.urgent : Group.inTime, slack);
+  if (lateSlack >= 0) {
+    return place(isUrgent ? Group.urgentLate : Group.late, lateSlack);
+  }
+  return place(Group.overdue, -waitedMs);
 }
 
 /** Orders waiting steps. */
 export function compareRanks(a: WaitingStep, b: WaitingStep): number {
-  return a.rank.group - b.rank.group || a.rank.key - b.rank.key;
+  return a.rank.group - b.rank.group || a.rank.priority - b.rank.priority ||
+    a.rank.key - b.rank.key;
 }
 
 /** Time within which a job is to be done. */
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -24,6 +24,7 @@
 } from "./order_of_work.ts";
 import { type Assignment, placeStep } from "./placement.ts";
 import { chooseVictims } from "./preemption.ts";
+import { reserveSoonest } from "./reservation.ts";
 import { findStuckRuns } from "./stuck_runs.ts";
 
 /** Rules of the operators that planning needs. */
@@ -31,8 +32,17 @@
   queues: ReadonlyMap<string, QueueRules>;
   /** Accelerators that belong to an account's urgent jobs, by account. */
   guarantees: ReadonlyMap<string, number>;
+  deployment: Deployment;
+}
+
+/** What planning has to know of the deployment. */
+export interface Deployment {
   /** Factor by which a wrong rack slows a task. */
   remoteFactor: number;
+  /** Time within which guaranteed work must have begun. */
+  reclaimMs: Milliseconds;
+  /** Longest time that a worker takes to stop a task. */
+  stopMs: Milliseconds;
 }
 
 /** Places waiting work. */
@@ -42,6 +52,19 @@
   /** Factor by which the placement slows a run. */
   slownessOf(run: Run): number;
   plan(): void;
+  /** @returns how full the workers are and what still waits after the last plan */
+  load(): CellLoad;
+}
+
+/** How full a cell is. */
+export interface CellLoad {
+  workers: number;
+  /** Shares of the listed workers' capacity that are occupied. */
+  accelerators: number;
+  cores: number;
+  memory: number;
+  /** Tasks without room, by queue. */
+  waiting: Record<string, number>;
 }
 
 /** Options of {@link createPlanner}. */
@@ -55,8 +78,10 @@
   log: Logger;
 }
 
-/** Wait after which guaranteed work no longer insists on one rack. */
-const GUARANTEED_RACK_PATIENCE_MS: Milliseconds = 300; // a stop and a start must still fit into the bound
+/** Left of the bound on guaranteed work for two writes to the store, a start, and a slow VM. */
+const RECLAIM_MARGIN_MS: Milliseconds = 900;
+/** Left of that bound when guaranteed work no longer insists on one rack. */
+const LAST_RESORT_MS: Milliseconds = 500;
 /** Share of the extra time on a wrong rack that is waited for the right one. */
 const RACK_PATIENCE = 0.5; // queues move meanwhile
 /** Score added for a worker that failed something lately. */
@@ -75,10 +100,11 @@
   let rules: Rules = {
     queues: new Map(),
     guarantees: new Map(),
-    remoteFactor: 1,
+    deployment: { remoteFactor: 1, reclaimMs: Infinity, stopMs: 0 },
   };
   /** Capacity that is kept in this pass for work that waits for stops. */
   let pledged = new Map<WorkerState, Resources>();
+  let waiting: WaitingStep[] = [];
 
   const expectedOf = (spec: JobSpec, estimateMs: Milliseconds) =>
     runTimes.expect({
@@ -92,7 +118,21 @@
     const isFar = spec.dataRack !== undefined && spec.dataRack !== worker.rack;
     const isSplit = spec.needsOneRack &&
       [...step.runs.values()].some((run) => run.worker.rack !== worker.rack);
-    return isFar || isSplit ? rules.remoteFactor : 1;
+    return isFar || isSplit ? rules.deployment.remoteFactor : 1;
+  };
+
+  /** Expected time until a run ends. */
+  const remainingOf = (run: Run): Milliseconds => {
+    const { step, percent, percentAt, firstPercent, placedAt } = run;
+    if (run.stopReason !== undefined) return rules.deployment.stopMs;
+    if (firstPercent !== undefined && percent > firstPercent.percent) {
+      const rate = (percent - firstPercent.percent) /
+        (percentAt - firstPercent.at);
+      return Math.max(0, (100 - percent) / rate - (now() - percentAt));
+    }
+    const expected = expectedOf(step.job.spec, step.spec.estimateMs) *
+      slownessOf(run);
+    return Math.max(0, expected - (now() - placedAt));
   };
 
   const freeOn = (worker: WorkerState, countsStopping: boolean): Resources => {
@@ -118,17 +158,21 @@
   };
 
   const pledge = (assignment: Assignment, step: StepState): void => {
-    const needs = needsOf(step.spec);
     for (const worker of assignment.values()) {
-      const kept = pledged.get(worker) ??
-        { milliCores: 0, memoryMegabytes: 0, accelerators: 0 };
-      kept.milliCores += needs.milliCores;
-      kept.memoryMegabytes += needs.memoryMegabytes;
-      kept.accelerators += needs.accelerators;
-      pledged.set(worker, kept);
+      keep(worker, needsOf(step.spec), 1);
     }
   };
 
+  /** Keeps capacity of a worker from what comes later in this pass. */
+  const keep = (worker: WorkerState, needs: Resources, times: number): void => {
+    const kept = pledged.get(worker) ??
+      { milliCores: 0, memoryMegabytes: 0, accelerators: 0 };
+    kept.milliCores += times * needs.milliCores;
+    kept.memoryMegabytes += times * needs.memoryMegabytes;
+    kept.accelerators += times * needs.accelerators;
+    pledged.set(worker, kept);
+  };
+
   const penaltyOf = (worker: WorkerState): number =>
     quarantine.isOpen(worker.id, now()) ? 0 : FAILURE_PENALTY;
 
@@ -140,7 +184,7 @@
     worker.closedUntil <= now();
 
   const collect = (): WaitingStep[] => {
-    const waiting: WaitingStep[] = [];
+    const found: WaitingStep[] = [];
     const guaranteed = guaranteedJobs();
     for (const job of state.jobs.values()) {
       if (isOver(job)) continue;
@@ -162,10 +206,10 @@
           : wallTime() - dueAt(job.spec, step.occurrence);
         const entry = { step, tasks, rules: queue, expectedMs, waitedMs };
         const rank = rankStep(entry, remainingMs, guaranteed.has(job.spec.id));
-        waiting.push({ ...entry, rank });
+        found.push({ ...entry, rank });
       }
     }
-    return waiting.sort(compareRanks);
+    return found.sort(compareRanks);
   };
 
   /** Urgent jobs that their accounts' guarantees cover, oldest first. */
@@ -193,10 +237,11 @@
       worker.isListed && worker.service === name
     );
     const candidates = service.filter(isCandidate);
+    const { remoteFactor, reclaimMs, stopMs } = rules.deployment;
     const isGuaranteed = waiting.rank.group === Group.guaranteed;
     const patience = isGuaranteed
-      ? GUARANTEED_RACK_PATIENCE_MS
-      : RACK_PATIENCE * (rules.remoteFactor - 1) * waiting.expectedMs;
+      ? reclaimMs - LAST_RESORT_MS
+      : RACK_PATIENCE * (remoteFactor - 1) * waiting.expectedMs;
     const view = {
       candidates,
       service,
@@ -209,11 +254,32 @@
     });
     if (assignment.size > 0) startRuns(step, assignment);
     const rest = tasks.filter((task) => !assignment.has(task));
-    if (rest.length === 0 || !isGuaranteed) return;
-    reclaim(step, rest, queue.priority, {
-      ...view,
-      freeOn: (worker) => freeOn(worker, true),
+    if (rest.length === 0 || queue.priority !== 0) return;
+    const isDue = waiting.waitedMs > reclaimMs - stopMs - RECLAIM_MARGIN_MS;
+    if (isGuaranteed && isDue) {
+      reclaim(step, rest, queue.priority, {
+        ...view,
+        freeOn: (worker) => freeOn(worker, true),
+      });
+    } else {
+      reserveRoom(step, rest.length, candidates);
+    }
+  };
+
+  /** Keeps lower work off the workers that will have room for the step first. */
+  const reserveRoom = (
+    step: StepState,
+    count: number,
+    candidates: readonly WorkerState[],
+  ): void => {
+    const reservation = reserveSoonest(step, count, {
+      candidates,
+      remainingOf,
+      freeOn: (worker) => freeOn(worker, false),
     });
+    for (const [worker, slots] of reservation?.slots ?? []) {
+      keep(worker, needsOf(step.spec), slots);
+    }
   };
 
   /** Stops work of lower priority for guaranteed tasks and keeps the room for them. */
@@ -300,6 +366,28 @@
     },
     rulesOf: (queue) => rules.queues.get(queue),
     slownessOf,
+    load: () => {
+      const listed = [...state.workers.values()].filter(({ isListed }) =>
+        isListed
+      );
+      const share = (name: keyof Resources): number => {
+        const total = listed.reduce((sum, w) => sum + w.capacity[name], 0);
+        const used = listed.reduce((sum, w) => sum + w.used[name], 0);
+        return total === 0 ? 0 : Math.round(1000 * used / total) / 1000;
+      };
+      const counts: Record<string, number> = {};
+      for (const { step, rules: { name } } of waiting) {
+        const left = step.spec.taskCount - step.done.size - step.runs.size;
+        if (left > 0) counts[name] = (counts[name] ?? 0) + left;
+      }
+      return {
+        workers: listed.length,
+        accelerators: share("accelerators"),
+        cores: share("milliCores"),
+        memory: share("memoryMegabytes"),
+        waiting: counts,
+      };
+    },
     plan: () => {
       pledged = new Map();
       evacuate();
@@ -315,13 +403,13 @@
         stop(run, "it makes no progress");
       }
       const failedShapes = new Set<string>();
-      for (const waiting of collect()) {
-        const shape = shapeOf(waiting);
+      waiting = collect();
+      for (const entry of waiting) {
+        const shape = shapeOf(entry);
         if (shape !== undefined && failedShapes.has(shape)) continue;
-        const before = waiting.step.runs.size;
-        place(waiting);
-        const isPlaced =
-          waiting.step.runs.size >= before + waiting.tasks.length;
+        const before = entry.step.runs.size;
+        place(entry);
+        const isPlaced = entry.step.runs.size >= before + entry.tasks.length;
         if (shape !== undefined && !isPlaced) failedShapes.add(shape);
       }
     },
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -18,10 +18,10 @@
 } from "./cell_state.ts";
 import type { BookedJob } from "./job_book.ts";
 import type { JobSpec, RunEnd, TaskName } from "./job_types.ts";
-import { createPlanner, type Rules } from "./planner.ts";
+import { type CellLoad, createPlanner, type Rules } from "./planner.ts";
 import type { CellRecord } from "./records.ts";
 import { applyReport, type WorkerReport } from "./run_ends.ts";
-import { createWorkerRoster, type WorkerEntry } from "./worker_roster.ts";
+import { createWorkerRoster, type WorkerListing } from "./worker_roster.ts";
 
 /** Something that a worker is to be told. */
 export type Order =
@@ -65,15 +65,19 @@
   submit(spec: JobSpec): void;
   cancel(job: string): void;
   /** Takes in the platform's list of workers. */
-  list(entries: readonly WorkerEntry[]): void;
+  list(listing: WorkerListing): void;
   /** Takes in a worker's answer; a new lifetime makes it a new worker. */
   report(worker: WorkerState, lifetime: number, report: WorkerReport): void;
+  /** Notes that a worker gave no answer. */
+  silent(worker: WorkerState): void;
   startAnswered(run: Run, answer: StartAnswer, reason?: string): void;
   stopAnswered(run: Run | undefined): void;
   /** Places what can be placed; orders to stop are given at once. */
   plan(): void;
   /** @returns what has changed since the last batch, if anything has */
   takeBatch(): Batch | undefined;
+  /** @returns how full the workers are and what waits */
+  load(): CellLoad;
   /** Gives the orders that had to wait for a batch to be stored. */
   stored(batch: Batch): void;
 }
@@ -182,11 +186,12 @@
       log.info({ job: spec.id, queue: spec.queue, delay }, "job taken up");
     },
     cancel,
-    list: (entries) => roster.list(entries),
+    list: (listing) => roster.list(listing),
     report: (worker, lifetime, report) => {
       roster.noteLifetime(worker, lifetime);
       worker.hasAnswered = true;
       worker.reportedAt = now();
+      worker.silentSince = undefined;
       applyReport(worker, report, {
         state,
         now: now(),
@@ -200,6 +205,9 @@
         log,
       });
     },
+    silent: (worker) => {
+      worker.silentSince ??= now();
+    },
     startAnswered: (run, answer, reason) => {
       if (!run.worker.runs.has(run)) return;
       if (answer === "started") {
@@ -234,6 +242,7 @@
       roster.expire();
       planner.plan();
     },
+    load: () => planner.load(),
     takeBatch: () => {
       const ends = new Map<WorkerState, number>();
       for (const worker of state.workers.values()) {
--- a/packages/scheduler/src/worker_roster.ts
+++ b/packages/scheduler/src/worker_roster.ts
@@ -26,10 +26,17 @@
   remainingMs: Milliseconds;
 }
 
+/** What the platform lists. */
+export interface WorkerListing {
+  entries: readonly WorkerEntry[];
+  /** Workers whose entries were removed too early for silence: they left. */
+  left: ReadonlySet<string>;
+}
+
 /** Keeps the workers of a cell. */
 export interface WorkerRoster {
   /** Takes in the whole list. */
-  list(entries: readonly WorkerEntry[]): void;
+  list(listing: WorkerListing): void;
   /** Compares the lifetime that a worker names with the one it had. */
   noteLifetime(worker: WorkerState, lifetime: number): void;
   /** Takes over a run that an earlier lead stored. */
@@ -82,6 +89,7 @@
       isDraining: false,
       remainingMs: 0,
       isListed: false,
+      hasLeft: false,
       hasAnswered: false,
       reportedAt: 0,
       leasesEndBy: 0,
@@ -119,7 +127,7 @@
 
   return {
     noteLifetime,
-    list: (entries) => {
+    list: ({ entries, left }) => {
       const listed = new Set(entries.map(({ id }) => id));
       for (const entry of entries) {
         const known = state.workers.get(entry.id);
@@ -148,11 +156,18 @@
           isDraining,
           remainingMs,
           isListed: true,
+          hasLeft: false,
         });
       }
       for (const worker of [...state.workers.values()]) {
         if (listed.has(worker.id)) continue;
-        if (worker.isListed) log.warn({ worker: worker.id }, "worker unlisted");
+        if (worker.isListed) {
+          worker.hasLeft = worker.isDraining && left.has(worker.id);
+          log.warn(
+            { worker: worker.id, left: worker.hasLeft },
+            "worker unlisted",
+          );
+        }
         worker.isListed = false;
         forgetIfGone(worker);
       }
@@ -176,12 +191,15 @@
     },
     expire: () => {
       for (const worker of [...state.workers.values()]) {
-        if (worker.runs.size > 0 && now() > worker.leasesEndBy) {
+        const isGone = worker.hasLeft && worker.silentSince !== undefined;
+        if (worker.runs.size > 0 && (isGone || now() > worker.leasesEndBy)) {
           for (const run of [...worker.runs]) {
             if (run.phase === RunPhase.storing) continue;
             log.warn(
               { worker: worker.id, step: run.step.key, task: run.index },
-              "run given up: its lease has run out",
+              isGone
+                ? "run lost: its worker left"
+                : "run given up: its lease has run out",
             );
             release(state, run);
           }
