--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -89,6 +89,15 @@
 /** A draining worker must stay this much longer than the task needs. */
 const DRAIN_MARGIN_MS: Milliseconds = 300;
 
+/** A claim that was not used after the stops and this time is given up. */
+const CLAIM_MARGIN_MS: Milliseconds = 1_000;
+
+/** Workers whose room was reclaimed for a step. */
+interface Claim {
+  workers: Map<WorkerState, number>;
+  madeAt: Milliseconds;
+}
+
 /**
  * Creates the planner of a cell.
  *
@@ -104,6 +113,8 @@
   };
   /** Capacity that is kept in this pass for work that waits for stops. */
   let pledged = new Map<WorkerState, Resources>();
+  /** Capacity that was reclaimed for a step, until the step is placed. */
+  const claims = new Map<StepState, Claim>();
   let waiting: WaitingStep[] = [];
 
   const expectedOf = (spec: JobSpec, estimateMs: Milliseconds) =>
@@ -157,9 +168,23 @@
     return free;
   };
 
-  const pledge = (assignment: Assignment, step: StepState): void => {
-    for (const worker of assignment.values()) {
-      keep(worker, needsOf(step.spec), 1);
+  const keepClaim = (
+    step: StepState,
+    { workers }: Claim,
+    sign: 1 | -1,
+  ): void => {
+    for (const [worker, slots] of workers) {
+      keep(worker, needsOf(step.spec), sign * slots);
+    }
+  };
+
+  const keepClaims = (): void => {
+    const limit = rules.deployment.stopMs + CLAIM_MARGIN_MS;
+    for (const [step, claim] of claims) {
+      const isUsable = !isOver(step.job) && now() - claim.madeAt < limit &&
+        [...claim.workers.keys()].every(isCandidate);
+      if (isUsable) keepClaim(step, claim, 1);
+      else claims.delete(step);
     }
   };
 
@@ -248,14 +273,29 @@
       penaltyOf,
       mayUseAnyRack: waiting.waitedMs > patience,
     };
-    const assignment = placeStep(step, tasks, {
-      ...view,
-      freeOn: (worker) => freeOn(worker, false),
-    });
+    const claim = claims.get(step);
+    if (claim !== undefined) keepClaim(step, claim, -1);
+    const free = { freeOn: (worker: WorkerState) => freeOn(worker, false) };
+    let assignment: Assignment = new Map();
+    if (claim !== undefined) {
+      const claimed = candidates.filter((worker) => claim.workers.has(worker));
+      assignment = placeStep(step, tasks, {
+        ...view,
+        ...free,
+        candidates: claimed,
+        mayUseAnyRack: true,
+      });
+    }
+    if (assignment.size < tasks.length) {
+      assignment = placeStep(step, tasks, { ...view, ...free });
+    }
     if (assignment.size > 0) startRuns(step, assignment);
+    if (assignment.size === tasks.length) claims.delete(step);
+    else if (claim !== undefined) keepClaim(step, claim, 1);
     const rest = tasks.filter((task) => !assignment.has(task));
     if (rest.length === 0 || queue.priority !== 0) return;
     const isDue = waiting.waitedMs > reclaimMs - stopMs - RECLAIM_MARGIN_MS;
+    if (claims.has(step)) return;
     if (isGuaranteed && isDue) {
       reclaim(step, rest, queue.priority, {
         ...view,
@@ -293,6 +333,7 @@
     if (assignment.size < tasks.length) {
       const victims = chooseVictims(step, tasks.length, {
         candidates: view.candidates,
+        freeOn: view.freeOn,
         now: now(),
         isVictim: (run) => {
           const queue = rules.queues.get(run.step.job.spec.queue);
@@ -305,7 +346,14 @@
       }
       assignment = placeStep(step, tasks, { ...view, mayUseAnyRack: true });
     }
-    pledge(assignment, step);
+    const workers = new Map<WorkerState, number>();
+    for (const worker of assignment.values()) {
+      workers.set(worker, (workers.get(worker) ?? 0) + 1);
+    }
+    if (workers.size === 0) return;
+    const claim = { workers, madeAt: now() };
+    claims.set(step, claim);
+    keepClaim(step, claim, 1);
   };
 
   const startRuns = (step: StepState, assignment: Assignment): void => {
@@ -334,6 +382,8 @@
         run: number,
         tasks: assignment.size,
         of: step.spec.taskCount,
+        accelerators: step.spec.accelerators,
+        milliCores: step.spec.milliCores,
         workers,
         waitedMs: Math.round(placedAt - step.job.since),
       },
@@ -390,6 +440,7 @@
     },
     plan: () => {
       pledged = new Map();
+      keepClaims();
       evacuate();
       for (const run of findStuckRuns(state)) {
         const { worker, step } = run;
--- a/packages/scheduler/src/preemption.ts
+++ b/packages/scheduler/src/preemption.ts
@@ -3,7 +3,6 @@
   needsOf,
   type Resources,
   type Run,
-  RunPhase,
   type StepState,
   type WorkerState,
 } from "./cell_state.ts";
@@ -12,6 +11,8 @@
 /** What a preemption may use. */
 export interface PreemptionView {
   candidates: readonly WorkerState[];
+  /** Capacity that is free or becomes free by stops that were ordered. */
+  freeOn(worker: WorkerState): Resources;
   /** Whether a run may be stopped for this step. */
   isVictim(run: Run): boolean;
   now: Milliseconds;
@@ -75,7 +76,7 @@
   const taken = new Set<Run>();
   const room = new Map<WorkerState, number>();
   const roomOn = (worker: WorkerState): number =>
-    Math.min(limit, countFitting(needs, freeWithout(worker, taken)));
+    Math.min(limit, countFitting(needs, freeWithout(worker, taken, view)));
   let total = 0;
   for (const worker of workers) {
     const slots = roomOn(worker);
@@ -113,7 +114,7 @@
   taken: ReadonlySet<Run>,
   view: PreemptionView,
 ): Run[] | undefined {
-  const before = countFitting(needs, freeWithout(worker, taken));
+  const before = countFitting(needs, freeWithout(worker, taken, view));
   const victims = [...worker.runs]
     .filter((run) => !taken.has(run) && view.isVictim(run))
     .map((run) => ({ run, cost: costOf(run, view.now) }))
@@ -123,7 +124,9 @@
   for (const { run } of victims) {
     chosen.add(run);
     own.push(run);
-    if (countFitting(needs, freeWithout(worker, chosen)) > before) return own;
+    if (countFitting(needs, freeWithout(worker, chosen, view)) > before) {
+      return own;
+    }
   }
   return undefined;
 }
@@ -133,15 +136,14 @@
   return wasteOf(step.spec.isGang ? step.runs.values() : [run], now);
 }
 
-function freeWithout(worker: WorkerState, taken: ReadonlySet<Run>): Resources {
-  const free = {
-    milliCores: worker.capacity.milliCores - worker.used.milliCores,
-    memoryMegabytes: worker.capacity.memoryMegabytes -
-      worker.used.memoryMegabytes,
-    accelerators: worker.capacity.accelerators - worker.used.accelerators,
-  };
+function freeWithout(
+  worker: WorkerState,
+  taken: ReadonlySet<Run>,
+  view: PreemptionView,
+): Resources {
+  const free = { ...view.freeOn(worker) };
   for (const run of worker.runs) {
-    if (run.phase !== RunPhase.stopping && !taken.has(run)) continue;
+    if (!taken.has(run)) continue;
     const needs = needsOf(run.step.spec);
     free.milliCores += needs.milliCores;
     free.memoryMegabytes += needs.memoryMegabytes;
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -132,7 +132,12 @@
   function ended(run: Run, end: RunEnd): void {
     const { step, worker } = run;
     const { spec } = step.job;
-    log.info({ ...describeRun(run), end }, "run ended");
+    const ranMs = Math.round(now() - run.placedAt);
+    const { percent, stopReason } = run;
+    log.info(
+      { ...describeRun(run), end, ranMs, percent, stopReason },
+      "run ended",
+    );
     const declared = {
       account: spec.account,
       class: spec.queue,
@@ -140,7 +145,7 @@
     };
     if (end === "done") {
       const factor = planner.slownessOf(run);
-      if (factor === 1) runTimes.learn(declared, now() - run.placedAt);
+      if (factor === 1) runTimes.learn(declared, ranMs);
     }
     if (end !== "done" && end !== "failed") return;
     const task = {
