--- a/packages/scheduler/src/stuck_runs.ts
+++ b/packages/scheduler/src/stuck_runs.ts
@@ -17,6 +17,8 @@
         continue;
       }
       if (run.step.spec.isLongRunning) continue;
+      // Members of a gang end together; one that is done waits for the others.
+      if (run.percent >= 100) continue;
       const limit = Math.max(
         STUCK_MS,
         STUCK_SHARE * run.step.spec.estimateMs,
