--- /dev/null
+++ b/packages/scheduler/__tests__/cell_fixture.ts
@@ -0,0 +1,199 @@
+import { createManualClock, silentLogger } from "@rattanhill/shared";
+import {
+  createJobBook,
+  createScheduler,
+  type JobSpec,
+  type Order,
+  type QueueRules,
+  type RunEnd,
+  type StepSpec,
+  taskOf,
+  type WorkerEntry,
+} from "../src/mod.ts";
+import { createFakeWorker, type FakeWorker } from "./fake_worker.ts";
+
+/** @returns a step with small needs */
+export function step(changes: Partial<StepSpec> = {}): StepSpec {
+  return {
+    taskCount: 1,
+    milliCores: 1000,
+    memoryMegabytes: 100,
+    accelerators: 1,
+    estimateMs: 1000,
+    after: [],
+    ...changes,
+  };
+}
+
+/** @returns a job with one step */
+export function job(id: string, changes: Partial<JobSpec> = {}): JobSpec {
+  return {
+    id,
+    queue: "normal",
+    account: "routes",
+    payload: "payload",
+    steps: [step()],
+    submittedAt: 0,
+    service: "planner",
+    ...changes,
+  };
+}
+
+/** Rules of a queue with a priority and attempts. */
+export function queue(name: string, priority: number): QueueRules {
+  return {
+    name,
+    service: "planner",
+    priority,
+    maximumAttempts: 3,
+    stretch: 2,
+    targetMs: 500,
+  };
+}
+
+const RULES = {
+  queues: new Map([
+    ["urgent", queue("urgent", 0)],
+    ["normal", queue("normal", 1)],
+    ["batch", queue("batch", 2)],
+  ]),
+  guarantees: new Map([["routes", 16]]),
+  deployment: { remoteFactor: 3, reclaimMs: 3000, stopMs: 500 },
+};
+const WORKERS_PER_RACK = 2;
+const CAPACITY = {
+  milliCores: 32_000,
+  memoryMegabytes: 64_000,
+  accelerators: 8,
+};
+
+/** A cell whose workers answer at once, with a clock that is moved by the test. */
+export function createCell({ workers = 2 }: { workers?: number } = {}) {
+  const clock = createManualClock(100_000);
+  const fleet = new Map<string, FakeWorker>();
+  const entries: WorkerEntry[] = [];
+  const orders: Order[] = [];
+  const records: string[] = [];
+  const book = createJobBook();
+  const TERM = 1;
+  for (let index = 0; index < workers; index++) {
+    const id = `w${index}`;
+    fleet.set(id, createFakeWorker(id));
+    entries.push({
+      id,
+      lifetime: 1,
+      service: "planner",
+      address: id,
+      zone: "z",
+      labels: ["a", rackOf(index)],
+      rack: rackOf(index),
+      capacity: CAPACITY,
+      isDraining: false,
+      remainingMs: 0,
+    });
+  }
+  const scheduler = createScheduler({
+    now: clock.now,
+    wallTime: clock.wallTime,
+    order: (order) => orders.push(order),
+    log: silentLogger,
+  });
+  scheduler.setRules(RULES);
+
+  const list = (left: string[] = []) =>
+    scheduler.list({ entries, left: new Set(left) });
+  const lookAt = (id: string) => {
+    const known = scheduler.state.workers.get(id)!;
+    const worker = fleet.get(id)!;
+    const leaseUntil = clock.now() + 10_000;
+    const answer = worker.hold(TERM, known.storedEnd, leaseUntil, clock.now());
+    known.leasesEndBy = leaseUntil + 500;
+    if (answer === undefined) return;
+    scheduler.report(known, worker.lifetime, {
+      askedAt: clock.now(),
+      ...answer,
+    });
+  };
+  const look = () => [...fleet.keys()].forEach(lookAt);
+  /** Stores what has changed; orders that had to wait are given. */
+  const save = () => {
+    const batch = scheduler.takeBatch();
+    if (batch === undefined) return;
+    for (const record of batch.records) {
+      records.push(record.kind);
+      book.apply(record);
+    }
+    scheduler.stored(batch);
+  };
+  const carryOut = (order: Order) => {
+    if (order.kind === "stop") {
+      fleet.get(order.worker.id)!.stop(TERM, order.task, order.number);
+      return scheduler.stopAnswered(order.run);
+    }
+    const { run } = order;
+    const answer = fleet.get(run.worker.id)!.start(
+      TERM,
+      {
+        task: taskOf(run),
+        number: run.number,
+        checkpoint: run.checkpoint,
+        percent: 0,
+      },
+      clock.now() + 10_000,
+      clock.now(),
+    );
+    run.worker.leasesEndBy = clock.now() + 10_500;
+    scheduler.startAnswered(run, answer === "started" ? "started" : "refused");
+  };
+  /** Plans, stores, and lets workers carry out every order, until nothing changes. */
+  const settle = () => {
+    for (let round = 0; round < 10; round++) {
+      clock.advance(1);
+      look();
+      scheduler.plan();
+      save();
+      for (const order of orders.splice(0)) carryOut(order);
+    }
+  };
+  const runs = (jobId: string) =>
+    [...fleet.values()].flatMap((worker) =>
+      [...worker.running.values()]
+        .filter(({ task }) => task.job === jobId)
+        .map((run) => ({ worker: worker.id, ...run }))
+    );
+  /** Ends every run of a job. */
+  const end = (jobId: string, how: RunEnd, checkpoint?: string) => {
+    for (const { worker, task } of runs(jobId)) {
+      fleet.get(worker)!.end(task, how, checkpoint);
+    }
+  };
+  const submit = (spec: JobSpec) => {
+    const submitted = { ...spec, submittedAt: clock.wallTime() };
+    book.apply({ kind: "submission", spec: submitted });
+    scheduler.submit(submitted);
+  };
+  list();
+  look();
+
+  return {
+    scheduler,
+    clock,
+    fleet,
+    entries,
+    orders,
+    records,
+    book,
+    list,
+    look,
+    lookAt,
+    save,
+    settle,
+    runs,
+    end,
+    submit,
+  };
+}
+
+function rackOf(index: number): string {
+  return `r${Math.floor(index / WORKERS_PER_RACK)}`;
+}
--- /dev/null
+++ b/packages/scheduler/__tests__/job_book.test.ts
@@ -0,0 +1,76 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import {
+  type CellRecord,
+  createJobBook,
+  decodeRecord,
+  encodeRecord,
+} from "../src/mod.ts";
+import { job } from "./cell_fixture.ts";
+
+const RECORDS: CellRecord[] = [
+  { kind: "submission", spec: job("a") },
+  {
+    kind: "progress",
+    step: "a.0.0",
+    progress: {
+      highestRun: 2,
+      done: [0],
+      runs: [[1, 2, "w", 7]],
+      failures: [[1, 1]],
+      checkpoints: [[1, "c"]],
+    },
+  },
+  { kind: "outcome", job: "a", outcome: "failed", at: 5 },
+];
+
+it("book: records of a job may come in any order and more than once", () => {
+  const order = fc.shuffledSubarray([...RECORDS, ...RECORDS], {
+    minLength: 6,
+  });
+  fc.assert(fc.property(order, (records) => {
+    const book = createJobBook();
+    records.forEach(book.apply);
+    expect(book.stateOf("a")).to.equal("failed");
+    expect(book.pending("normal")).to.equal(0);
+    expect(book.find("a")!.steps.size).to.equal(1);
+  }));
+});
+
+it("book: each job and each cancellation is told once", () => {
+  const told: string[] = [];
+  const book = createJobBook({
+    submitted: ({ id }) => told.push(id),
+    cancelled: (id) => told.push(`-${id}`),
+  });
+  const cancellation = { kind: "cancellation", job: "a" } as const;
+  for (const record of [cancellation, RECORDS[0], RECORDS[0], cancellation]) {
+    book.apply(record);
+  }
+  expect(told).to.deep.equal(["a", "-a"]);
+});
+
+it("book: pending counts accepted jobs of which nothing has started", () => {
+  const book = createJobBook();
+  book.apply({ kind: "submission", spec: job("a") });
+  book.apply({ kind: "submission", spec: job("b") });
+  expect(book.pending("normal")).to.equal(2);
+  book.apply(RECORDS[1]);
+  book.apply({ kind: "cancellation", job: "b" });
+  expect(book.pending("normal")).to.equal(0);
+});
+
+it("records: what is encoded is decoded", () => {
+  for (const record of RECORDS) {
+    const [{ key, value }] = encodeRecord(record);
+    expect(decodeRecord(key, value)).to.deep.equal(record);
+  }
+});
+
+it("records: a removal drops every key of its job", () => {
+  const removal = { kind: "removal", job: "a", steps: ["a.0.0"] } as const;
+  const keys = encodeRecord({ ...removal, steps: ["a.0.0"] })
+    .map(({ key }) => key);
+  const stored = RECORDS.flatMap(encodeRecord).map(({ key }) => key);
+  expect(keys).to.include.members(stored);
+});
--- /dev/null
+++ b/packages/scheduler/__tests__/scheduler.test.ts
@@ -0,0 +1,239 @@
+import { expect } from "chai";
+import { createCell, job, step } from "./cell_fixture.ts";
+
+it("scheduler: a start is ordered only once it is stored", () => {
+  const cell = createCell();
+  cell.submit(job("a"));
+  cell.scheduler.plan();
+  expect(cell.orders).to.deep.equal([]);
+  cell.save();
+  expect(cell.orders.map(({ kind }) => kind)).to.deep.equal(["start"]);
+});
+
+it("scheduler: an end is acknowledged only once it is stored", () => {
+  const cell = createCell({ workers: 1 });
+  cell.submit(job("a"));
+  cell.settle();
+  cell.end("a", "done");
+  cell.look();
+  const worker = cell.scheduler.state.workers.get("w0")!;
+  expect([worker.handledEnd, worker.storedEnd]).to.deep.equal([1, 0]);
+  cell.save();
+  expect(worker.storedEnd).to.equal(1);
+});
+
+it("scheduler: a job is completed when every task is done", () => {
+  const cell = createCell();
+  cell.submit(job("a", { steps: [step({ taskCount: 3 })] }));
+  cell.settle();
+  expect(cell.book.stateOf("a")).to.equal("running");
+  cell.end("a", "done");
+  cell.settle();
+  expect(cell.book.stateOf("a")).to.equal("completed");
+  expect(cell.scheduler.state.jobs.size).to.equal(0);
+});
+
+it("scheduler: a step waits for the steps before it", () => {
+  const cell = createCell();
+  const steps = [step(), step({ after: [0] })];
+  cell.submit(job("a", { steps }));
+  cell.settle();
+  expect(cell.runs("a").map(({ task }) => task.step)).to.deep.equal([0]);
+  cell.end("a", "done");
+  cell.settle();
+  expect(cell.runs("a").map(({ task }) => task.step)).to.deep.equal([1]);
+});
+
+it("scheduler: an occurrence does not start before it is due", () => {
+  const cell = createCell();
+  const startAt = cell.clock.wallTime() + 5_000;
+  const repetition = { count: 2, startAt, intervalMs: 1_000 };
+  cell.submit(job("a", { repetition }));
+  cell.settle();
+  expect(cell.runs("a")).to.deep.equal([]);
+  cell.clock.advance(5_000);
+  cell.settle();
+  expect(cell.runs("a").map(({ task }) => task.occurrence)).to.deep.equal([0]);
+  cell.clock.advance(1_000);
+  cell.settle();
+  expect(cell.runs("a")).to.have.length(2);
+});
+
+it("scheduler: a failed task is tried elsewhere until its attempts are used up", () => {
+  const cell = createCell({ workers: 4 });
+  cell.submit(job("a"));
+  const used = new Set<string>();
+  for (let attempt = 0; attempt < 3; attempt++) {
+    cell.settle();
+    expect(cell.book.stateOf("a")).to.equal("running");
+    used.add(cell.runs("a")[0].worker);
+    cell.end("a", "failed");
+  }
+  cell.settle();
+  expect(used.size).to.equal(3);
+  expect(cell.book.stateOf("a")).to.equal("failed");
+  expect(cell.runs("a")).to.deep.equal([]);
+});
+
+it("scheduler: a gang's failure counts once and its members restart together", () => {
+  const cell = createCell({ workers: 4 });
+  const gang = step({ taskCount: 3, isGang: true });
+  cell.submit(job("a", { steps: [gang] }));
+  cell.settle();
+  const [first, ...others] = cell.runs("a");
+  cell.fleet.get(first.worker)!.end(first.task, "failed");
+  for (const { worker, task } of others) {
+    cell.fleet.get(worker)!.end(task, "broken");
+  }
+  cell.settle();
+  const state = [...cell.scheduler.state.jobs.get("a")!.steps.values()][0];
+  expect(state.failures.get(0)).to.equal(1);
+  expect(cell.runs("a").map(({ number }) => number)).to.deep.equal([2, 2, 2]);
+});
+
+it("scheduler: a gang that does not fit is not started in part", () => {
+  const cell = createCell({ workers: 2 });
+  cell.submit(
+    job("a", {
+      steps: [step({ taskCount: 3, accelerators: 8, isGang: true })],
+    }),
+  );
+  cell.settle();
+  expect(cell.runs("a")).to.deep.equal([]);
+});
+
+it("scheduler: one done member ends the whole gang", () => {
+  const cell = createCell();
+  cell.submit(job("a", { steps: [step({ taskCount: 2, isGang: true })] }));
+  cell.settle();
+  const [first] = cell.runs("a");
+  cell.fleet.get(first.worker)!.end(first.task, "done");
+  cell.settle();
+  expect(cell.book.stateOf("a")).to.equal("completed");
+});
+
+it("scheduler: a task goes on from its newest checkpoint", () => {
+  const cell = createCell();
+  cell.submit(job("a", { steps: [step({ isCheckpointing: true })] }));
+  cell.settle();
+  cell.end("a", "lapsed", "c1");
+  cell.settle();
+  expect(cell.runs("a")[0].checkpoint).to.equal("c1");
+});
+
+it("scheduler: a cancelled job is stopped and never started again", () => {
+  const cell = createCell();
+  cell.submit(job("a", { steps: [step({ taskCount: 2 })] }));
+  cell.settle();
+  cell.scheduler.cancel("a");
+  cell.settle();
+  expect(cell.runs("a")).to.deep.equal([]);
+  expect(cell.book.stateOf("a")).to.equal("cancelled");
+});
+
+it("scheduler: a start that is withdrawn while it is stored is not ordered", () => {
+  const cell = createCell();
+  cell.submit(job("a"));
+  cell.scheduler.plan();
+  const batch = cell.scheduler.takeBatch()!;
+  cell.scheduler.cancel("a");
+  cell.scheduler.stored(batch);
+  expect(cell.orders.filter(({ kind }) => kind === "start")).to.deep.equal([]);
+});
+
+it("scheduler: a start without an answer is withdrawn before the task is placed again", () => {
+  const cell = createCell();
+  cell.submit(job("a"));
+  cell.scheduler.plan();
+  cell.save();
+  const [order] = cell.orders.splice(0);
+  if (order.kind !== "start") throw new Error("expected a start");
+  cell.scheduler.startAnswered(order.run, "uncertain");
+  cell.scheduler.plan();
+  cell.save();
+  expect(cell.orders.map(({ kind }) => kind)).to.deep.equal(["stop"]);
+  cell.scheduler.stopAnswered(order.run);
+  cell.settle();
+  expect(cell.runs("a").map(({ number }) => number)).to.deep.equal([2]);
+});
+
+it("scheduler: runs of a silent worker are given up only when its leases have run out", () => {
+  const cell = createCell({ workers: 1 });
+  cell.submit(job("a"));
+  cell.settle();
+  const worker = cell.scheduler.state.workers.get("w0")!;
+  cell.scheduler.silent(worker);
+  cell.entries.splice(0);
+  cell.list();
+  cell.clock.advance(9_000);
+  cell.scheduler.plan();
+  expect(worker.runs.size).to.equal(1);
+  cell.clock.advance(2_000);
+  cell.scheduler.plan();
+  expect(worker.runs.size).to.equal(0);
+});
+
+it("scheduler: runs of a worker that drained and left are lost at once", () => {
+  const cell = createCell({ workers: 1 });
+  cell.submit(job("a"));
+  cell.settle();
+  cell.entries[0] = { ...cell.entries[0], isDraining: true };
+  cell.list();
+  const worker = cell.scheduler.state.workers.get("w0")!;
+  cell.entries.splice(0);
+  cell.list(["w0"]);
+  cell.scheduler.silent(worker);
+  cell.scheduler.plan();
+  expect(worker.runs.size).to.equal(0);
+});
+
+it("scheduler: nothing is placed on a worker that drains", () => {
+  const cell = createCell({ workers: 1 });
+  cell.entries[0] = { ...cell.entries[0], isDraining: true };
+  cell.list();
+  cell.submit(job("a"));
+  cell.settle();
+  expect(cell.runs("a")).to.deep.equal([]);
+});
+
+it("scheduler: a restarted worker rejects late orders before its tasks move", () => {
+  const cell = createCell({ workers: 1 });
+  cell.submit(job("a"));
+  cell.settle();
+  cell.fleet.get("w0")!.crash();
+  cell.lookAt("w0");
+  expect(cell.orders.map(({ kind }) => kind)).to.deep.equal(["stop"]);
+  cell.scheduler.plan();
+  expect(cell.scheduler.state.workers.get("w0")!.runs.size).to.equal(1);
+  cell.settle();
+  expect(cell.runs("a").map(({ number }) => number)).to.deep.equal([2]);
+});
+
+it("scheduler: a run that makes no progress is moved", () => {
+  const cell = createCell();
+  cell.submit(job("a"));
+  cell.settle();
+  const before = cell.runs("a")[0].worker;
+  cell.clock.advance(3_500);
+  cell.settle();
+  expect(cell.runs("a")[0].worker).not.to.equal(before);
+});
+
+it("scheduler: a gang member that is done and waits for the others is not stuck", () => {
+  const cell = createCell();
+  cell.submit(job("a", { steps: [step({ taskCount: 2, isGang: true })] }));
+  cell.settle();
+  const advance = (percents: number[]) => {
+    const runs = cell.runs("a");
+    runs.forEach(({ worker, task }, index) => {
+      const name = `${task.job}.${task.occurrence}.${task.step}.${task.index}`;
+      cell.fleet.get(worker)!.running.get(name)!.percent = percents[index];
+    });
+    cell.settle();
+  };
+  for (let percent = 50; percent < 100; percent += 5) {
+    advance([100, percent]);
+    cell.clock.advance(1_000);
+  }
+  expect(cell.runs("a").map(({ number }) => number)).to.deep.equal([1, 1]);
+});
