--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -108,6 +108,13 @@
     options.report(answer.lifetime, { askedAt, running, ended });
   };
 
+  /** Asks at once, beside the question that is waiting for an end. */
+  const lookNow = (): void => {
+    hold(0).catch((error) =>
+      log.warn({ worker: worker.id, error: describeError(error) }, "no look")
+    );
+  };
+
   const waitForStore = (): Promise<void> =>
     new Promise((resolve) => {
       const timer = setTimeout(resolve, STORED_WAIT_MS);
@@ -188,7 +195,9 @@
         }
       }
     }
-    if (!isClosed) options.startAnswered(target, "uncertain");
+    if (isClosed) return;
+    options.startAnswered(target, "uncertain");
+    lookNow();
   };
 
   /** Repeats a stop until the worker has taken note, or the run is released. */
--- a/packages/scheduler/__tests__/scheduler.test.ts
+++ b/packages/scheduler/__tests__/scheduler.test.ts
@@ -149,6 +149,8 @@
   const [order] = cell.orders.splice(0);
   if (order.kind !== "start") throw new Error("expected a start");
   cell.scheduler.startAnswered(order.run, "uncertain");
+  cell.clock.advance(1);
+  cell.look();
   cell.scheduler.plan();
   cell.save();
   expect(cell.orders.map(({ kind }) => kind)).to.deep.equal(["stop"]);
@@ -157,6 +159,18 @@
   expect(cell.runs("a").map(({ number }) => number)).to.deep.equal([2]);
 });
 
+it("scheduler: a start without an answer that was carried out goes on", () => {
+  const cell = createCell();
+  cell.submit(job("a"));
+  cell.settle();
+  const [run] = [...cell.scheduler.state.workers.values()].flatMap((worker) => [
+    ...worker.runs,
+  ]);
+  cell.scheduler.startAnswered(run, "uncertain");
+  cell.settle();
+  expect(cell.runs("a").map(({ number }) => number)).to.deep.equal([1]);
+});
+
 it("scheduler: runs of a silent worker are given up only when its leases have run out", () => {
   const cell = createCell({ workers: 1 });
   cell.submit(job("a"));
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -37,6 +37,8 @@
   placedAt: Milliseconds;
   /** Monotonic time; a later question answered without the run proves that it is gone. */
   provableFrom?: Milliseconds;
+  /** Monotonic time from which its start is known to have no answer. */
+  uncertainSince?: Milliseconds;
   /** Share of its work that is done, 0 to 100. */
   percent: number;
   /** Monotonic time at which `percent` last changed. */
--- a/packages/scheduler/src/run_ends.ts
+++ b/packages/scheduler/src/run_ends.ts
@@ -89,7 +89,17 @@
     noteRunning(run, reported, now);
   }
   for (const run of [...worker.runs]) {
-    if (seen.has(run) || !isCertainlyGone(run, report.askedAt)) continue;
+    if (seen.has(run)) continue;
+    if (
+      run.uncertainSince !== undefined && run.uncertainSince < report.askedAt
+    ) {
+      // Its start may still arrive; a stop makes the worker reject it.
+      options.stop(run, "no answer to its start");
+      for (const member of run.step.spec.isGang ? run.step.runs.values() : []) {
+        options.stop(member, "a member of the gang was not started");
+      }
+    }
+    if (!isCertainlyGone(run, report.askedAt)) continue;
     options.log.warn(
       {
         job: run.step.job.spec.id,
@@ -168,6 +178,7 @@
 function noteRunning(run: Run, reported: ReportedRun, now: Milliseconds): void {
   if (run.phase === RunPhase.ordered) run.phase = RunPhase.running;
   run.provableFrom ??= now;
+  run.uncertainSince = undefined;
   if (reported.percent !== run.percent) {
     run.percent = reported.percent;
     run.percentAt = now;
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -227,14 +227,15 @@
       const { step, worker } = run;
       if (answer === "uncertain") {
         worker.closedUntil = now() + CLOSED_AFTER_SILENCE_MS;
-        stop(run, "no answer to its start");
-      } else {
-        worker.closedUntil = now() +
-          (answer === "unhealthy"
-            ? CLOSED_AFTER_SILENCE_MS
-            : CLOSED_AFTER_REFUSAL_MS);
-        release(state, run);
+        // The next report tells whether the worker has it.
+        run.uncertainSince = now();
+        return;
       }
+      worker.closedUntil = now() +
+        (answer === "unhealthy"
+          ? CLOSED_AFTER_SILENCE_MS
+          : CLOSED_AFTER_REFUSAL_MS);
+      release(state, run);
       if (!step.spec.isGang) return;
       for (const member of [...step.runs.values()]) {
         stop(member, "a member of the gang was not started");
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -1,4 +1,5 @@
 export * from "./audit.ts";
+export * from "./http_service.ts";
 export * from "./caller.ts";
 export * from "./launcher.ts";
 export * from "./lease_table.ts";
