--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -24,7 +24,7 @@
 } from "./order_of_work.ts";
 import { type Assignment, placeStep } from "./placement.ts";
 import { chooseVictims } from "./preemption.ts";
-import { reserveSoonest } from "./reservation.ts";
+import { type Reservation, reserveSoonest } from "./reservation.ts";
 import { findStuckRuns } from "./stuck_runs.ts";
 
 /** Rules of the operators that planning needs. */
@@ -89,6 +89,8 @@
 /** A draining worker must stay this much longer than the task needs. */
 const DRAIN_MARGIN_MS: Milliseconds = 300;
 
+/** More of them would leave too many workers idle. */
+const MAXIMUM_RESERVATIONS = 2;
 /** A claim that was not used after the stops and this time is given up. */
 const CLAIM_MARGIN_MS: Milliseconds = 1_000;
 
@@ -113,6 +115,8 @@
   };
   /** Capacity that is kept in this pass for work that waits for stops. */
   let pledged = new Map<WorkerState, Resources>();
+  /** Room that is kept in this pass for large work that is not urgent. */
+  let reservations: (Reservation & { step: StepState })[] = [];
   /** Capacity that was reclaimed for a step, until the step is placed. */
   const claims = new Map<StepState, Claim>();
   let waiting: WaitingStep[] = [];
@@ -261,7 +265,7 @@
     const service = [...state.workers.values()].filter((worker) =>
       worker.isListed && worker.service === name
     );
-    const candidates = service.filter(isCandidate);
+    const candidates = withoutReserved(service.filter(isCandidate), waiting);
     const { remoteFactor, reclaimMs, stopMs } = rules.deployment;
     const isGuaranteed = waiting.rank.group === Group.guaranteed;
     const patience = isGuaranteed
@@ -293,7 +297,17 @@
     if (assignment.size === tasks.length) claims.delete(step);
     else if (claim !== undefined) keepClaim(step, claim, 1);
     const rest = tasks.filter((task) => !assignment.has(task));
-    if (rest.length === 0 || queue.priority !== 0) return;
+    if (rest.length === 0) return;
+    if (queue.priority !== 0) {
+      if (!step.spec.isGang || reservations.length >= MAXIMUM_RESERVATIONS) {
+        return;
+      }
+      const reservation = findRoom(step, rest.length, candidates);
+      if (reservation !== undefined) {
+        reservations.push({ step, ...reservation });
+      }
+      return;
+    }
     const isDue = waiting.waitedMs > reclaimMs - stopMs - RECLAIM_MARGIN_MS;
     if (claims.has(step)) return;
     if (isGuaranteed && isDue) {
@@ -302,24 +316,37 @@
         freeOn: (worker) => freeOn(worker, true),
       });
     } else {
-      reserveRoom(step, rest.length, candidates);
+      const room = findRoom(step, rest.length, candidates);
+      for (const [worker, slots] of room?.slots ?? []) {
+        keep(worker, needsOf(step.spec), slots);
+      }
     }
   };
 
-  /** Keeps lower work off the workers that will have room for the step first. */
-  const reserveRoom = (
+  /** Finds the workers that will have room for the step first. */
+  const findRoom = (
     step: StepState,
     count: number,
     candidates: readonly WorkerState[],
-  ): void => {
-    const reservation = reserveSoonest(step, count, {
+  ): Reservation | undefined =>
+    reserveSoonest(step, count, {
       candidates,
       remainingOf,
       freeOn: (worker) => freeOn(worker, false),
     });
-    for (const [worker, slots] of reservation?.slots ?? []) {
-      keep(worker, needsOf(step.spec), slots);
-    }
+
+  /** Workers that a task may use beside what is reserved for steps before it. */
+  const withoutReserved = (
+    workers: readonly WorkerState[],
+    waiting: WaitingStep,
+  ): readonly WorkerState[] => {
+    const blocking = reservations.filter(({ step, startsInMs }) =>
+      step !== waiting.step && waiting.expectedMs > startsInMs
+    );
+    if (blocking.length === 0) return workers;
+    return workers.filter((worker) =>
+      !blocking.some(({ slots }) => slots.has(worker))
+    );
   };
 
   /** Stops work of lower priority for guaranteed tasks and keeps the room for them. */
@@ -440,6 +467,7 @@
     },
     plan: () => {
       pledged = new Map();
+      reservations = [];
       keepClaims();
       evacuate();
       for (const run of findStuckRuns(state)) {
