feat(scheduler): urgent work stops cheap victims early; faster change of the lead

Urgent work may now throw away up to a quarter of its own work before its bound requires it. An earlier process of the same VM no longer counts as a living lead, and the lead's lease is 1.5 s.

--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -43,8 +43,10 @@
 
 /** Options of {@link createCellEntry}. */
 export interface CellEntryOptions {
-  /** Name of this process, different in each of its lives. */
-  name: string;
+  /** The VM of this process. */
+  node: string;
+  /** Tells the lives of this VM's processes apart. */
+  incarnation: string;
   cell: number;
   store: Store;
   clock: Clock;
@@ -132,7 +134,8 @@
   const lease = createLeadLease({
     store,
     topic: leadTopic(options.cell),
-    holder: options.name,
+    node: options.node,
+    incarnation: options.incarnation,
     clock,
     log,
     random: options.random,
@@ -216,7 +219,7 @@
       await lease.release();
     },
     dump: () => ({
-      name: options.name,
+      node: options.node,
       isReady: isReady(),
       version: config?.config.version,
       lead: lease.holder(),
--- a/packages/cell/src/lead_lease.ts
+++ b/packages/cell/src/lead_lease.ts
@@ -25,8 +25,10 @@
 export interface LeadLeaseOptions {
   store: Store;
   topic: string;
-  /** Name of this process, different in each of its lives. */
-  holder: string;
+  /** The VM of this process; at most one process of it lives at a time. */
+  node: string;
+  /** Tells the lives of this VM's processes apart. */
+  incarnation: string;
   clock: Clock;
   log: Logger;
   /** Uniform random number from 0 to 1. */
@@ -40,11 +42,11 @@
 }
 
 /** How long a lead is valid after the start of its renewal. */
-export const LEAD_LEASE_MS: Milliseconds = 2_000; // three renewals may fail
-const RENEWAL_MS: Milliseconds = 500;
+export const LEAD_LEASE_MS: Milliseconds = 1_500; // two renewals may fail
+const RENEWAL_MS: Milliseconds = 400;
 /** A lead stops this long before a successor may start. */
 const SAFETY_MS: Milliseconds = 150; // covers timers that fire late
-const APPEND_TIMEOUT_MS: Milliseconds = 700;
+const APPEND_TIMEOUT_MS: Milliseconds = 600; // a store slowed sixtyfold takes 0.3 s
 const CHECK_MS: Milliseconds = 100;
 const CONTEST_JITTER_MS: Milliseconds = 60; // keeps candidates from contesting in the same moment
 
@@ -63,7 +65,8 @@
  * @returns the lease
  */
 export function createLeadLease(options: LeadLeaseOptions): LeadLease {
-  const { store, topic, holder, clock, log, random } = options;
+  const { store, topic, node, clock, log, random } = options;
+  const holder = `${node}/${options.incarnation}`;
   let newest: LeadRecord | undefined;
   let end = 0;
   /** Time at which the newest record was seen; its writer's lease is shorter. */
@@ -186,6 +189,8 @@
     if (!follower.isLoaded() || held !== undefined) return false;
     if (follower.age() > MAXIMUM_AGE_MS || !options.mayLead()) return false;
     if (newest === undefined || newest.isReleased) return true;
+    // The lead was an earlier process of this VM, which has ended.
+    if (newest.holder.startsWith(`${node}/`)) return true;
     return clock.now() - seenAt > LEAD_LEASE_MS;
   };
 
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -22,8 +22,8 @@
   runnableSteps,
   type WaitingStep,
 } from "./order_of_work.ts";
-import { type Assignment, placeStep } from "./placement.ts";
-import { chooseVictims } from "./preemption.ts";
+import { type Assignment, type PlacementView, placeStep } from "./placement.ts";
+import { chooseVictims, wasteOf, workOf } from "./preemption.ts";
 import { type Reservation, reserveSoonest } from "./reservation.ts";
 import { findStuckRuns } from "./stuck_runs.ts";
 
@@ -89,6 +89,10 @@
 /** A draining worker must stay this much longer than the task needs. */
 const DRAIN_MARGIN_MS: Milliseconds = 300;
 
+/** Wait after which urgent work stops others cheaply; most room comes free by itself before. */
+const CHEAP_RECLAIM_MS: Milliseconds = 150;
+/** Largest share of its own work that urgent work may throw away of others. */
+const CHEAP_SHARE = 0.25; // a late urgent job loses about a fifth of its value
 /** More of them would leave too many workers idle. */
 const MAXIMUM_RESERVATIONS = 2;
 /** A claim that was not used after the stops and this time is given up. */
@@ -310,19 +314,27 @@
     }
     const isDue = waiting.waitedMs > reclaimMs - stopMs - RECLAIM_MARGIN_MS;
     if (claims.has(step)) return;
-    if (isGuaranteed && isDue) {
-      reclaim(step, rest, queue.priority, {
-        ...view,
-        freeOn: (worker) => freeOn(worker, true),
-      });
-    } else {
-      const room = findRoom(step, rest.length, candidates);
-      for (const [worker, slots] of room?.slots ?? []) {
-        keep(worker, needsOf(step.spec), slots);
-      }
+    const isReclaimed = reclaim(step, rest, queue.priority, {
+      ...view,
+      freeOn: (worker) => freeOn(worker, true),
+      maximumWaste: isGuaranteed && isDue
+        ? Infinity
+        : cheapWaste(waiting, rest.length),
+    });
+    if (isReclaimed) return;
+    const room = findRoom(step, rest.length, candidates);
+    for (const [worker, slots] of room?.slots ?? []) {
+      keep(worker, needsOf(step.spec), slots);
     }
   };
 
+  /** Work that may be thrown away for urgent tasks before their bound requires it. */
+  const cheapWaste = (waiting: WaitingStep, count: number): number => {
+    const { step, waitedMs, expectedMs, rank } = waiting;
+    if (rank.group === Group.overdue || waitedMs < CHEAP_RECLAIM_MS) return 0;
+    return CHEAP_SHARE * count * workOf(step.spec, expectedMs);
+  };
+
   /** Finds the workers that will have room for the step first. */
   const findRoom = (
     step: StepState,
@@ -354,8 +366,9 @@
     step: StepState,
     tasks: readonly number[],
     priority: number,
-    view: Parameters<typeof placeStep>[2],
-  ): void => {
+    view: PlacementView & { maximumWaste: number },
+  ): boolean => {
+    if (view.maximumWaste === 0) return false;
     let assignment = placeStep(step, tasks, view);
     if (assignment.size < tasks.length) {
       const victims = chooseVictims(step, tasks.length, {
@@ -368,6 +381,8 @@
             (queue?.priority ?? 0) > priority;
         },
       });
+      const waste = wasteOf(victims, now());
+      if (victims.length === 0 || waste > view.maximumWaste) return false;
       for (const run of victims) {
         stop(run, `capacity reclaimed for ${step.key}`);
       }
@@ -377,10 +392,11 @@
     for (const worker of assignment.values()) {
       workers.set(worker, (workers.get(worker) ?? 0) + 1);
     }
-    if (workers.size === 0) return;
+    if (workers.size === 0) return false;
     const claim = { workers, madeAt: now() };
     claims.set(step, claim);
     keepClaim(step, claim, 1);
+    return true;
   };
 
   const startRuns = (step: StepState, assignment: Assignment): void => {
--- a/packages/scheduler/src/preemption.ts
+++ b/packages/scheduler/src/preemption.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@rattanhill/shared";
+import type { StepSpec } from "./job_types.ts";
 import {
   needsOf,
   type Resources,
@@ -18,6 +19,9 @@
   now: Milliseconds;
 }
 
+/** What a stop costs a task that keeps checkpoints: to stop, to wait and to load it. */
+const RESTORE_MS: Milliseconds = 300; // the deployments name 100 to 600 ms for loading
+
 /** Cores that an accelerator counts for when thrown-away work is weighed. */
 const CORES_PER_ACCELERATOR = 8; // the users' price of thrown-away work
 
@@ -57,14 +61,20 @@
   let waste = 0;
   for (const run of runs) {
     const { spec } = run.step;
-    const cores = spec.milliCores / 1000 +
-      CORES_PER_ACCELERATOR * spec.accelerators;
     // A stop saves the work of a task that keeps checkpoints.
-    waste += spec.isCheckpointing ? 1 : cores * (now - run.placedAt);
+    const lostMs = spec.isCheckpointing ? RESTORE_MS : now - run.placedAt;
+    waste += workOf(spec, lostMs);
   }
   return waste;
 }
 
+/** @returns the work of one task over a time, in core milliseconds */
+export function workOf(spec: StepSpec, durationMs: Milliseconds): number {
+  const cores = spec.milliCores / 1000 +
+    CORES_PER_ACCELERATOR * spec.accelerators;
+  return cores * durationMs;
+}
+
 function choose(
   step: StepState,
   count: number,
