--- a/packages/entry/src/callers_server.ts
+++ b/packages/entry/src/callers_server.ts
@@ -11,7 +11,6 @@
   Events,
   type Milliseconds,
 } from "@rattanhill/shared";
-import { Outcome } from "@rattanhill/core";
 import {
   type AnswerBody,
   MAXIMUM_BODY_BYTES,
@@ -22,13 +21,15 @@
 import type { Access } from "./access.ts";
 import { describeProblem, describeResult, RequestProblem } from "./problems.ts";
 import type { RequestService, RequestView } from "./request_service.ts";
-import type { AccountRule } from "@rattanhill/core";
+import { type AccountRule, Outcome } from "@rattanhill/core";
 
 /** Options of {@link createCallersServer}. */
 export interface CallersServerOptions {
   access: Access;
   service: RequestService;
   log: EventLog;
+  /** @returns whether the rules, and with them the accounts' keys, are known */
+  hasRules(): boolean;
   /** @returns whether the entry is shutting down */
   isLeaving(): boolean;
   connections: number;
@@ -37,6 +38,7 @@
 const HEADERS_TIMEOUT_MS: Milliseconds = 10_000;
 const BODY_TIMEOUT_MS: Milliseconds = 30_000;
 const KEEP_ALIVE_MS: Milliseconds = 30_000;
+const RULES_RETRY_MS: Milliseconds = 500; // a fresh entry reads the rules within two reads
 const MAXIMUM_WAIT_MS: Milliseconds = 60_000;
 const REQUEST_PATH = /^\/v1\/requests\/([A-Za-z0-9-]{1,64})$/;
 
@@ -67,6 +69,12 @@
   response: ServerResponse,
 ): Promise<void> {
   const account = options.access.authenticate(message.headers.authorization);
+  if (account === undefined && !options.hasRules()) {
+    throw new RequestProblem(503, "the rules are not loaded yet", {
+      outcome: Outcome.unknown,
+      retryAfterMs: RULES_RETRY_MS,
+    });
+  }
   if (account === undefined) {
     throw new RequestProblem(401, "the bearer key is missing or not known", {
       code: ErrorCode.requestUnauthorized,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -376,6 +376,7 @@
     access,
     service,
     log,
+    hasRules: () => follower.config().version > 0,
     isLeaving: () => info.leaving,
     connections: limits.connections,
   });
