perf(cell): strong VMs lead, planning leaves the processor to answers, longer holds

Cause: on the grown sites a VM with 0.324 of a core led 245 workers; late starts and reports broke GANG, RECLAIM and LOST.

--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -50,6 +50,8 @@
 
 /** Pause before planning, to take in what arrives together. */
 const GATHER_MS: Milliseconds = 4;
+/** Pause after planning, in multiples of the time that planning took. */
+const PLANNING_REST = 4; // a fifth of the processor at most
 /** Planning interval while nothing happens; due times, leases and stuck runs are checked then. */
 const TICK_MS: Milliseconds = 100;
 const LOAD_LOG_MS: Milliseconds = 1_000;
@@ -71,6 +73,7 @@
   let isClosed = false;
   let isStoring = false;
   let isWoken = false;
+  let planningMs: Milliseconds = 0;
   let tick: NodeJS.Timeout | undefined;
   let loadLog: NodeJS.Timeout | undefined;
 
@@ -132,17 +135,22 @@
         if (batch === undefined) return;
         if (!await journal.append(batch.records) || !isLeading()) return;
         scheduler.stored(batch);
-        scheduler.plan();
       }
     } finally {
       isStoring = false;
     }
   };
 
+  const plan = (): void => {
+    const startedAt = clock.now();
+    scheduler?.plan();
+    planningMs = clock.now() - startedAt;
+  };
+
   const work = (): void => {
     isWoken = false;
     if (scheduler === undefined || !isLeading()) return;
-    scheduler.plan();
+    plan();
     refreshLinks();
     void store();
   };
@@ -150,7 +158,8 @@
   const wake = (): void => {
     if (isWoken || isClosed) return;
     isWoken = true;
-    setTimeout(work, GATHER_MS);
+    // Planning must leave most of the processor to workers' answers.
+    setTimeout(work, Math.max(GATHER_MS, PLANNING_REST * planningMs));
   };
 
   return {
--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -56,6 +56,8 @@
   metrics: Metrics;
   /** Uniform random number from 0 to 1. */
   random(): number;
+  /** How well this VM can lead, 0 to 1. */
+  strength: number;
   /** Decodes the configuration. @throws InvalidError */
   decodeConfig(text: string): ClusterConfig;
   /** Key of the configuration in the operators' topic. */
@@ -139,6 +141,7 @@
     clock,
     log,
     random: options.random,
+    strength: options.strength,
     mayLead: () =>
       !isDraining && bookFollower.isLoaded() && config !== undefined,
     gained: (term) => {
--- a/packages/cell/src/lead_lease.ts
+++ b/packages/cell/src/lead_lease.ts
@@ -33,6 +33,8 @@
   log: Logger;
   /** Uniform random number from 0 to 1. */
   random(): number;
+  /** How well this VM can lead, 0 to 1; the strongest candidate contests first. */
+  strength: number;
   /** This process leads with a new term; higher than every one before. */
   gained(term: number): void;
   /** This process leads no longer. */
@@ -48,6 +50,8 @@
 const SAFETY_MS: Milliseconds = 150; // covers timers that fire late
 const APPEND_TIMEOUT_MS: Milliseconds = 600; // a store slowed sixtyfold takes 0.3 s
 const CHECK_MS: Milliseconds = 100;
+/** Longest time that a weak candidate leaves to stronger ones. */
+const WEAKNESS_DELAY_MS: Milliseconds = 400; // several answers of a slow store; short against the lease
 const CONTEST_JITTER_MS: Milliseconds = 60; // keeps candidates from contesting in the same moment
 
 interface LeadRecord {
@@ -160,7 +164,8 @@
   };
 
   const contest = async (): Promise<void> => {
-    await pause(random() * CONTEST_JITTER_MS);
+    const weakness = 1 - options.strength;
+    await pause(weakness * WEAKNESS_DELAY_MS + random() * CONTEST_JITTER_MS);
     if (!isVacant() || isClosed) return;
     const sent = { now: clock.now(), wall: clock.wallTime() };
     const term = (newest?.term ?? 0) + 1;
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -48,7 +48,7 @@
 /** Latest end of leases that earlier leads may have given, from our first moment as lead. */
 export const INHERITED_LEASE_MS: Milliseconds = WORKER_LEASE_MS /
     SLOWEST_CLOCK + 300;
-const HOLD_WAIT_MS: Milliseconds = 1_000; // bounds how much of a lease is used up when the lead is lost
+const HOLD_WAIT_MS: Milliseconds = 2_000; // the longest that workers accept; each question costs the lead processor time
 const ANSWER_TIMEOUT_MS: Milliseconds = 1_500; // workers answer in 1 to 3 ms; covers a slow VM of our own
 const START_TIMEOUT_MS: Milliseconds = 700;
 const STOP_TIMEOUT_MS: Milliseconds = 700;
@@ -177,7 +177,6 @@
         });
         if (isClosed) return;
         if (result.kind === "started") {
-          log.info(describeRun(target), "start answered");
           return options.startAnswered(target, "started");
         }
         const { reason } = result;
