--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -1,5 +1,13 @@
-import type { Clock, Logger, Milliseconds } from "@rattanhill/shared";
 import {
+  type Clock,
+  describeError,
+  type Logger,
+  type Milliseconds,
+  pause,
+} from "@rattanhill/shared";
+import {
+  type AdviceAnswer,
+  type AdviceQuestion,
   createScheduler,
   type JobBook,
   type JobSpec,
@@ -10,8 +18,9 @@
   type WorkerState,
 } from "@rattanhill/scheduler";
 import { createJournal } from "./journal.ts";
+import type { Metrics } from "./metrics.ts";
 import type { Store } from "./store.ts";
-import type { ConnectWorker } from "./worker_calls.ts";
+import type { Advise, ConnectWorker } from "./worker_calls.ts";
 import {
   createWorkerLink,
   INHERITED_LEASE_MS,
@@ -40,12 +49,17 @@
   clock: Clock;
   log: Logger;
   connect: ConnectWorker;
+  /** Asks the policy of queues; undefined where there is none. */
+  advise?: Advise;
   isLeading(): boolean;
   /** Waits until the book reflects the journal up to an offset. */
   bookReached(offset: number): Promise<void>;
   /** Current list of workers; waits until there is one. */
   workers(): Promise<WorkerListing>;
   rules(): Rules;
+  /** How long the state of an ended job is kept. */
+  keepEndedMs: Milliseconds;
+  metrics: Metrics;
 }
 
 /** Pause before planning, to take in what arrives together. */
@@ -54,7 +68,12 @@
 const PLANNING_REST = 4; // a fifth of the processor at most
 /** Planning interval while nothing happens; due times, leases and stuck runs are checked then. */
 const TICK_MS: Milliseconds = 100;
+const ADVICE_RETRY_MS: Milliseconds = 200; // its queue of 32 calls drains meanwhile
 const LOAD_LOG_MS: Milliseconds = 1_000;
+const REMOVAL_MS: Milliseconds = 10_000;
+/** Ended jobs are kept longer by this, since a submission may be repeated late. */
+const LATE_REPEAT_MS: Milliseconds = 60_000; // repeats come seconds after the answer
+const REMOVALS_AT_ONCE = 50; // bounds one append
 
 /**
  * Creates the lead of a cell for one term.
@@ -63,7 +82,7 @@
  * @returns the lead
  */
 export function createCellLead(options: CellLeadOptions): CellLead {
-  const { book, clock, log, term, connect } = options;
+  const { book, clock, log, term, connect, metrics } = options;
   const links = new Map<WorkerState, { link: WorkerLink; address: string }>();
   const journal = createJournal({
     ...options,
@@ -76,6 +95,7 @@
   let planningMs: Milliseconds = 0;
   let tick: NodeJS.Timeout | undefined;
   let loadLog: NodeJS.Timeout | undefined;
+  let removal: NodeJS.Timeout | undefined;
 
   const isLeading = (): boolean => !isClosed && options.isLeading();
 
@@ -114,6 +134,27 @@
     log.warn({ worker: worker.id, kind: order.kind }, "order without a link");
   };
 
+  const ask = async (question: AdviceQuestion): Promise<void> => {
+    const { step, workers } = question;
+    let answer: AdviceAnswer | undefined;
+    try {
+      answer = await options.advise?.(step.key, workers);
+      log.info(
+        {
+          step: step.key,
+          asked: workers.length,
+          allowed: answer?.allowed.length,
+        },
+        "advice",
+      );
+    } catch (error) {
+      log.warn({ step: step.key, error: describeError(error) }, "no advice");
+      await pause(ADVICE_RETRY_MS);
+    }
+    scheduler?.advised(question, answer);
+    wake();
+  };
+
   const refreshLinks = (): void => {
     if (scheduler === undefined) return;
     const { workers } = scheduler.state;
@@ -134,6 +175,12 @@
         for (const { link } of links.values()) link.endsStored();
         if (batch === undefined) return;
         if (!await journal.append(batch.records) || !isLeading()) return;
+        for (const { placedAt, step } of batch.starting) {
+          metrics.time("stored.start", clock.now() - placedAt);
+          if (step.highestRun === 1) {
+            metrics.time("job.wait", clock.now() - step.job.since);
+          }
+        }
         scheduler.stored(batch);
       }
     } finally {
@@ -141,6 +188,30 @@
     }
   };
 
+  /** Drops jobs whose state need not be told any more. */
+  const removeEnded = async (): Promise<void> => {
+    if (isStoring || !isLeading()) return;
+    const before = clock.wallTime() - options.keepEndedMs - LATE_REPEAT_MS;
+    const records = [...book.jobs()]
+      .filter(({ endedAt }) => endedAt !== undefined && endedAt < before)
+      .slice(0, REMOVALS_AT_ONCE)
+      .map(({ spec, steps }) => ({
+        kind: "removal" as const,
+        job: spec.id,
+        steps: [...steps.keys()],
+      }));
+    if (records.length === 0) return;
+    isStoring = true;
+    try {
+      if (!await journal.append(records)) return;
+      records.forEach(book.apply);
+      log.info({ jobs: records.length }, "ended jobs removed");
+    } finally {
+      isStoring = false;
+    }
+    wake();
+  };
+
   const plan = (): void => {
     const startedAt = clock.now();
     scheduler?.plan();
@@ -174,6 +245,7 @@
         now: clock.now,
         wallTime: clock.wallTime,
         order,
+        askAdvice: (question) => void ask(question),
         log,
       });
       scheduler.setRules(options.rules());
@@ -188,6 +260,7 @@
         "lead ready",
       );
       tick = setInterval(wake, TICK_MS);
+      removal = setInterval(() => void removeEnded(), REMOVAL_MS);
       loadLog = setInterval(() => {
         if (isLeading()) log.info({ ...scheduler?.load() }, "load");
       }, LOAD_LOG_MS);
@@ -214,6 +287,7 @@
       isClosed = true;
       clearInterval(tick);
       clearInterval(loadLog);
+      clearInterval(removal);
       for (const { link } of links.values()) link.close();
       links.clear();
     },
--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -26,7 +26,7 @@
   type StoredRecord,
 } from "./store.ts";
 import { createTopicFollower } from "./topic_follower.ts";
-import type { ConnectWorker } from "./worker_calls.ts";
+import type { Advise, ConnectWorker } from "./worker_calls.ts";
 import { createWorkerList } from "./worker_list.ts";
 
 /** Limits of the deployment. */
@@ -53,6 +53,8 @@
   log: Logger;
   limits: EntryLimits;
   connect: ConnectWorker;
+  /** Asks the policy of queues; undefined where there is none. */
+  advise?: Advise;
   metrics: Metrics;
   /** Uniform random number from 0 to 1. */
   random(): number;
@@ -154,10 +156,13 @@
         clock,
         log,
         connect: options.connect,
+        advise: options.advise,
         isLeading: lease.isHeld,
         bookReached: bookFollower.reached,
         workers: workers.follow,
         rules: () => config!.rules,
+        keepEndedMs: limits.keepEndedMs,
+        metrics,
       });
       void lead.start();
     },
@@ -180,7 +185,7 @@
     maximumConfigAgeMs: limits.revocationMs - REVOCATION_MARGIN_MS,
     maximumBookAgeMs: limits.visibleMs - VISIBILITY_MARGIN_MS,
     storeOutageMs: () => Math.max(0, bookFollower.age() - BOOK_WAIT_MS),
-    count: metrics.count,
+    metrics,
   });
 
   function takeRecord({ key, value, offset }: StoredRecord): void {
--- a/packages/cell/src/job_service.ts
+++ b/packages/cell/src/job_service.ts
@@ -14,6 +14,7 @@
   type KeyedValue,
 } from "@rattanhill/scheduler";
 import type { ConfigInForce, Queue } from "./cluster_config.ts";
+import type { Metrics } from "./metrics.ts";
 import type { Store } from "./store.ts";
 
 /** A call of a client program. */
@@ -70,7 +71,7 @@
   maximumBookAgeMs: Milliseconds;
   /** Time that the store has been failing; 0 while it works. */
   storeOutageMs(): Milliseconds;
-  count(name: string): void;
+  metrics: Metrics;
 }
 
 const JOB_ID = /^[0-9a-f]{16}$/;
@@ -91,7 +92,7 @@
  * @returns the service
  */
 export function createJobService(options: JobServiceOptions): JobService {
-  const { book, clock, log } = options;
+  const { book, clock, log, metrics } = options;
   const writer = createGroupWriter(options);
 
   const unavailable = (reason: string): CallerReply => ({
@@ -214,7 +215,9 @@
     handle: async (call) => {
       const startedAt = clock.now();
       const reply = await dispatch(call);
-      options.count(`calls.${call.action}.${reply.kind}`);
+      const tookMs = clock.now() - startedAt;
+      metrics.count(`calls.${call.action}.${reply.kind}`);
+      metrics.time(`call.${call.action}`, tookMs);
       if (call.action === "ask" && reply.kind !== "unavailable") return reply;
       log.info(
         {
@@ -224,7 +227,7 @@
           reason: "reason" in reply ? reply.reason : undefined,
           version: options.config()?.config.version,
           configAgeMs: Math.round(options.configAge()),
-          tookMs: clock.now() - startedAt,
+          tookMs,
         },
         "call answered",
       );
--- a/packages/cell/src/worker_calls.ts
+++ b/packages/cell/src/worker_calls.ts
@@ -1,5 +1,10 @@
 import type { Milliseconds } from "@rattanhill/shared";
-import type { ReportedEnd, ReportedRun, TaskName } from "@rattanhill/scheduler";
+import type {
+  AdviceAnswer,
+  ReportedEnd,
+  ReportedRun,
+  TaskName,
+} from "@rattanhill/scheduler";
 
 /** What every call to a worker carries. */
 export interface WorkerCall {
@@ -63,6 +68,8 @@
       payload: string;
       leaseUntil: Milliseconds;
       checkpoint: string;
+    /** Permission of the queue\'s policy, where there is one. */
+    ticket?: string;
     },
   ): Promise<StartResult>;
   /** @returns whether the worker took note; false when another lifetime answered or the term is old */
@@ -70,5 +77,16 @@
   close(): Promise<void>;
 }
 
+/**
+ * Asks the policy of a queue which workers may run a step.
+ *
+ * @returns the allowed workers with their tickets
+ * @throws UnavailableError, UncertainError when there was no usable answer
+ */
+export type Advise = (
+  step: string,
+  workers: readonly string[],
+) => Promise<AdviceAnswer>;
+
 /** Opens a connection to a worker. */
 export type ConnectWorker = (id: string, address: string) => WorkerConnection;
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -12,6 +12,7 @@
   type Run,
   type StartAnswer,
   taskOf,
+  ticketFor,
   type WorkerReport,
   type WorkerState,
 } from "@rattanhill/scheduler";
@@ -173,6 +174,7 @@
           payload: target.step.job.spec.payload,
           leaseUntil,
           checkpoint: target.checkpoint,
+          ticket: ticketFor(target.step, worker, clock.now())?.text,
           timeoutMs: START_TIMEOUT_MS,
         });
         if (isClosed) return;
--- /dev/null
+++ b/packages/scheduler/__tests__/advice.test.ts
@@ -0,0 +1,60 @@
+import { expect } from "chai";
+import { noteAdvice } from "../src/mod.ts";
+import { createCell, job, queue, step } from "./cell_fixture.ts";
+
+function createAdvisedCell() {
+  const cell = createCell({ workers: 4 });
+  cell.scheduler.setRules({
+    queues: new Map([["normal", { ...queue("normal", 1), needsAdvice: true }]]),
+    guarantees: new Map(),
+    deployment: { remoteFactor: 3, reclaimMs: 3_000, stopMs: 500 },
+  });
+  return cell;
+}
+
+it("advice: a step starts only on workers that its policy allows", () => {
+  const cell = createAdvisedCell();
+  cell.submit(job("a", { steps: [step({ taskCount: 2 })] }));
+  cell.settle();
+  expect(cell.runs("a")).to.deep.equal([]);
+  const [question] = cell.questions;
+  expect(question.workers).to.have.length(4);
+  cell.scheduler.advised(question, {
+    allowed: [{ worker: "w3", ticket: "t" }],
+    validMs: 3_000,
+  });
+  cell.settle();
+  expect(cell.runs("a").map(({ worker }) => worker)).to.deep.equal([
+    "w3",
+    "w3",
+  ]);
+});
+
+it("advice: a question without an answer is asked again", () => {
+  const cell = createAdvisedCell();
+  cell.submit(job("a"));
+  cell.settle();
+  expect(cell.questions).to.have.length(1);
+  cell.scheduler.advised(cell.questions[0], undefined);
+  cell.settle();
+  expect(cell.questions).to.have.length(2);
+});
+
+it("advice: a ticket ends with its time and with its worker's life", () => {
+  const cell = createAdvisedCell();
+  cell.submit(job("a", { steps: [step({ accelerators: 8, taskCount: 2 })] }));
+  cell.settle();
+  const [question] = cell.questions;
+  const answer = {
+    allowed: [{ worker: "w0", ticket: "t" }],
+    validMs: 3_000,
+  };
+  noteAdvice(question, answer, cell.clock.now() - 4_000);
+  cell.settle();
+  expect(cell.runs("a")).to.deep.equal([]);
+  expect(cell.questions[1].workers).to.deep.equal(["w0"]);
+  cell.fleet.get("w0")!.crash();
+  cell.scheduler.advised(cell.questions[1], answer);
+  cell.settle();
+  expect(cell.runs("a")).to.deep.equal([]);
+});
--- a/packages/scheduler/__tests__/cell_fixture.ts
+++ b/packages/scheduler/__tests__/cell_fixture.ts
@@ -1,5 +1,6 @@
 import { createManualClock, silentLogger } from "@rattanhill/shared";
 import {
+  type AdviceQuestion,
   createJobBook,
   createScheduler,
   type JobSpec,
@@ -74,6 +75,7 @@
   const entries: WorkerEntry[] = [];
   const orders: Order[] = [];
   const records: string[] = [];
+  const questions: AdviceQuestion[] = [];
   const book = createJobBook();
   const TERM = 1;
   for (let index = 0; index < workers; index++) {
@@ -96,6 +98,7 @@
     now: clock.now,
     wallTime: clock.wallTime,
     order: (order) => orders.push(order),
+    askAdvice: (question) => questions.push(question),
     log: silentLogger,
   });
   scheduler.setRules(RULES);
@@ -182,6 +185,7 @@
     entries,
     orders,
     records,
+    questions,
     book,
     list,
     look,
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -66,6 +66,25 @@
   countedRun: number;
   /** Monotonic time before which it is not placed again. */
   notBefore: Milliseconds;
+  /** What its queue's policy said of workers; undefined while it was not asked. */
+  advice?: StepAdvice;
+}
+
+/** Workers that a queue's policy allows for a step. */
+export interface StepAdvice {
+  /** Workers that were asked for, allowed or not. */
+  asked: Set<string>;
+  /** Allowed workers, for one lifetime each. */
+  tickets: Map<string, Ticket>;
+  isAsking: boolean;
+}
+
+/** Permission to run a step on a worker. */
+export interface Ticket {
+  text: string;
+  lifetime: number;
+  /** Monotonic time at which it ends. */
+  validUntil: Milliseconds;
 }
 
 /** A job that has not been wound up yet. */
--- a/packages/scheduler/src/mod.ts
+++ b/packages/scheduler/src/mod.ts
@@ -1,3 +1,4 @@
+export * from "./advice.ts";
 export * from "./cell_state.ts";
 export * from "./job_book.ts";
 export * from "./job_types.ts";
--- a/packages/scheduler/src/order_of_work.ts
+++ b/packages/scheduler/src/order_of_work.ts
@@ -13,6 +13,8 @@
   stretch: number;
   /** ...plus this time. */
   targetMs: Milliseconds;
+  /** Only workers that the queue's policy names may run its steps. */
+  needsAdvice?: boolean;
 }
 
 /** A step that waits for workers. */
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -13,6 +13,7 @@
   type StepState,
   type WorkerState,
 } from "./cell_state.ts";
+import { type AdviceQuestion, nextQuestion, ticketFor } from "./advice.ts";
 import { dueAt, type JobSpec } from "./job_types.ts";
 import {
   compareRanks,
@@ -75,6 +76,7 @@
   now(): Milliseconds;
   wallTime(): Milliseconds;
   stop(run: Run, reason: string): void;
+  askAdvice(question: AdviceQuestion): void;
   log: Logger;
 }
 
@@ -269,7 +271,14 @@
     const service = [...state.workers.values()].filter((worker) =>
       worker.isListed && worker.service === name
     );
-    const candidates = withoutReserved(service.filter(isCandidate), waiting);
+    let candidates = withoutReserved(service.filter(isCandidate), waiting);
+    if (queue.needsAdvice) {
+      const question = nextQuestion(step, candidates, now());
+      if (question !== undefined) options.askAdvice(question);
+      candidates = candidates.filter((worker) =>
+        ticketFor(step, worker, now()) !== undefined
+      );
+    }
     const { remoteFactor, reclaimMs, stopMs } = rules.deployment;
     const isGuaranteed = waiting.rank.group === Group.guaranteed;
     const patience = isGuaranteed
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -16,6 +16,11 @@
   taskOf,
   type WorkerState,
 } from "./cell_state.ts";
+import {
+  type AdviceAnswer,
+  type AdviceQuestion,
+  noteAdvice,
+} from "./advice.ts";
 import type { BookedJob } from "./job_book.ts";
 import type { JobSpec, RunEnd, TaskName } from "./job_types.ts";
 import { type CellLoad, createPlanner, type Rules } from "./planner.ts";
@@ -72,6 +77,8 @@
   silent(worker: WorkerState): void;
   startAnswered(run: Run, answer: StartAnswer, reason?: string): void;
   stopAnswered(run: Run | undefined): void;
+  /** Takes in what a queue's policy said; undefined when it gave no answer. */
+  advised(question: AdviceQuestion, answer: AdviceAnswer | undefined): void;
   /** Places what can be placed; orders to stop are given at once. */
   plan(): void;
   /** @returns what has changed since the last batch, if anything has */
@@ -87,8 +94,8 @@
   now(): Milliseconds;
   wallTime(): Milliseconds;
   order(order: Order): void;
-  /** A job has ended for its submitter. */
-  jobEnded?(job: string): void;
+  /** Asks the policy of a queue which workers may run a step. */
+  askAdvice?(question: AdviceQuestion): void;
   log: Logger;
 }
 
@@ -115,6 +122,7 @@
     now,
     wallTime,
     stop,
+    askAdvice: (question) => options.askAdvice?.(question),
     log,
   });
 
@@ -236,6 +244,7 @@
           ? CLOSED_AFTER_SILENCE_MS
           : CLOSED_AFTER_REFUSAL_MS);
       release(state, run);
+      if (reason === "noTicket") step.advice?.tickets.delete(worker.id);
       if (!step.spec.isGang) return;
       for (const member of [...step.runs.values()]) {
         stop(member, "a member of the gang was not started");
@@ -244,6 +253,7 @@
     stopAnswered: (run) => {
       if (run !== undefined) run.provableFrom = now();
     },
+    advised: (question, answer) => noteAdvice(question, answer, now()),
     plan: () => {
       roster.expire();
       planner.plan();
