--- a/packages/cell/src/worker_calls.ts
+++ b/packages/cell/src/worker_calls.ts
@@ -68,8 +68,8 @@
       payload: string;
       leaseUntil: Milliseconds;
       checkpoint: string;
-    /** Permission of the queue\'s policy, where there is one. */
-    ticket?: string;
+      /** Permission of the queue\'s policy, where there is one. */
+      ticket?: string;
     },
   ): Promise<StartResult>;
   /** @returns whether the worker took note; false when another lifetime answered or the term is old */
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -64,8 +64,6 @@
   avoided: Set<string>;
   /** Run number of the gang whose failure was counted last. */
   countedRun: number;
-  /** Monotonic time before which it is not placed again. */
-  notBefore: Milliseconds;
   /** What its queue's policy said of workers; undefined while it was not asked. */
   advice?: StepAdvice;
 }
@@ -212,7 +210,6 @@
       checkpoints: new Map(),
       avoided: new Set(),
       countedRun: 0,
-      notBefore: 0,
     };
     job.steps.set(key, step);
   }
--- /dev/null
+++ b/packages/scheduler/src/durations.ts
@@ -0,0 +1,64 @@
+import type { Milliseconds } from "@rattanhill/shared";
+import type { RunTimes } from "@rattanhill/core";
+import type { Run } from "./cell_state.ts";
+import type { JobSpec } from "./job_types.ts";
+import type { Deployment } from "./rules.ts";
+
+/** What is known of how long tasks take. */
+export interface Durations {
+  /** @returns the expected duration of a task, from what its account and queue took before */
+  expected(spec: JobSpec, estimateMs: Milliseconds): Milliseconds;
+  /** @returns the factor by which its placement slows a run */
+  slowness(run: Run): number;
+  /** @returns the expected time until a run ends */
+  remaining(run: Run): Milliseconds;
+}
+
+/** Options of {@link createDurations}. */
+export interface DurationsOptions {
+  runTimes: RunTimes;
+  now(): Milliseconds;
+  deployment(): Deployment;
+}
+
+/**
+ * Creates expectations of how long tasks take.
+ *
+ * @param options learned run times and a clock
+ * @returns the expectations
+ */
+export function createDurations(options: DurationsOptions): Durations {
+  const { runTimes, now, deployment } = options;
+
+  const expected = (spec: JobSpec, estimateMs: Milliseconds): Milliseconds =>
+    runTimes.expect({
+      account: spec.account,
+      class: spec.queue,
+      expectedMs: estimateMs,
+    });
+
+  const slowness = ({ step, worker }: Run): number => {
+    const { spec } = step;
+    const isFar = spec.dataRack !== undefined && spec.dataRack !== worker.rack;
+    const isSplit = spec.needsOneRack &&
+      [...step.runs.values()].some((run) => run.worker.rack !== worker.rack);
+    return isFar || isSplit ? deployment().remoteFactor : 1;
+  };
+
+  return {
+    expected,
+    slowness,
+    remaining: (run) => {
+      const { step, percent, percentAt, firstPercent, placedAt } = run;
+      if (run.stopReason !== undefined) return deployment().stopMs;
+      if (firstPercent !== undefined && percent > firstPercent.percent) {
+        const rate = (percent - firstPercent.percent) /
+          (percentAt - firstPercent.at);
+        return Math.max(0, (100 - percent) / rate - (now() - percentAt));
+      }
+      const total = expected(step.job.spec, step.spec.estimateMs) *
+        slowness(run);
+      return Math.max(0, total - (now() - placedAt));
+    },
+  };
+}
--- a/packages/scheduler/src/mod.ts
+++ b/packages/scheduler/src/mod.ts
@@ -1,5 +1,6 @@
 export * from "./advice.ts";
 export * from "./cell_state.ts";
+export * from "./durations.ts";
 export * from "./job_book.ts";
 export * from "./job_types.ts";
 export * from "./order_of_work.ts";
@@ -8,7 +9,10 @@
 export * from "./preemption.ts";
 export * from "./records.ts";
 export * from "./reservation.ts";
+export * from "./room.ts";
+export * from "./rules.ts";
 export * from "./run_ends.ts";
 export * from "./scheduler.ts";
 export * from "./stuck_runs.ts";
+export * from "./waiting_work.ts";
 export * from "./worker_roster.ts";
--- a/packages/scheduler/src/order_of_work.ts
+++ b/packages/scheduler/src/order_of_work.ts
@@ -1,21 +1,7 @@
 import type { Milliseconds } from "@rattanhill/shared";
 import { type ActiveJob, isStepDone, type StepState } from "./cell_state.ts";
-import { dueAt, type JobSpec } from "./job_types.ts";
-
-/** Rules of a queue that decide the order of work. */
-export interface QueueRules {
-  name: string;
-  service: string;
-  /** 0 comes first and may preempt others. */
-  priority: number;
-  maximumAttempts: number;
-  /** Objective: this many times the longest chain of tasks... */
-  stretch: number;
-  /** ...plus this time. */
-  targetMs: Milliseconds;
-  /** Only workers that the queue's policy names may run its steps. */
-  needsAdvice?: boolean;
-}
+import { dueAt } from "./job_types.ts";
+import type { QueueRules } from "./rules.ts";
 
 /** A step that waits for workers. */
 export interface WaitingStep {
@@ -62,20 +48,21 @@
  * that cannot, and the one that runs out of time first goes first.
  *
  * @param waiting the step with its expected duration and wait
- * @param remainingMs expected duration of the rest of its chain
+ * @param chain expected duration of the job's steps, and of those that are not done
  * @param isGuaranteed whether its account's guarantee covers it
  * @returns its place
  */
 export function rankStep(
   waiting: Omit<WaitingStep, "rank">,
-  remainingMs: Milliseconds,
+  chain: { totalMs: Milliseconds; remainingMs: Milliseconds },
   isGuaranteed: boolean,
 ): Rank {
   const { rules, waitedMs } = waiting;
-  const objective = objectiveOf(waiting.step.job.spec, rules, remainingMs);
-  const slack = objective - waitedMs - remainingMs;
+  const objective = rules.stretch * chain.totalMs + rules.targetMs;
+  const slack = objective - waitedMs - chain.remainingMs;
   const { priority } = rules;
-  const lateSlack = USEFUL_OBJECTIVES * objective - waitedMs - remainingMs;
+  const lateSlack = USEFUL_OBJECTIVES * objective - waitedMs -
+    chain.remainingMs;
   const isUrgent = priority === 0;
   const place = (group: number, key: number) => ({ group, priority, key });
   if (isGuaranteed) return place(Group.guaranteed, slack);
@@ -92,15 +79,6 @@
     a.rank.key - b.rank.key;
 }
 
-/** Time within which a job is to be done. */
-function objectiveOf(
-  _spec: JobSpec,
-  rules: QueueRules,
-  chainMs: Milliseconds,
-): Milliseconds {
-  return rules.stretch * chainMs + rules.targetMs;
-}
-
 /**
  * Finds the steps of a job that may run now and have tasks without a run.
  *
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -23,8 +23,9 @@
 } from "./advice.ts";
 import type { BookedJob } from "./job_book.ts";
 import type { JobSpec, RunEnd, TaskName } from "./job_types.ts";
-import { type CellLoad, createPlanner, type Rules } from "./planner.ts";
+import { type CellLoad, createPlanner } from "./planner.ts";
 import type { CellRecord } from "./records.ts";
+import type { Rules } from "./rules.ts";
 import { applyReport, type WorkerReport } from "./run_ends.ts";
 import { createWorkerRoster, type WorkerListing } from "./worker_roster.ts";
 
@@ -208,7 +209,8 @@
       applyReport(worker, report, {
         state,
         now: now(),
-        attemptsOf: (queue) => planner.rulesOf(queue)?.maximumAttempts ?? 1,
+        attemptsOf: (queue) =>
+          planner.rulesOf(queue)?.maximumAttempts ?? Infinity,
         ended,
         stop,
         stopUnknown: (target, { task, number }) => {
--- /dev/null
+++ b/packages/scheduler/src/waiting_work.ts
@@ -0,0 +1,82 @@
+import type { Milliseconds } from "@rattanhill/shared";
+import { type CellState, isOver, isStepDone, stepOf } from "./cell_state.ts";
+import type { Durations } from "./durations.ts";
+import { dueAt, type JobSpec } from "./job_types.ts";
+import {
+  compareRanks,
+  rankStep,
+  runnableSteps,
+  type WaitingStep,
+} from "./order_of_work.ts";
+import { type Rules, rulesOf } from "./rules.ts";
+
+/**
+ * Collects the steps that may run and have tasks without a worker.
+ *
+ * @param state the cell
+ * @param view rules, expectations and clocks
+ * @returns the steps in the order in which they are placed
+ */
+export function collectWaiting(
+  state: CellState,
+  view: {
+    rules: Rules;
+    durations: Durations;
+    now: Milliseconds;
+    wallTime: Milliseconds;
+  },
+): WaitingStep[] {
+  const { rules, durations, now, wallTime } = view;
+  const found: WaitingStep[] = [];
+  const guaranteed = guaranteedJobs(state, rules);
+  for (const job of state.jobs.values()) {
+    if (isOver(job)) continue;
+    const { spec } = job;
+    const stepAt = (occurrence: number, index: number) =>
+      stepOf(job, occurrence, index);
+    for (const { step, tasks } of runnableSteps(job, stepAt, wallTime)) {
+      const chain = { totalMs: 0, remainingMs: 0 };
+      spec.steps.forEach(({ estimateMs }, index) => {
+        const expectedMs = durations.expected(spec, estimateMs);
+        chain.totalMs += expectedMs;
+        const isDone = isStepDone(stepAt(step.occurrence, index));
+        if (!isDone) chain.remainingMs += expectedMs;
+      });
+      const waiting = {
+        step,
+        tasks,
+        rules: rulesOf(rules, spec),
+        expectedMs: durations.expected(spec, step.spec.estimateMs),
+        waitedMs: spec.repetition === undefined
+          ? now - job.since
+          : wallTime - dueAt(spec, step.occurrence),
+      };
+      const rank = rankStep(waiting, chain, guaranteed.has(spec.id));
+      found.push({ ...waiting, rank });
+    }
+  }
+  return found.sort(compareRanks);
+}
+
+/** Urgent jobs that their accounts' guarantees cover. */
+function guaranteedJobs(state: CellState, rules: Rules): Set<string> {
+  const covered = new Set<string>();
+  const left = new Map(rules.guarantees);
+  for (const job of state.jobs.values()) {
+    const { spec } = job;
+    if (isOver(job) || rulesOf(rules, spec).priority !== 0) continue;
+    const needed = acceleratorsOf(spec);
+    const room = left.get(spec.account) ?? 0;
+    if (needed > room) continue;
+    left.set(spec.account, room - needed);
+    covered.add(spec.id);
+  }
+  return covered;
+}
+
+/** Accelerators of a job's widest step. */
+function acceleratorsOf({ steps }: JobSpec): number {
+  return Math.max(
+    ...steps.map(({ taskCount, accelerators }) => taskCount * accelerators),
+  );
+}
