--- a/packages/cell/src/job_service.ts
+++ b/packages/cell/src/job_service.ts
@@ -81,6 +81,7 @@
 const APPEND_TIMEOUT_MS: Milliseconds = 1_000; // a store slowed sixtyfold takes 0.3 s
 const REFUSED_TRIES = 2; // a full partition clears within 2 s, an outage does not
 const RETRY_MS: Milliseconds = 150;
+const KNOWN_OUTAGE_MS: Milliseconds = 1_500; // a read that waits 1 s has had no answer for 1.5 s more
 const SHORT_OUTAGE_MS: Milliseconds = 1_000;
 const RETRY_AFTER_SHORT_MS: Milliseconds = 1_000;
 const RETRY_AFTER_LONG_MS: Milliseconds = 2_000; // four retries then span outages of 8 s
@@ -108,6 +109,8 @@
     value: KeyedValue,
     deadline: Milliseconds,
   ): Promise<"stored" | "refused" | "uncertain"> => {
+    // Another entry may still reach the store; the caller must not wait here.
+    if (options.storeOutageMs() > KNOWN_OUTAGE_MS) return "refused";
     let isUncertain = false;
     let refusals = 0;
     while (true) {
