--- /dev/null
+++ b/packages/cell/__tests__/job_service.test.ts
@@ -0,0 +1,139 @@
+import { expect } from "chai";
+import { createManualClock, silentLogger } from "@rattanhill/shared";
+import { createJobBook } from "@rattanhill/scheduler";
+import {
+  type CallerCall,
+  createJobService,
+  createMetrics,
+  enforceConfig,
+} from "../src/mod.ts";
+import { type AppendFault, createMemoryStore } from "./memory_store.ts";
+
+const ID = "0123456789abcdef";
+const DEPLOYMENT = { remoteFactor: 3, reclaimMs: 3_000, stopMs: 500 };
+const queue = (name: string, pathPrefix: string, isPublic = false) => ({
+  name,
+  host: "h",
+  pathPrefix,
+  service: "s",
+  isPublic,
+  timeoutMs: 3_000,
+  priority: 1,
+  maximumAttempts: 1,
+  stretch: 1,
+  targetMs: 0,
+});
+const CONFIG = enforceConfig({
+  version: 1,
+  queues: [
+    queue("short", "/a/"),
+    queue("long", "/a/b/"),
+    queue("open", "/open/", true),
+  ],
+  accounts: [{ name: "routes", keys: ["k"], guaranteedAccelerators: 0 }],
+}, DEPLOYMENT);
+
+function createService(
+  { faults = [], configAge = 0, bookAge = 0, outage = 0, hasConfig = true }: {
+    faults?: AppendFault[];
+    configAge?: number;
+    bookAge?: number;
+    outage?: number;
+    hasConfig?: boolean;
+  } = {},
+) {
+  const memory = createMemoryStore(faults);
+  const book = createJobBook();
+  const service = createJobService({
+    store: memory.store,
+    topic: "t",
+    book,
+    clock: createManualClock(),
+    log: silentLogger,
+    config: () => hasConfig ? CONFIG : undefined,
+    configAge: () => configAge,
+    bookAge: () => bookAge,
+    maximumConfigAgeMs: 4_000,
+    maximumBookAgeMs: 2_500,
+    storeOutageMs: () => outage,
+    metrics: createMetrics(),
+  });
+  const call = (changes: Partial<CallerCall> = {}) =>
+    service.handle({
+      action: "submit",
+      host: "h",
+      path: `/a/${ID}`,
+      key: "k",
+      readJob: () => ({ payload: "", steps: [] }),
+      ...changes,
+    });
+  return { ...memory, book, call };
+}
+
+it("calls: the longest prefix chooses the queue", async () => {
+  const { call, book } = createService();
+  await call({ path: `/a/b/${ID}` });
+  expect(book.find(ID)!.spec.queue).to.equal("long");
+});
+
+it("calls: a known job is accepted again without a write", async () => {
+  const { call, appends } = createService();
+  await call();
+  expect((await call()).kind).to.equal("accepted");
+  expect(appends()).to.equal(1);
+});
+
+it("calls: a write that was refused only is unavailable", async () => {
+  const { call, recordsOf } = createService({ faults: ["refused", "refused"] });
+  expect((await call()).kind).to.equal("unavailable");
+  expect(recordsOf("t")).to.deep.equal([]);
+});
+
+it("calls: a write without an answer is never said not to have run", async () => {
+  const { call } = createService({ faults: ["undone", "refused"] });
+  expect((await call()).kind).to.equal("accepted");
+});
+
+it("calls: nothing is written while the store is known to be away", async () => {
+  const { call, appends } = createService({ outage: 5_000 });
+  const reply = await call();
+  expect(reply).to.include({ kind: "unavailable", retryAfterMs: 2_000 });
+  expect(appends()).to.equal(0);
+});
+
+it("calls: keys are not trusted by an old configuration, public queues go on", async () => {
+  const { call } = createService({ configAge: 4_500 });
+  expect((await call()).kind).to.equal("unavailable");
+  const open = { path: `/open/${ID}`, key: undefined };
+  expect((await call(open)).kind).to.equal("accepted");
+});
+
+it("calls: unknown jobs are denied only by a book that is complete", async () => {
+  const ask = { action: "ask" } as const;
+  expect((await createService().call(ask)).kind).to.equal("unknownJob");
+  expect((await createService({ bookAge: 3_000 }).call(ask)).kind)
+    .to.equal("unavailable");
+});
+
+it("calls: without a configuration nothing is decided", async () => {
+  const { call } = createService({ hasConfig: false });
+  expect((await call()).kind).to.equal("unavailable");
+});
+
+it("calls: unknown hosts, names and keys are told apart", async () => {
+  const { call } = createService();
+  expect((await call({ host: "x" })).kind).to.equal("unknownQueue");
+  expect((await call({ path: "/a/zzz" })).kind).to.equal("unknownQueue");
+  expect((await call({ key: "x" })).kind).to.equal("unknownKey");
+});
+
+it("calls: a cancellation is acknowledged once it is stored", async () => {
+  const { call, recordsOf } = createService();
+  expect((await call({ action: "cancel" })).kind).to.equal("unknownJob");
+  await call();
+  expect((await call({ action: "cancel" })).kind).to.equal("cancelled");
+  expect(recordsOf("t").map(({ key }) => key)).to.deep.equal([
+    `job/${ID}`,
+    `cancel/${ID}`,
+  ]);
+});
--- /dev/null
+++ b/packages/cell/__tests__/journal.test.ts
@@ -0,0 +1,52 @@
+import { expect } from "chai";
+import { silentLogger } from "@rattanhill/shared";
+import { createJournal } from "../src/mod.ts";
+import { type AppendFault, createMemoryStore } from "./memory_store.ts";
+
+const CANCELLATION = { kind: "cancellation", job: "a" } as const;
+
+function open(term: number, faults: AppendFault[] = []) {
+  const memory = createMemoryStore(faults);
+  let leads = true;
+  const create = (ownTerm: number) =>
+    createJournal({
+      store: memory.store,
+      topic: "t",
+      term: ownTerm,
+      isLeading: () => leads,
+      log: silentLogger,
+    });
+  return {
+    ...memory,
+    create,
+    journal: create(term),
+    stop: () => leads = false,
+  };
+}
+
+it("journal: a record whose answer was lost is stored once", async () => {
+  const { journal, recordsOf } = open(1, ["lost"]);
+  expect(await journal.append([CANCELLATION])).to.equal(true);
+  expect(recordsOf("t")).to.have.length(1);
+});
+
+it("journal: a refused record is tried again", async () => {
+  const { journal, recordsOf } = open(1, ["refused", "undone"]);
+  expect(await journal.append([CANCELLATION])).to.equal(true);
+  expect(recordsOf("t")).to.have.length(1);
+});
+
+it("journal: an earlier lead can write nothing after a later one opened it", async () => {
+  const { journal, create, recordsOf } = open(1);
+  expect(await journal.append([CANCELLATION])).to.equal(true);
+  expect(await create(2).open()).to.equal(1);
+  expect(await journal.append([CANCELLATION])).to.equal(false);
+  expect(recordsOf("t")).to.have.length(1);
+});
+
+it("journal: nothing is tried once the lead is lost", async () => {
+  const { journal, stop, appends } = open(1);
+  stop();
+  expect(await journal.append([CANCELLATION])).to.equal(false);
+  expect(appends()).to.equal(0);
+});
--- /dev/null
+++ b/packages/cell/__tests__/lead_lease.test.ts
@@ -0,0 +1,87 @@
+import { expect } from "chai";
+import { createSystemClock, pause, silentLogger } from "@rattanhill/shared";
+import { createLeadLease, LEAD_LEASE_MS } from "../src/mod.ts";
+import { type AppendFault, createMemoryStore } from "./memory_store.ts";
+
+const TIMEOUT_MS = 10_000;
+
+function createCandidates(faults: AppendFault[] = []) {
+  const memory = createMemoryStore(faults);
+  const leases: ReturnType<typeof createLeadLease>[] = [];
+  const join = (node: string, incarnation = "1") => {
+    const terms: number[] = [];
+    const skew = { ms: 0 };
+    const system = createSystemClock();
+    const lease = createLeadLease({
+      store: memory.store,
+      topic: "lead",
+      node,
+      incarnation,
+      clock: { ...system, wallTime: () => system.wallTime() + skew.ms },
+      log: silentLogger,
+      random: () => 0,
+      strength: 1,
+      gained: (term) => terms.push(term),
+      lost: () => {},
+      mayLead: () => true,
+    });
+    leases.push(lease);
+    return { lease, terms, skew };
+  };
+  return { ...memory, join, close: () => leases.forEach((l) => l.close()) };
+}
+
+it("lead: one of two candidates leads, and the other takes over when it is gone", async () => {
+  const { join, close } = createCandidates();
+  const first = join("a");
+  await pause(300);
+  const second = join("b");
+  await pause(300);
+  expect([first.lease.isHeld(), second.lease.isHeld()])
+    .to.deep.equal([true, false]);
+  first.lease.close();
+  await pause(LEAD_LEASE_MS + 600);
+  expect(second.terms).to.deep.equal([2]);
+  expect(first.lease.isHeld()).to.equal(false);
+  close();
+}).timeout(TIMEOUT_MS);
+
+it("lead: a released lead is taken over at once", async () => {
+  const { join, close } = createCandidates();
+  const first = join("a");
+  await pause(300);
+  const second = join("b");
+  await first.lease.release();
+  await pause(400);
+  expect(second.lease.isHeld()).to.equal(true);
+  close();
+}).timeout(TIMEOUT_MS);
+
+it("lead: a new process does not wait for an earlier one of its VM", async () => {
+  const { join, close } = createCandidates();
+  const first = join("a");
+  await pause(300);
+  first.lease.close();
+  const next = join("a", "2");
+  await pause(400);
+  expect(next.terms).to.deep.equal([2]);
+  close();
+}).timeout(TIMEOUT_MS);
+
+it("lead: a renewal whose answer was lost still counts", async () => {
+  const { join, close } = createCandidates(["lost"]);
+  const first = join("a");
+  await pause(400);
+  expect(first.lease.isHeld()).to.equal(true);
+  close();
+}).timeout(TIMEOUT_MS);
+
+it("lead: it ends by the time of day when the VM was suspended", async () => {
+  const { join, close } = createCandidates();
+  const first = join("a");
+  await pause(300);
+  expect(first.lease.isHeld()).to.equal(true);
+  first.skew.ms = LEAD_LEASE_MS;
+  expect(first.lease.isHeld()).to.equal(false);
+  close();
+}).timeout(TIMEOUT_MS);
--- /dev/null
+++ b/packages/cell/__tests__/memory_store.ts
@@ -0,0 +1,74 @@
+import {
+  ErrorCode,
+  UnavailableError,
+  UncertainError,
+} from "@rattanhill/shared";
+import type { AppendResult, Store, StoredRecord } from "../src/mod.ts";
+
+/** What the next appends do instead of working. */
+export type AppendFault = "refused" | "lost" | "undone";
+
+/** A store in memory; appends take the given faults one after the other. */
+export function createMemoryStore(faults: AppendFault[] = []) {
+  const topics = new Map<string, StoredRecord[]>();
+  const terms = new Map<string, number>();
+  const done = new Set<string>();
+  const recordsOf = (topic: string): StoredRecord[] => {
+    const records = topics.get(topic) ?? [];
+    topics.set(topic, records);
+    return records;
+  };
+  const context = { step: "store.append", peer: "memory" };
+  let appends = 0;
+
+  const store: Store = {
+    append: async (topic, values, { at, fence }) => {
+      appends += 1;
+      const fault = faults.shift();
+      if (fault === "refused") {
+        throw new UnavailableError(ErrorCode.logUnavailable, "503", context);
+      }
+      if (fault === "undone") {
+        throw new UncertainError(ErrorCode.logUncertain, "no answer", context);
+      }
+      const records = recordsOf(topic);
+      const result = ((): AppendResult => {
+        const endOffset = records.length;
+        if (at !== undefined && at !== endOffset) {
+          return { kind: "moved", endOffset };
+        }
+        if (fence !== undefined) {
+          if (fence.term < (terms.get(topic) ?? 0)) return { kind: "fenced" };
+          terms.set(topic, fence.term);
+          const name = `${topic}/${fence.term}/${fence.sequence}`;
+          if (values.length > 0 && done.has(name)) {
+            return { kind: "appended", endOffset };
+          }
+          if (values.length > 0) done.add(name);
+        }
+        for (const value of values) {
+          records.push({ ...value, offset: records.length });
+        }
+        return { kind: "appended", endOffset: records.length };
+      })();
+      if (fault === "lost") {
+        throw new UncertainError(ErrorCode.logUncertain, "no answer", context);
+      }
+      return result;
+    },
+    read: async (topic, from, { waitMs }) => {
+      if (recordsOf(topic).length <= from) await pause(Math.min(waitMs, 20));
+      return {
+        kind: "records",
+        records: recordsOf(topic).slice(from),
+        nextOffset: recordsOf(topic).length,
+      };
+    },
+    newest: async (topic) => ({
+      records: recordsOf(topic),
+      endOffset: recordsOf(topic).length,
+    }),
+    close: async () => {},
+  };
+  return { store, recordsOf, appends: () => appends };
+}
