--- a/packages/cell/__tests__/memory_store.ts
+++ b/packages/cell/__tests__/memory_store.ts
@@ -1,5 +1,6 @@
 import {
   ErrorCode,
+  pause,
   UnavailableError,
   UncertainError,
 } from "@rattanhill/shared";
