--- a/packages/cell/src/topic_follower.ts
+++ b/packages/cell/src/topic_follower.ts
@@ -73,8 +73,12 @@
   };
 
   const follow = async (): Promise<void> => {
-    const timeoutMs = waitMs + ANSWER_TIMEOUT_MS;
-    const result = await store.read(topic, next, { waitMs, timeoutMs });
+    // After a failure the answer itself is what matters, not a new record.
+    const patienceMs = failures > 0 ? 0 : waitMs;
+    const result = await store.read(topic, next, {
+      waitMs: patienceMs,
+      timeoutMs: patienceMs + ANSWER_TIMEOUT_MS,
+    });
     if (isClosed) return;
     if (result.kind === "expired") {
       log.warn({ topic, from: next }, "history deleted ahead of the reader");
