--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -105,10 +105,10 @@
   accelerators: number;
 }
 
-/** A worker as the lead of its cell knows it. */
-export interface WorkerState {
+/** A worker as the platform lists it. */
+export interface WorkerEntry {
   id: string;
-  /** Tells lives of the same worker apart: its start in Unix milliseconds. */
+  /** Its start in Unix milliseconds; 0 when the list does not tell. */
   lifetime: number;
   service: string;
   address: string;
@@ -116,11 +116,15 @@
   labels: readonly string[];
   rack: string;
   capacity: Resources;
-  used: Resources;
-  runs: Set<Run>;
   isDraining: boolean;
-  /** Shortest time that a draining worker stays, from `drainingSince`. */
+  /** Shortest time that a draining worker stays. */
   remainingMs: Milliseconds;
+}
+
+/** A worker as the lead of its cell knows it. */
+export interface WorkerState extends WorkerEntry {
+  used: Resources;
+  runs: Set<Run>;
   drainingSince?: Milliseconds;
   /** In the platform's list of workers. */
   isListed: boolean;
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -100,8 +100,9 @@
   log: Logger;
 }
 
-/** Time without an answer after which an uncertain start is withdrawn. */
+/** Time for which a worker gets nothing new after it refused a start. */
 const CLOSED_AFTER_REFUSAL_MS: Milliseconds = 500; // long enough for a report to correct the room
+/** The same after a start that had no answer, or an answer that says it is not well. */
 const CLOSED_AFTER_SILENCE_MS: Milliseconds = 2_000; // silent workers rarely recover sooner
 
 /**
--- a/packages/scheduler/src/worker_roster.ts
+++ b/packages/scheduler/src/worker_roster.ts
@@ -7,25 +7,10 @@
   type Run,
   RunPhase,
   type StepState,
+  type WorkerEntry,
   type WorkerState,
 } from "./cell_state.ts";
 
-/** A worker as the platform lists it. */
-export interface WorkerEntry {
-  id: string;
-  /** Its start in Unix milliseconds; 0 when the list does not tell. */
-  lifetime: number;
-  service: string;
-  address: string;
-  zone: string;
-  labels: readonly string[];
-  rack: string;
-  capacity: Resources;
-  isDraining: boolean;
-  /** Shortest time that a draining worker stays. */
-  remainingMs: Milliseconds;
-}
-
 /** What the platform lists. */
 export interface WorkerListing {
   entries: readonly WorkerEntry[];
