--- a/packages/cell/__tests__/memory_store.ts
+++ b/packages/cell/__tests__/memory_store.ts
@@ -23,40 +23,49 @@
   let appends = 0;
 
   const store: Store = {
-    append: async (topic, values, { at, fence }) => {
-      appends += 1;
-      const fault = faults.shift();
-      if (fault === "refused") {
-        throw new UnavailableError(ErrorCode.logUnavailable, "503", context);
-      }
-      if (fault === "undone") {
-        throw new UncertainError(ErrorCode.logUncertain, "no answer", context);
-      }
-      const records = recordsOf(topic);
-      const result = ((): AppendResult => {
-        const endOffset = records.length;
-        if (at !== undefined && at !== endOffset) {
-          return { kind: "moved", endOffset };
+    append: (topic, values, { at, fence }) =>
+      attempt(() => {
+        appends += 1;
+        const fault = faults.shift();
+        if (fault === "refused") {
+          throw new UnavailableError(ErrorCode.logUnavailable, "503", context);
         }
-        if (fence !== undefined) {
-          if (fence.term < (terms.get(topic) ?? 0)) return { kind: "fenced" };
-          terms.set(topic, fence.term);
-          const name = `${topic}/${fence.term}/${fence.sequence}`;
-          if (values.length > 0 && done.has(name)) {
-            return { kind: "appended", endOffset };
-          }
-          if (values.length > 0) done.add(name);
+        if (fault === "undone") {
+          throw new UncertainError(
+            ErrorCode.logUncertain,
+            "no answer",
+            context,
+          );
         }
-        for (const value of values) {
-          records.push({ ...value, offset: records.length });
+        const records = recordsOf(topic);
+        const result = ((): AppendResult => {
+          const endOffset = records.length;
+          if (at !== undefined && at !== endOffset) {
+            return { kind: "moved", endOffset };
+          }
+          if (fence !== undefined) {
+            if (fence.term < (terms.get(topic) ?? 0)) return { kind: "fenced" };
+            terms.set(topic, fence.term);
+            const name = `${topic}/${fence.term}/${fence.sequence}`;
+            if (values.length > 0 && done.has(name)) {
+              return { kind: "appended", endOffset };
+            }
+            if (values.length > 0) done.add(name);
+          }
+          for (const value of values) {
+            records.push({ ...value, offset: records.length });
+          }
+          return { kind: "appended", endOffset: records.length };
+        })();
+        if (fault === "lost") {
+          throw new UncertainError(
+            ErrorCode.logUncertain,
+            "no answer",
+            context,
+          );
         }
-        return { kind: "appended", endOffset: records.length };
-      })();
-      if (fault === "lost") {
-        throw new UncertainError(ErrorCode.logUncertain, "no answer", context);
-      }
-      return result;
-    },
+        return result;
+      }),
     read: async (topic, from, { waitMs }) => {
       if (recordsOf(topic).length <= from) await pause(Math.min(waitMs, 20));
       return {
@@ -65,11 +74,21 @@
         nextOffset: recordsOf(topic).length,
       };
     },
-    newest: async (topic) => ({
-      records: recordsOf(topic),
-      endOffset: recordsOf(topic).length,
-    }),
+    newest: (topic) =>
+      Promise.resolve({
+        records: recordsOf(topic),
+        endOffset: recordsOf(topic).length,
+      }),
     close: async () => {},
   };
   return { store, recordsOf, appends: () => appends };
 }
+
+/** Runs a function at once and turns what it throws into a rejection. */
+function attempt<Result>(run: () => Result): Promise<Result> {
+  try {
+    return Promise.resolve(run());
+  } catch (error) {
+    return Promise.reject(error);
+  }
+}
