refactor(scheduler): one function adds and takes away resources

The same three sums stood in five places; the room no longer takes a state that it does not use, and the lead asks one function whether it leads. No decision changes.

--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -84,10 +84,8 @@
 export function createCellLead(options: CellLeadOptions): CellLead {
   const { book, clock, log, term, connect, metrics } = options;
   const links = new Map<WorkerState, { link: WorkerLink; address: string }>();
-  const journal = createJournal({
-    ...options,
-    isLeading: () => !isClosed && options.isLeading(),
-  });
+  const isLeading = (): boolean => !isClosed && options.isLeading();
+  const journal = createJournal({ ...options, isLeading });
   let scheduler: Scheduler | undefined;
   let isClosed = false;
   let isStoring = false;
@@ -97,8 +95,6 @@
   let loadLog: NodeJS.Timeout | undefined;
   let removal: NodeJS.Timeout | undefined;
 
-  const isLeading = (): boolean => !isClosed && options.isLeading();
-
   const linkTo = (worker: WorkerState): WorkerLink | undefined => {
     const known = links.get(worker);
     if (known?.address === worker.address) return known.link;
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -248,7 +248,7 @@
 /** Occupies capacity for a run. */
 export function reserve(run: Run): void {
   const { worker, step } = run;
-  change(worker.used, needsOf(step.spec), 1);
+  addResources(worker.used, needsOf(step.spec));
   worker.runs.add(run);
   step.runs.set(run.index, run);
 }
@@ -257,7 +257,7 @@
 export function release(state: CellState, run: Run): void {
   const { worker, step } = run;
   if (!worker.runs.delete(run)) return;
-  change(worker.used, needsOf(step.spec), -1);
+  addResources(worker.used, needsOf(step.spec), -1);
   if (step.runs.get(run.index) === run) step.runs.delete(run.index);
   state.unsavedSteps.add(step);
   forgetWhenWoundUp(state, step.job);
@@ -312,8 +312,13 @@
   state.unsavedOutcomes.add(job);
 }
 
-function change(target: Resources, by: Resources, sign: 1 | -1): void {
-  target.milliCores += sign * by.milliCores;
-  target.memoryMegabytes += sign * by.memoryMegabytes;
-  target.accelerators += sign * by.accelerators;
+/** Adds resources to others, a number of times; a negative number takes them away. */
+export function addResources(
+  target: Resources,
+  by: Resources,
+  times = 1,
+): void {
+  target.milliCores += times * by.milliCores;
+  target.memoryMegabytes += times * by.memoryMegabytes;
+  target.accelerators += times * by.accelerators;
 }
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -89,7 +89,6 @@
   const penaltyOf = (worker: WorkerState): number =>
     quarantine.isOpen(worker.id, now()) ? 0 : FAILURE_PENALTY;
   const room = createRoom({
-    state,
     now,
     isOpen,
     stopMs: () => rules.deployment.stopMs,
--- a/packages/scheduler/src/preemption.ts
+++ b/packages/scheduler/src/preemption.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from "@rattanhill/shared";
 import type { StepSpec } from "./job_types.ts";
 import {
+  addResources,
   needsOf,
   type Resources,
   type Run,
@@ -154,10 +155,7 @@
   const free = { ...view.freeOn(worker) };
   for (const run of worker.runs) {
     if (!taken.has(run)) continue;
-    const needs = needsOf(run.step.spec);
-    free.milliCores += needs.milliCores;
-    free.memoryMegabytes += needs.memoryMegabytes;
-    free.accelerators += needs.accelerators;
+    addResources(free, needsOf(run.step.spec));
   }
   return free;
 }
--- a/packages/scheduler/src/reservation.ts
+++ b/packages/scheduler/src/reservation.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from "@rattanhill/shared";
 import {
+  addResources,
   needsOf,
   type Resources,
   type Run,
@@ -93,10 +94,7 @@
     .map((run) => ({ run, inMs: view.remainingOf(run) }))
     .sort((a, b) => a.inMs - b.inMs);
   for (const { run, inMs } of ends) {
-    const freed = needsOf(run.step.spec);
-    free.milliCores += freed.milliCores;
-    free.memoryMegabytes += freed.memoryMegabytes;
-    free.accelerators += freed.accelerators;
+    addResources(free, needsOf(run.step.spec));
     note(inMs);
   }
   return openings;
--- a/packages/scheduler/src/room.ts
+++ b/packages/scheduler/src/room.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds } from "@rattanhill/shared";
 import {
-  type CellState,
+  addResources,
   isOver,
   needsOf,
   type Resources,
@@ -44,7 +44,6 @@
 
 /** Options of {@link createRoom}. */
 export interface RoomOptions {
-  state: CellState;
   now(): Milliseconds;
   /** Longest time that a stop takes. */
   stopMs(): Milliseconds;
@@ -63,7 +62,7 @@
 /**
  * Creates the room of a cell.
  *
- * @param options the cell's state and a clock
+ * @param options a clock and which workers are open
  * @returns the room
  */
 export function createRoom(options: RoomOptions): Room {
@@ -82,23 +81,16 @@
       const sum = kept.get(worker) ??
         { milliCores: 0, memoryMegabytes: 0, accelerators: 0 };
       kept.set(worker, sum);
-      sum.milliCores += sign * count * needs.milliCores;
-      sum.memoryMegabytes += sign * count * needs.memoryMegabytes;
-      sum.accelerators += sign * count * needs.accelerators;
+      addResources(sum, needs, sign * count);
     }
   };
 
   const free = (worker: WorkerState): Resources => {
-    const { capacity, used } = worker;
+    const room = { ...worker.capacity };
+    addResources(room, worker.used, -1);
     const away = kept.get(worker);
-    return {
-      milliCores: capacity.milliCores - used.milliCores -
-        (away?.milliCores ?? 0),
-      memoryMegabytes: capacity.memoryMegabytes - used.memoryMegabytes -
-        (away?.memoryMegabytes ?? 0),
-      accelerators: capacity.accelerators - used.accelerators -
-        (away?.accelerators ?? 0),
-    };
+    if (away !== undefined) addResources(room, away, -1);
+    return room;
   };
 
   return {
@@ -118,10 +110,7 @@
       const room = free(worker);
       for (const run of worker.runs) {
         if (run.stopReason === undefined) continue;
-        const needs = needsOf(run.step.spec);
-        room.milliCores += needs.milliCores;
-        room.memoryMegabytes += needs.memoryMegabytes;
-        room.accelerators += needs.accelerators;
+        addResources(room, needsOf(run.step.spec));
       }
       return room;
     },
