fix(entry): a refusal is no proof after the owner of an earlier try is gone

Cause: repeatable requests are not in the log. Ruled out: the request's own state (it keeps whether it ran), adoption (only for what the log knows).

--- a/packages/core/src/request.ts
+++ b/packages/core/src/request.ts
@@ -28,13 +28,16 @@
  *
  * @param spec the request
  * @param now time by the owner's clock, in milliseconds
- * @param options number of the first attempt; larger than 1 when earlier claims of the key are known
+ * @param options number of the first attempt, larger than 1 when earlier claims of the key are known; whether a lost entry may have run an earlier try
  * @returns the state in its first attempt
  */
 export function createRequest(
   spec: RequestSpec,
   now: Milliseconds,
-  { attempt = 1 }: { attempt?: number } = {},
+  { attempt = 1, mayHaveRun = false }: {
+    attempt?: number;
+    mayHaveRun?: boolean;
+  } = {},
 ): RequestStep {
   const state: RequestState = {
     spec,
@@ -43,8 +46,8 @@
     parts: [],
     holdsEndAt: 0,
     deadlineAt: now + spec.deadlineMs,
-    ranBefore: false,
-    lostBefore: false,
+    ranBefore: mayHaveRun,
+    lostBefore: mayHaveRun,
     retries: 0,
     avoid: [],
     checkpoints: {},
