feat(bench): the loads of both sites are played against a cell's scheduler

Plays jobs, gangs, racks, wrong estimates, bursts, checkpoints and failures as on the published sheets, without a network and without troubles; weights of planning are one object and can be compared.

--- /dev/null
+++ b/packages/bench/__tests__/cell_simulation.test.ts
@@ -0,0 +1,29 @@
+import { createRandom } from "@rattanhill/standins";
+import { expect } from "chai";
+import { CELL_LOADS } from "../src/cell_loads.ts";
+import { simulateCell } from "../src/cell_simulation.ts";
+
+const QUIET_SHARE = 0.3; // leaves most workers free
+
+it("cell simulation: the same seed plays the same", () => {
+  const load = { ...CELL_LOADS[0], lengthMs: 8_000 };
+  const first = simulateCell(load, { random: createRandom(7) });
+  expect(simulateCell(load, { random: createRandom(7) })).to.deep.equal(first);
+});
+
+it("cell simulation: on a quiet day nearly all work is in time", () => {
+  for (const heavy of CELL_LOADS) {
+    const load = {
+      ...heavy,
+      lengthMs: 20_000,
+      kinds: heavy.kinds.map((kind) => ({
+        ...kind,
+        rate: QUIET_SHARE * kind.rate,
+        failureShare: 0,
+        width: { ...kind.width, maximum: 8 }, // fits one rack
+      })),
+    };
+    const { earned, owed } = simulateCell(load, { random: createRandom(3) });
+    expect(earned / owed).to.be.above(0.95);
+  }
+});
--- /dev/null
+++ b/packages/bench/src/cell_bench.ts
@@ -0,0 +1,71 @@
+import { createRandom } from "@rattanhill/standins";
+import type { PlanningPolicy } from "@rattanhill/scheduler";
+import { CELL_LOADS } from "./cell_loads.ts";
+import { type CellResult, simulateCell } from "./cell_simulation.ts";
+
+/** Means of a load's plays under one policy. */
+export interface CellRow {
+  load: string;
+  policy: string;
+  /** Value earned of the value owed. */
+  earned: number;
+  /** The same less the users' price of thrown-away work. */
+  net: number;
+  worstWindows: number;
+  byKind: Record<string, number>;
+  wasted: number;
+  utilization: number;
+}
+
+/** The users' price of a core second that is thrown away, in units of value. */
+const WASTE_PRICE = 0.0022;
+
+/**
+ * Plays the loads of cells under several policies.
+ *
+ * @param policies changes to the policy, by name
+ * @param options seeds of the plays
+ * @returns means by load and policy
+ */
+export function runCellBench(
+  policies: Readonly<Record<string, Partial<PlanningPolicy>>>,
+  options: { seeds: number },
+): CellRow[] {
+  const rows: CellRow[] = [];
+  for (const load of CELL_LOADS) {
+    for (const [policy, changes] of Object.entries(policies)) {
+      const results: CellResult[] = [];
+      for (let seed = 1; seed <= options.seeds; seed++) {
+        const random = createRandom(seed);
+        results.push(simulateCell(load, { random, policy: changes }));
+      }
+      const mean = (value: (result: CellResult) => number): number =>
+        round(
+          results.reduce((sum, each) => sum + value(each), 0) /
+            results.length,
+        );
+      rows.push({
+        load: load.name,
+        policy,
+        earned: mean(({ earned, owed }) => earned / owed),
+        net: mean(({ earned, owed, wasted }) =>
+          (earned - WASTE_PRICE * wasted) / owed
+        ),
+        worstWindows: mean(({ worstWindows }) => worstWindows),
+        byKind: Object.fromEntries(
+          load.kinds.map(({ rules: { name } }) => [
+            name,
+            mean(({ byKind }) => byKind[name]),
+          ]),
+        ),
+        wasted: mean(({ wasted }) => wasted),
+        utilization: mean(({ utilization }) => utilization),
+      });
+    }
+  }
+  return rows;
+}
+
+function round(value: number): number {
+  return Math.round(value * 1_000) / 1_000;
+}
--- /dev/null
+++ b/packages/bench/src/cell_loads.ts
@@ -0,0 +1,306 @@
+import type { Milliseconds } from "@rattanhill/shared";
+import type { JobSpec, QueueRules, StepSpec } from "@rattanhill/scheduler";
+
+/** Jobs of one kind. */
+export interface KindOfJob {
+  rules: QueueRules;
+  /** Jobs a second. */
+  rate: number;
+  /** Value of a mean job that is done in time, and of one that is late. */
+  worth: number;
+  lateWorth: number;
+  steps: { mean: number; maximum: number };
+  width: { mean: number; spread: number; maximum: number };
+  workMs: { mean: number; spread: number; maximum: number };
+  /** Spread of the work of a step's tasks. */
+  unevenness: number;
+  /** Largest share by which an estimate is off. */
+  estimateError: number;
+  milliCores: number;
+  memoryMegabytes: number;
+  /** A task needs one of these numbers of accelerators. */
+  accelerators: readonly number[];
+  /** Shares of jobs. */
+  gangShare: number;
+  oneRackShare: number;
+  checkpointShare: number;
+  cancelShare: number;
+  /** Share of runs that fail. */
+  failureShare: number;
+}
+
+/** Jobs that a cell gets, and its workers. */
+export interface CellLoadCase {
+  name: string;
+  workers: number;
+  workersPerRack: number;
+  capacity: {
+    milliCores: number;
+    memoryMegabytes: number;
+    accelerators: number;
+  };
+  kinds: readonly KindOfJob[];
+  /** Time during which jobs arrive. */
+  lengthMs: Milliseconds;
+  /** More jobs of the first priority for a while. */
+  burst: { factor: number; fromMs: Milliseconds; lengthMs: Milliseconds };
+  /** Accelerators that belong to urgent jobs, by account. */
+  guarantees: readonly number[];
+  stopMs: Milliseconds;
+  reclaimMs: Milliseconds;
+  remoteFactor: number;
+}
+
+/** A job with what really happens to it. */
+export interface DrawnJob {
+  spec: JobSpec;
+  kind: KindOfJob;
+  arrivesAt: Milliseconds;
+  cancelledAt?: Milliseconds;
+  /** Real work of each task, by step. */
+  workMs: Milliseconds[][];
+}
+
+const SWING = 0.15; // of the sheets' traffic
+const SWING_PERIOD_MS: Milliseconds = 11_000; // of the sheets' traffic
+const CANCELLED_WITHIN_MS: Milliseconds = 6_000; // about the work of a batch task
+
+/**
+ * Draws the jobs of a load.
+ *
+ * @param load kinds of jobs and their rates
+ * @param random source of numbers from 0 to 1
+ * @returns the jobs in the order of their arrival
+ */
+export function drawJobs(
+  load: CellLoadCase,
+  random: () => number,
+): DrawnJob[] {
+  const jobs: DrawnJob[] = [];
+  for (const kind of load.kinds) {
+    const isUrgent = kind.rules.priority === 0;
+    const { factor, fromMs, lengthMs } = load.burst;
+    const highest = kind.rate * (1 + SWING) * Math.max(1, factor);
+    for (let at = 0;;) {
+      at -= Math.log(1 - random()) / highest * 1_000;
+      if (at > load.lengthMs) break;
+      const inBurst = isUrgent && at >= fromMs && at < fromMs + lengthMs;
+      const swing = 1 + SWING * Math.sin(2 * Math.PI * at / SWING_PERIOD_MS);
+      const rate = kind.rate * swing * (inBurst ? factor : 1);
+      if (random() * highest < rate) {
+        jobs.push(drawJob(kind, load, { at, serial: jobs.length, random }));
+      }
+    }
+  }
+  return jobs.sort((a, b) => a.arrivesAt - b.arrivesAt);
+}
+
+function drawJob(
+  kind: KindOfJob,
+  load: CellLoadCase,
+  { at, serial, random }: { at: number; serial: number; random: () => number },
+): DrawnJob {
+  const { rules, steps, width, workMs } = kind;
+  const extraSteps = random() < steps.mean - 1 ? 1 : 0;
+  const stepCount = Math.min(Math.floor(steps.maximum), 1 + extraSteps);
+  const work: number[][] = [];
+  const specs: StepSpec[] = [];
+  for (let index = 0; index < stepCount; index++) {
+    const taskCount = Math.max(1, Math.round(logNormal(width, random)));
+    const accelerators =
+      kind.accelerators[Math.floor(random() * kind.accelerators.length)];
+    const mean = logNormal(workMs, random);
+    const isGang = random() < kind.gangShare;
+    const off = 1 + kind.estimateError * (2 * random() - 1);
+    work.push(
+      Array.from(
+        { length: taskCount },
+        () => mean * (1 + kind.unevenness * (2 * random() - 1)),
+      ),
+    );
+    specs.push({
+      taskCount,
+      accelerators,
+      milliCores: kind.milliCores,
+      memoryMegabytes: kind.memoryMegabytes,
+      estimateMs: Math.round(mean * off),
+      after: index === 0 ? [] : [index - 1],
+      isGang,
+      needsOneRack: isGang && random() < kind.oneRackShare,
+      isCheckpointing: random() < kind.checkpointShare,
+    });
+  }
+  const account = Math.floor(random() * load.guarantees.length);
+  const isCancelled = random() < kind.cancelShare;
+  return {
+    kind,
+    arrivesAt: at,
+    cancelledAt: isCancelled ? at + random() * CANCELLED_WITHIN_MS : undefined,
+    workMs: work,
+    spec: {
+      id: `${rules.name}-${serial}`,
+      queue: rules.name,
+      account: `account-${account}`,
+      payload: "",
+      steps: specs,
+      submittedAt: at,
+      service: rules.service,
+    },
+  };
+}
+
+function logNormal(
+  { mean, spread, maximum }: { mean: number; spread: number; maximum: number },
+  random: () => number,
+): number {
+  const normal = Math.sqrt(-2 * Math.log(1 - random())) *
+    Math.cos(2 * Math.PI * random());
+  return Math.min(maximum, mean * Math.exp(spread * normal - spread ** 2 / 2));
+}
+
+const SERVICE = "executors";
+
+/** The heaviest standard day of the first site, without its troubles. */
+const ROUTES: CellLoadCase = {
+  name: "wide-batches",
+  workers: 33,
+  workersPerRack: 8,
+  capacity: { milliCores: 32_000, memoryMegabytes: 65_536, accelerators: 8 },
+  lengthMs: 41_000,
+  burst: { factor: 2, fromMs: 6_800, lengthMs: 6_000 },
+  guarantees: [40, 40, 41, 41],
+  stopMs: 900,
+  reclaimMs: 3_400,
+  remoteFactor: 3,
+  kinds: [
+    {
+      rules: {
+        name: "suggest",
+        service: SERVICE,
+        priority: 1,
+        maximumAttempts: 4,
+        stretch: 3,
+        targetMs: 1_000,
+      },
+      rate: 0.63,
+      worth: 3,
+      lateWorth: 0.3,
+      steps: { mean: 1, maximum: 2 },
+      width: { mean: 5, spread: 0.8, maximum: 30 },
+      workMs: { mean: 6_800, spread: 0.3, maximum: 11_000 },
+      unevenness: 0.15,
+      estimateError: 0.5,
+      milliCores: 13_000,
+      memoryMegabytes: 26_000,
+      accelerators: [1, 2, 4, 8, 8],
+      gangShare: 1,
+      oneRackShare: 0.6,
+      checkpointShare: 0.45,
+      cancelShare: 0.05,
+      failureShare: 0.02,
+    },
+    {
+      rules: {
+        name: "draft",
+        service: SERVICE,
+        priority: 0,
+        maximumAttempts: 4,
+        stretch: 1.5,
+        targetMs: 250,
+      },
+      rate: 1.53,
+      worth: 4,
+      lateWorth: 0.8,
+      steps: { mean: 1, maximum: 1 },
+      width: { mean: 3.4, spread: 0.8, maximum: 21 },
+      workMs: { mean: 2_500, spread: 0.5, maximum: 8_000 },
+      unevenness: 0.15,
+      estimateError: 0.5,
+      milliCores: 3_700,
+      memoryMegabytes: 7_600,
+      accelerators: [1, 2, 4, 8, 8],
+      gangShare: 1,
+      oneRackShare: 0.8,
+      checkpointShare: 0,
+      cancelShare: 0,
+      failureShare: 0.005,
+    },
+    {
+      rules: {
+        name: "score",
+        service: SERVICE,
+        priority: 2,
+        maximumAttempts: 4,
+        stretch: 3,
+        targetMs: 3_000,
+      },
+      rate: 0.47,
+      worth: 1,
+      lateWorth: 0.1,
+      steps: { mean: 1.3, maximum: 3 },
+      width: { mean: 16, spread: 0.8, maximum: 94 },
+      workMs: { mean: 7_600, spread: 0.3, maximum: 11_000 },
+      unevenness: 0.3,
+      estimateError: 0.9,
+      milliCores: 2_800,
+      memoryMegabytes: 4_100,
+      accelerators: [1],
+      gangShare: 0,
+      oneRackShare: 0,
+      checkpointShare: 0.45,
+      cancelShare: 0.15,
+      failureShare: 0.05,
+    },
+  ],
+};
+
+const [SUGGEST, DRAFT, SCORE] = ROUTES.kinds;
+
+/** The heaviest standard day of the second site, without its troubles. */
+const ROUNDS: CellLoadCase = {
+  ...ROUTES,
+  name: "large-workers",
+  capacity: { milliCores: 128_000, memoryMegabytes: 524_288, accelerators: 8 },
+  burst: { factor: 2.3, fromMs: 5_100, lengthMs: 6_000 },
+  stopMs: 400,
+  reclaimMs: 2_900,
+  kinds: [
+    {
+      ...SUGGEST,
+      rate: 0.66,
+      lateWorth: 0.9,
+      width: { mean: 4, spread: 0.8, maximum: 24 },
+      workMs: { mean: 8_500, spread: 0.3, maximum: 11_000 },
+      unevenness: 0.3,
+      estimateError: 0.9,
+      milliCores: 52_000,
+      memoryMegabytes: 210_000,
+    },
+    {
+      ...DRAFT,
+      rules: { ...DRAFT.rules, maximumAttempts: 2 },
+      rate: 1.85,
+      width: { mean: 3, spread: 0.8, maximum: 18 },
+      estimateError: 0.9,
+      milliCores: 15_000,
+      memoryMegabytes: 79_000,
+      failureShare: 0.05,
+    },
+    {
+      ...SCORE,
+      rules: { ...SCORE.rules, maximumAttempts: 3 },
+      rate: 0.82,
+      lateWorth: 0.3,
+      width: { mean: 12, spread: 0.8, maximum: 72 },
+      workMs: { mean: 6_100, spread: 0.3, maximum: 11_000 },
+      unevenness: 0.15,
+      estimateError: 0.2,
+      milliCores: 11_000,
+      memoryMegabytes: 33_000,
+      failureShare: 0.005,
+    },
+  ],
+};
+
+/** Loads of the bench, modelled on the platform's published sheets. */
+export const CELL_LOADS: readonly CellLoadCase[] = [ROUTES, ROUNDS];
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,8 +1,10 @@
 import { appendFileSync, writeFileSync } from "node:fs";
 import process from "node:process";
 import type { PlacerPolicy } from "@rattanhill/core";
+import { PLANNING_POLICY, type PlanningPolicy } from "@rattanhill/scheduler";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
+import { type CellRow, runCellBench } from "./cell_bench.ts";
 import { measureIdle, measurePath } from "./live_bench.ts";
 import { runPolicyBench } from "./policy_bench.ts";
 import { drawReport } from "./report.ts";
@@ -83,10 +85,46 @@
     {},
     async () => console.table(await measureIdle(IDLE_SIZES)),
   )
-  .demandCommand(1, "name a bench: policy, path or idle")
+  .command(
+    "cell",
+    "play the loads of cells with a hand-moved clock",
+    (options) =>
+      options.options({
+        seeds: { type: "number", default: 10, describe: "plays of each load" },
+        set: {
+          type: "array",
+          string: true,
+          default: [] as string[],
+          describe: "weights to compare, as name=value, joined by commas",
+        },
+      }),
+    ({ seeds, set }) => {
+      const policies = {
+        usual: {},
+        ...Object.fromEntries(set.map((text) => [text, parseWeights(text)])),
+      };
+      console.table(runCellBench(policies, { seeds }).map(flattenRow));
+    },
+  )
+  .demandCommand(1, "name a bench: policy, cell, path or idle")
   .strict()
   .parseAsync();
 
+function parseWeights(text: string): Partial<PlanningPolicy> {
+  return Object.fromEntries(
+    text.split(",").map((pair) => {
+      const [name, value] = pair.split("=");
+      const isKnown = name in PLANNING_POLICY && Number.isFinite(Number(value));
+      if (!isKnown) throw new Error(`unknown weight: ${pair}`);
+      return [name, Number(value)];
+    }),
+  );
+}
+
+function flattenRow({ byKind, ...rest }: CellRow) {
+  return { ...rest, ...byKind };
+}
+
 function describe({ deployment, case: name, policy }: CaseResult): string {
   return `${deployment} ${name} ${policy}`;
 }
--- a/packages/scheduler/src/mod.ts
+++ b/packages/scheduler/src/mod.ts
@@ -6,6 +6,7 @@
 export * from "./order_of_work.ts";
 export * from "./placement.ts";
 export * from "./planner.ts";
+export * from "./planning_policy.ts";
 export * from "./preemption.ts";
 export * from "./records.ts";
 export * from "./reservation.ts";
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -14,6 +14,7 @@
 import { createDurations } from "./durations.ts";
 import { Group, type WaitingStep } from "./order_of_work.ts";
 import { type Assignment, type PlacementView, placeStep } from "./placement.ts";
+import { PLANNING_POLICY, type PlanningPolicy } from "./planning_policy.ts";
 import { chooseVictims, wasteOf, workOf } from "./preemption.ts";
 import { reserveSoonest } from "./reservation.ts";
 import { createRoom } from "./room.ts";
@@ -52,26 +53,18 @@
   wallTime(): Milliseconds;
   stop(run: Run, reason: string): void;
   askAdvice(question: AdviceQuestion): void;
+  /** Weights that differ from {@link PLANNING_POLICY}. */
+  policy?: Partial<PlanningPolicy>;
   log: Logger;
 }
 
-/** Left of the bound on guaranteed work for two writes to the store, a start, and a slow VM. */
-const RECLAIM_MARGIN_MS: Milliseconds = 900;
-/** Left of that bound when guaranteed work no longer insists on one rack. */
+/** Left of the bound on guaranteed work when it no longer insists on one rack. */
 const LAST_RESORT_MS: Milliseconds = 500;
-/** Share of the extra time on a wrong rack that is waited for the right one. */
-const RACK_PATIENCE = 0.5; // queues move meanwhile
 /** Score added for a worker that failed something lately. */
 const FAILURE_PENALTY = 10; // above any score of room
 /** A draining worker must stay this much longer than the task needs. */
 const DRAIN_MARGIN_MS: Milliseconds = 300;
 
-/** Wait after which urgent work stops others cheaply; most room comes free by itself before. */
-const CHEAP_RECLAIM_MS: Milliseconds = 150;
-/** Largest share of its own work that urgent work may throw away of others. */
-const CHEAP_SHARE = 0.25; // a late urgent job loses about a fifth of its value
-/** More of them would leave too many workers idle. */
-const MAXIMUM_RESERVATIONS = 2;
 /**
  * Creates the planner of a cell.
  *
@@ -80,6 +73,7 @@
  */
 export function createPlanner(options: PlannerOptions): Planner {
   const { state, quarantine, runTimes, now, wallTime, stop, log } = options;
+  const policy = { ...PLANNING_POLICY, ...options.policy };
   let rules = NO_RULES;
   let waiting: WaitingStep[] = [];
 
@@ -141,7 +135,7 @@
     const isUrgent = queue.priority === 0;
     if (isUrgent && reclaim(waiting, tasks, view)) return;
     const isReserved = step.spec.isGang &&
-      room.reservationCount() < MAXIMUM_RESERVATIONS;
+      room.reservationCount() < policy.maximumReservations;
     if (!isUrgent && !isReserved) return;
     const reservation = reserveSoonest(step, tasks.length, {
       candidates: view.candidates,
@@ -170,17 +164,17 @@
     const { remoteFactor, reclaimMs } = rules.deployment;
     return rank.group === Group.guaranteed
       ? reclaimMs - LAST_RESORT_MS
-      : RACK_PATIENCE * (remoteFactor - 1) * expectedMs;
+      : policy.rackPatience * (remoteFactor - 1) * expectedMs;
   };
 
   /** Work that may be thrown away for urgent tasks, in core milliseconds. */
   const maximumWaste = (waiting: WaitingStep, count: number): number => {
     const { step, waitedMs, expectedMs, rank: { group } } = waiting;
     const { reclaimMs, stopMs } = rules.deployment;
-    const dueMs = reclaimMs - stopMs - RECLAIM_MARGIN_MS;
+    const dueMs = reclaimMs - stopMs - policy.reclaimMarginMs;
     if (group === Group.guaranteed && waitedMs > dueMs) return Infinity;
-    if (group === Group.overdue || waitedMs < CHEAP_RECLAIM_MS) return 0;
-    return CHEAP_SHARE * count * workOf(step.spec, expectedMs);
+    if (group === Group.overdue || waitedMs < policy.cheapReclaimMs) return 0;
+    return policy.cheapShare * count * workOf(step.spec, expectedMs);
   };
 
   /** Stops work of lower priority for urgent tasks and keeps the room for them. */
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -24,6 +24,7 @@
 import type { BookedJob } from "./job_book.ts";
 import type { JobSpec, RunEnd, TaskName } from "./job_types.ts";
 import { type CellLoad, createPlanner } from "./planner.ts";
+import type { PlanningPolicy } from "./planning_policy.ts";
 import type { CellRecord } from "./records.ts";
 import type { Rules } from "./rules.ts";
 import { applyReport, type WorkerReport } from "./run_ends.ts";
@@ -97,6 +98,8 @@
   order(order: Order): void;
   /** Asks the policy of a queue which workers may run a step. */
   askAdvice?(question: AdviceQuestion): void;
+  /** Weights of planning that differ from the usual ones. */
+  policy?: Partial<PlanningPolicy>;
   log: Logger;
 }
 
@@ -125,6 +128,7 @@
     wallTime,
     stop,
     askAdvice: (question) => options.askAdvice?.(question),
+    policy: options.policy,
     log,
   });
 
