fix(cell): a job that another entry has just accepted is not said to be unknown

Cause: an entry answers from its own book, which follows the store with a pace of up to 120 ms. Change: before 'unknown', the entry asks the store for the topic's end and takes in what is missing; callers who come meanwhile share one probe. While the store does not tell, the answer is 503 with a time to come back.

--- a/packages/cell/__tests__/job_service.test.ts
+++ b/packages/cell/__tests__/job_service.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { createManualClock, silentLogger } from "@rattanhill/shared";
-import { createJobBook } from "@rattanhill/scheduler";
+import { createJobBook, type JobBook } from "@rattanhill/scheduler";
 import {
   type CallerCall,
   createJobService,
@@ -34,12 +34,20 @@
 }, DEPLOYMENT);
 
 function createService(
-  { faults = [], configAge = 0, bookAge = 0, outage = 0, hasConfig = true }: {
+  {
+    faults = [],
+    configAge = 0,
+    bookAge = 0,
+    outage = 0,
+    hasConfig = true,
+    catchUp = () => Promise.resolve(),
+  }: {
     faults?: AppendFault[];
     configAge?: number;
     bookAge?: number;
     outage?: number;
     hasConfig?: boolean;
+    catchUp?: (book: JobBook) => Promise<void>;
   } = {},
 ) {
   const memory = createMemoryStore(faults);
@@ -53,6 +61,7 @@
     config: () => hasConfig ? CONFIG : undefined,
     configAge: () => configAge,
     bookAge: () => bookAge,
+    bookCaughtUp: () => catchUp(book),
     maximumConfigAgeMs: 4_000,
     maximumBookAgeMs: 2_500,
     storeOutageMs: () => outage,
@@ -137,3 +146,41 @@
     `cancel/${ID}`,
   ]);
 });
+
+/** Takes in a job that another entry has just accepted. */
+function bookLate(book: JobBook): Promise<void> {
+  book.apply({
+    kind: "submission",
+    spec: {
+      id: ID,
+      queue: "short",
+      account: "routes",
+      payload: "",
+      steps: [],
+      submittedAt: 0,
+      service: "s",
+    },
+  });
+  return Promise.resolve();
+}
+
+it("service: a job that was just accepted elsewhere can be cancelled", async () => {
+  const { call, book } = createService({ catchUp: bookLate });
+  const reply = await call({ action: "cancel" });
+  expect(reply).to.deep.equal({ kind: "cancelled" });
+  expect(book.stateOf(ID)).to.equal("cancelled");
+});
+
+it("service: a job that was just accepted elsewhere is known", async () => {
+  const { call } = createService({ catchUp: bookLate });
+  const reply = await call({ action: "ask" });
+  expect(reply).to.deep.equal({ kind: "state", state: "queued" });
+});
+
+it("service: a job is not said to be unknown while the store does not tell", async () => {
+  const catchUp = () => Promise.reject(new Error("no answer"));
+  for (const action of ["ask", "cancel"] as const) {
+    const { call } = createService({ catchUp });
+    expect((await call({ action })).kind).to.equal("unavailable");
+  }
+});
--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -182,6 +182,7 @@
     config: () => config,
     configAge: configFollower.age,
     bookAge: bookFollower.age,
+    bookCaughtUp: bookFollower.caughtUp,
     maximumConfigAgeMs: limits.revocationMs - REVOCATION_MARGIN_MS,
     maximumBookAgeMs: limits.visibleMs - VISIBILITY_MARGIN_MS,
     storeOutageMs: () => Math.max(0, bookFollower.age() - BOOK_WAIT_MS),
--- a/packages/cell/src/job_service.ts
+++ b/packages/cell/src/job_service.ts
@@ -7,6 +7,7 @@
   UnavailableError,
 } from "@rattanhill/shared";
 import {
+  type BookedJob,
   encodeRecord,
   type JobBook,
   type JobSpec,
@@ -65,6 +66,8 @@
   configAge(): Milliseconds;
   /** Time since the book was last known to be complete. */
   bookAge(): Milliseconds;
+  /** Waits until the book knows all that is stored now. @throws when the store does not tell */
+  bookCaughtUp(): Promise<void>;
   /** Age of the configuration from which keys are no longer trusted. */
   maximumConfigAgeMs: Milliseconds;
   /** Age of the book from which unknown jobs may exist. */
@@ -74,6 +77,7 @@
   metrics: Metrics;
 }
 
+const OUTDATED = "the book of jobs may be out of date";
 const JOB_ID = /^[0-9a-f]{16}$/;
 const DEFAULT_DEADLINE_MS: Milliseconds = 3_000; // clients of the milestone's sites wait this long
 /** Left of the caller's time for the answer to arrive. */
@@ -159,8 +163,9 @@
     call: CallerCall,
     { id }: Target,
   ): Promise<CallerReply> => {
-    const job = book.find(id);
-    if (job === undefined) return unknownJob();
+    const job = book.find(id) ?? await lookFor(id);
+    if (job === undefined) return { kind: "unknownJob" };
+    if (job === "unclear") return unavailable(OUTDATED);
     if (job.isCancelled || job.outcome !== undefined) {
       return { kind: "cancelled" };
     }
@@ -173,14 +178,30 @@
     return { kind: "cancelled" };
   };
 
-  const unknownJob = (): CallerReply =>
-    options.bookAge() > options.maximumBookAgeMs
-      ? unavailable("the book of jobs may be out of date")
-      : { kind: "unknownJob" };
+  /** Finds a job that another entry has just accepted. */
+  const lookFor = async (
+    id: string,
+  ): Promise<BookedJob | "unclear" | undefined> => {
+    if (options.bookAge() > options.maximumBookAgeMs) return "unclear";
+    try {
+      await options.bookCaughtUp();
+    } catch (error) {
+      log.warn({ job: id, error: describeError(error) }, "job not looked up");
+      return "unclear";
+    }
+    return book.find(id);
+  };
 
-  const ask = ({ id }: Target): CallerReply => {
+  const ask = async ({ id }: Target): Promise<CallerReply> => {
+    if (book.find(id) === undefined) {
+      const job = await lookFor(id);
+      if (job === "unclear") return unavailable(OUTDATED);
+      if (job === undefined) return { kind: "unknownJob" };
+    }
     const state = book.stateOf(id);
-    return state === undefined ? unknownJob() : { kind: "state", state };
+    return state === undefined
+      ? { kind: "unknownJob" }
+      : { kind: "state", state };
   };
 
   const deadlineOf = ({ deadlineMs }: CallerCall): Milliseconds =>
@@ -203,7 +224,7 @@
     const id = call.path.slice(queue.pathPrefix.length);
     if (id === "" && call.action === "ask") {
       if (options.bookAge() > options.maximumBookAgeMs) {
-        return unavailable("the book of jobs may be out of date");
+        return unavailable(OUTDATED);
       }
       return { kind: "pending", count: book.pending(queue.name) };
     }
@@ -211,7 +232,7 @@
     const target = { queue, id, account };
     if (call.action === "submit") return await submit(call, target);
     if (call.action === "cancel") return await cancel(call, target);
-    return ask(target);
+    return await ask(target);
   };
 
   return {
--- a/packages/cell/src/topic_follower.ts
+++ b/packages/cell/src/topic_follower.ts
@@ -1,9 +1,11 @@
 import {
   type Clock,
   describeError,
+  ErrorCode,
   type Logger,
   type Milliseconds,
   pause,
+  UnavailableError,
 } from "@rattanhill/shared";
 import type { Store, StoredRecord } from "./store.ts";
 
@@ -17,6 +19,11 @@
   position(): number;
   /** Waits until everything before an offset has been taken in, or the follower is closed. */
   reached(offset: number): Promise<void>;
+  /**
+   * Waits until everything that was in the topic at the time of the call has
+   * been taken in. @throws when the store does not tell
+   */
+  caughtUp(): Promise<void>;
   close(): void;
 }
 
@@ -56,6 +63,8 @@
   let isClosed = false;
   let confirmed: { now: Milliseconds; wall: Milliseconds } | undefined;
   let failures = 0;
+  let lastProbe: Promise<void> = Promise.resolve();
+  let nextProbe: Promise<void> | undefined;
   let waiting: { offset: number; resolve: () => void }[] = [];
 
   const settle = (): void => {
@@ -64,6 +73,27 @@
     for (const { resolve } of due) resolve();
   };
 
+  const reached = (offset: number): Promise<void> =>
+    new Promise((resolve) => {
+      waiting.push({ offset, resolve });
+      settle();
+    });
+
+  const probe = async (): Promise<void> => {
+    const result = await store.read(topic, next, {
+      waitMs: 0,
+      timeoutMs: ANSWER_TIMEOUT_MS,
+    });
+    if (result.kind !== "expired") {
+      const { nextOffset } = result;
+      await Promise.race([reached(nextOffset), pause(ANSWER_TIMEOUT_MS)]);
+      if (isClosed || next >= nextOffset) return;
+    }
+    const text = `${topic} has more than was taken in`;
+    const place = { step: "store.probe", peer: "store" };
+    throw new UnavailableError(ErrorCode.logUnavailable, text, place);
+  };
+
   const load = async (): Promise<void> => {
     const { records, endOffset } = await store.newest(topic, ANSWER_TIMEOUT_MS);
     if (isClosed) return;
@@ -124,11 +154,16 @@
     },
     isLoaded: () => isLoaded,
     position: () => next,
-    reached: (offset) =>
-      new Promise((resolve) => {
-        waiting.push({ offset, resolve });
-        settle();
-      }),
+    reached,
+    caughtUp: () => {
+      // One probe at a time; everybody who comes meanwhile shares the next.
+      nextProbe ??= lastProbe.catch(() => {}).then(() => {
+        nextProbe = undefined;
+        lastProbe = probe();
+        return lastProbe;
+      });
+      return nextProbe;
+    },
     close: () => {
       isClosed = true;
       settle();
