fix(cell): appends keep to the sizes that the store accepts

Cause: the settings' limits of a record and of a call were read and not used. A batch above them is rejected each time it is tried again, so a lead with much to store after an outage would place nothing any more, and a few large jobs at one entry would fail together.

--- a/packages/cell/__tests__/job_service.test.ts
+++ b/packages/cell/__tests__/job_service.test.ts
@@ -184,3 +184,26 @@
     expect((await call({ action })).kind).to.equal("unavailable");
   }
 });
+
+it("service: a job that the store cannot hold is refused at once", async () => {
+  const { call, recordsOf } = createService();
+  const large = await call({
+    readJob: () => ({ payload: "x".repeat(262_144), steps: [] }),
+  });
+  expect(large.kind).to.equal("invalid");
+  const wide = await call({
+    readJob: () => ({
+      payload: "",
+      steps: [{
+        taskCount: 10_000,
+        milliCores: 1,
+        memoryMegabytes: 1,
+        accelerators: 0,
+        estimateMs: 1,
+        after: [],
+      }],
+    }),
+  });
+  expect(wide.kind).to.equal("invalid");
+  expect(recordsOf("t")).to.have.length(0);
+});
--- a/packages/cell/__tests__/journal.test.ts
+++ b/packages/cell/__tests__/journal.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { silentLogger } from "@rattanhill/shared";
-import { createJournal } from "../src/mod.ts";
+import { createJournal, sizeOfRecord } from "../src/mod.ts";
 import { type AppendFault, createMemoryStore } from "./memory_store.ts";
 
 const CANCELLATION = { kind: "cancellation", job: "a" } as const;
@@ -50,3 +50,31 @@
   expect(await journal.append([CANCELLATION])).to.equal(false);
   expect(appends()).to.equal(0);
 });
+
+it("journal: what does not fit one call is stored part by part, in order", async () => {
+  const sizes: number[] = [];
+  const { store, recordsOf } = createMemoryStore([], {
+    recordBytes: 100,
+    callBytes: 100,
+  });
+  const journal = createJournal({
+    store: {
+      ...store,
+      append: (topic, values, conditions) => {
+        sizes.push(values.reduce((sum, each) => sum + sizeOfRecord(each), 0));
+        return store.append(topic, values, conditions);
+      },
+    },
+    topic: "t",
+    term: 1,
+    isLeading: () => true,
+    log: silentLogger,
+  });
+  const jobs = Array.from({ length: 9 }, (_, index) => `job-${index}`);
+  const records = jobs.map((job) => ({ kind: "cancellation", job }) as const);
+  expect(await journal.append(records)).to.equal(true);
+  expect(Math.max(...sizes)).to.be.at.most(100);
+  expect(recordsOf("t").map(({ key }) => key.split("/")[1])).to.deep.equal(
+    jobs,
+  );
+});
--- a/packages/cell/__tests__/memory_store.ts
+++ b/packages/cell/__tests__/memory_store.ts
@@ -10,7 +10,10 @@
 export type AppendFault = "refused" | "lost" | "undone";
 
 /** A store in memory; appends take the given faults one after the other. */
-export function createMemoryStore(faults: AppendFault[] = []) {
+export function createMemoryStore(
+  faults: AppendFault[] = [],
+  limits = { recordBytes: 262_144, callBytes: 2_097_152 },
+) {
   const topics = new Map<string, StoredRecord[]>();
   const terms = new Map<string, number>();
   const done = new Set<string>();
@@ -23,6 +26,7 @@
   let appends = 0;
 
   const store: Store = {
+    limits,
     append: (topic, values, { at, fence }) =>
       attempt(() => {
         appends += 1;
--- a/packages/cell/src/job_service.ts
+++ b/packages/cell/src/job_service.ts
@@ -14,6 +14,7 @@
   type JobState,
   type KeyedValue,
 } from "@rattanhill/scheduler";
+import { countForCall, sizeOfRecord } from "./append_groups.ts";
 import type { ConfigInForce, Queue } from "./cluster_config.ts";
 import type { Metrics } from "./metrics.ts";
 import type { Store } from "./store.ts";
@@ -85,6 +86,8 @@
 const APPEND_TIMEOUT_MS: Milliseconds = 1_000; // a store slowed sixtyfold takes 0.3 s
 const REFUSED_TRIES = 2; // a full partition clears within 2 s, an outage does not
 const RETRY_MS: Milliseconds = 150;
+/** A run of a task: numbers, a worker and its lifetime, and a checkpoint. */
+const PROGRESS_BYTES_PER_TASK = 120;
 const KNOWN_OUTAGE_MS: Milliseconds = 1_500; // a read that waits 1 s has had no answer for 1.5 s more
 const SHORT_OUTAGE_MS: Milliseconds = 1_000;
 const RETRY_AFTER_SHORT_MS: Milliseconds = 1_000;
@@ -152,6 +155,9 @@
       ...job,
     };
     const [value] = encodeRecord({ kind: "submission", spec });
+    if (isTooLarge(spec, value)) {
+      return { kind: "invalid", reason: "the job is too large to be stored" };
+    }
     const outcome = await store(value, deadlineOf(call));
     if (outcome === "uncertain") return { kind: "uncertain" };
     if (outcome === "refused") return unavailable("the store refuses writes");
@@ -159,6 +165,15 @@
     return { kind: "accepted" };
   };
 
+  /** What cannot be stored, now or while it runs, is refused at once. */
+  const isTooLarge = ({ steps }: JobSpec, value: KeyedValue): boolean => {
+    const { recordBytes } = options.store.limits;
+    return sizeOfRecord(value) > recordBytes ||
+      steps.some(({ taskCount }) =>
+        taskCount * PROGRESS_BYTES_PER_TASK > recordBytes
+      );
+  };
+
   const cancel = async (
     call: CallerCall,
     { id }: Target,
@@ -279,7 +294,12 @@
 
   const flush = async (): Promise<void> => {
     if (queue.length === 0 || inFlight >= MAXIMUM_IN_FLIGHT) return;
-    const group = queue.splice(0, MAXIMUM_GROUP);
+    const sizes = queue.map(({ value }) => sizeOfRecord(value));
+    const count = countForCall(sizes, {
+      callBytes: store.limits.callBytes,
+      maximumCount: MAXIMUM_GROUP,
+    });
+    const group = queue.splice(0, count);
     inFlight += 1;
     try {
       await store.append(topic, group.map(({ value }) => value), {
@@ -303,5 +323,5 @@
   };
 }
 
-const MAXIMUM_GROUP = 50; // 50 jobs of 5 KB stay far below the store's 2 MB a call
+const MAXIMUM_GROUP = 50; // bounds what one lost answer leaves uncertain
 const MAXIMUM_IN_FLIGHT = 2; // one lost answer does not hold up the others
--- a/packages/cell/src/journal.ts
+++ b/packages/cell/src/journal.ts
@@ -9,6 +9,7 @@
   encodeRecord,
   type KeyedValue,
 } from "@rattanhill/scheduler";
+import { countForCall, sizeOfRecord } from "./append_groups.ts";
 import type { Store } from "./store.ts";
 
 /** Writes the lead's records; an earlier lead can write none after it. */
@@ -21,7 +22,8 @@
    */
   open(): Promise<number | undefined>;
   /**
-   * Stores records, trying again for as long as this lead lasts.
+   * Stores records in their order, trying again for as long as this lead
+   * lasts. What does not fit one call is stored part by part.
    *
    * @returns whether they are stored
    */
@@ -93,7 +95,11 @@
     open: () => write([]),
     append: async (records) => {
       const values = records.flatMap(encodeRecord);
-      return await write(values) !== undefined;
+      while (values.length > 0) {
+        const count = countForCall(values.map(sizeOfRecord), store.limits);
+        if (await write(values.splice(0, count)) === undefined) return false;
+      }
+      return true;
     },
   };
 }
--- a/packages/cell/src/mod.ts
+++ b/packages/cell/src/mod.ts
@@ -1,3 +1,4 @@
+export * from "./append_groups.ts";
 export * from "./cell_lead.ts";
 export * from "./cluster_config.ts";
 export * from "./entry.ts";
--- a/packages/cell/src/store.ts
+++ b/packages/cell/src/store.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@rattanhill/shared";
+import type { AppendLimits } from "./append_groups.ts";
 import type { KeyedValue } from "@rattanhill/scheduler";
 
 /** Keeps later appends of a fenced writer out. */
@@ -41,6 +42,7 @@
 
 /** The platform's store of keyed records. Topics have one partition each. */
 export interface Store {
+  readonly limits: AppendLimits;
   /**
    * Appends records, all or none.
    *
