test(scheduler): an order after the lease is a planted fault of the takeover model

A lead whose batch is stored gets the answer after its successor has begun: in 10,000 random interleavings the fence and the workers' leases hide it, so one directed series plays it with a worker that the successor has not asked yet.

--- a/packages/scheduler/__tests__/takeover.test.ts
+++ b/packages/scheduler/__tests__/takeover.test.ts
@@ -44,3 +44,34 @@
     expect(check(fault).failed).to.equal(true);
   }).timeout(TIMEOUT_MS);
 }
+
+/** A lead is overtaken while its batch is stored, and its answer comes late. */
+function overtakenLead(seenByNext: number): ModelEvent[] {
+  const both = [0, 1].map((pick) => ({ kind: "look", pick }) as const);
+  const renewals = Array.from({ length: 8 }, () => [
+    { kind: "advance", pick: 15 } as const,
+    { kind: "takeover", pick: 0 } as const,
+    { kind: "look", pick: seenByNext } as const,
+  ]);
+  const delivered = [0, 0].map((pick) => ({ kind: "deliver", pick }) as const);
+  return [
+    ...both,
+    { kind: "plan", pick: 0 },
+    { kind: "storeAnswerLost", pick: 0 },
+    { kind: "advance", pick: 39 },
+    { kind: "takeover", pick: 0 },
+    ...renewals.flat(),
+    { kind: "plan", pick: 0 },
+    { kind: "store", pick: 0 },
+    ...delivered,
+    { kind: "storeAnswerLost", pick: 0 },
+    ...delivered,
+  ];
+}
+
+it("takeover: the planted fault ordersAfterLease is caught", () => {
+  const play = (fault?: PlantedFault) =>
+    [0, 1].flatMap((next) => playTakeovers(overtakenLead(next), fault));
+  expect(play()).to.deep.equal([]);
+  expect(play("ordersAfterLease")).not.to.deep.equal([]);
+});
--- a/packages/scheduler/__tests__/takeover_model.ts
+++ b/packages/scheduler/__tests__/takeover_model.ts
@@ -38,7 +38,8 @@
 export type PlantedFault =
   | "orderBeforeStored"
   | "acknowledgedBeforeStored"
-  | "takeoverWithoutWait";
+  | "takeoverWithoutWait"
+  | "ordersAfterLease";
 
 interface Lead {
   term: number;
@@ -83,6 +84,8 @@
   const doneForGood = new Set<string>();
   let calls: Call[] = [];
   let lead = takeOver();
+  /** With its planted fault, an earlier lead whose last batch is stored. */
+  let overdue: Lead | undefined;
 
   function takeOver(): Lead {
     storeTerm += 1;
@@ -237,6 +240,17 @@
     sendOrders();
   };
 
+  /** Takes the late answer of the store for leave to order, long after the lease. */
+  const sendOverdue = (earlier: Lead): void => {
+    overdue = undefined;
+    if (earlier.batch === undefined) return;
+    earlier.scheduler.stored(earlier.batch);
+    const leaseUntil = clock.now() + WORKER_LEASE_MS;
+    for (const order of earlier.orders.splice(0)) {
+      calls.push({ lead: earlier, order, leaseUntil, hasTimedOut: true });
+    }
+  };
+
   const pickFrom = <Item>(items: readonly Item[], pick: number) =>
     items.length === 0 ? undefined : items[pick % items.length];
 
@@ -251,6 +265,7 @@
       case "store":
         return store(true);
       case "storeAnswerLost":
+        if (overdue !== undefined) sendOverdue(overdue);
         return store(false);
       case "deliver":
         if (call === undefined) return;
@@ -285,6 +300,9 @@
           if (pick % 2 === 0) lead.leaseEnd = clock.now() + LEAD_LEASE_MS;
           return;
         }
+        if (fault === "ordersAfterLease" && lead.batch !== undefined) {
+          overdue ??= lead;
+        }
         lead = takeOver();
         return;
       case "restart":
