feat(bench): a bound on what any scheduler could earn of a load

Relaxation: work in any pieces on any workers, late results for nothing, and only gangs that fit no rack late for certain.

--- a/packages/bench/__tests__/cell_simulation.test.ts
+++ b/packages/bench/__tests__/cell_simulation.test.ts
@@ -27,3 +27,15 @@
     expect(earned / owed).to.be.above(0.95);
   }
 });
+
+it("cell simulation: no play earns more than its bound", () => {
+  for (const load of CELL_LOADS) {
+    for (let seed = 1; seed <= 3; seed++) {
+      const { earned, bound, owed } = simulateCell(load, {
+        random: createRandom(seed),
+      });
+      expect(earned).to.be.at.most(bound);
+      expect(bound).to.be.at.most(owed);
+    }
+  }
+}).timeout(60_000);
--- a/packages/bench/src/cell_bench.ts
+++ b/packages/bench/src/cell_bench.ts
@@ -9,7 +9,9 @@
   policy: string;
   /** Value earned of the value owed. */
   earned: number;
-  /** The same less the users' price of thrown-away work. */
+  /** Most that any scheduler could earn of it, by a relaxation. */
+  bound: number;
+  /** What was earned less the users' price of thrown-away work. */
   net: number;
   worstWindows: number;
   byKind: Record<string, number>;
@@ -48,6 +50,7 @@
         load: load.name,
         policy,
         earned: mean(({ earned, owed }) => earned / owed),
+        bound: mean(({ bound, owed }) => bound / owed),
         net: mean(({ earned, owed, wasted }) =>
           (earned - WASTE_PRICE * wasted) / owed
         ),
--- a/packages/bench/src/cell_simulation.ts
+++ b/packages/bench/src/cell_simulation.ts
@@ -11,6 +11,7 @@
   type WorkerEntry,
   type WorkerState,
 } from "@rattanhill/scheduler";
+import { boundValue } from "./capacity_bound.ts";
 import { type CellLoadCase, drawJobs, type DrawnJob } from "./cell_loads.ts";
 import { createEventQueue } from "./event_queue.ts";
 import { createSimulatedWorker } from "./simulated_worker.ts";
@@ -21,6 +22,8 @@
   /** Value of the results that were delivered, of all that was asked for. */
   earned: number;
   owed: number;
+  /** Value that no scheduler can exceed, see {@link boundValue}. */
+  bound: number;
   /** Share of the value that was earned, by kind of job. */
   byKind: Record<string, number>;
   /** The same for the two worst windows in time. */
@@ -245,6 +248,7 @@
     sum.earned += earned;
     sum.owed += owed;
   };
+  const valued: Parameters<typeof boundValue>[1][number][] = [];
   for (const kind of load.kinds) {
     const own = owedJobs.filter((job) => job.kind === kind);
     const mean = own.reduce((sum, job) => sum + sizeOf(job), 0) / own.length;
@@ -254,6 +258,12 @@
         WORTH_BASE + (1 - WORTH_BASE) * sizeOf(job) / mean,
       );
       const owed = kind.worth * share;
+      valued.push({
+        job,
+        worth: owed,
+        lateWorth: kind.lateWorth * share,
+        objectiveMs: objectiveOf(job),
+      });
       const earned = share * valueOf(job, played.endedAt.get(job.spec.id));
       const window = Math.floor(job.arrivesAt / WINDOW_MS);
       for (const name of ["all", kind.rules.name, `window ${window}`]) {
@@ -272,6 +282,7 @@
     jobs: owedJobs.length,
     earned: all.earned,
     owed: all.owed,
+    bound: boundValue(load, valued),
     byKind: Object.fromEntries(
       load.kinds.map(({ rules: { name } }) => [name, ratio(name)]),
     ),
@@ -290,11 +301,15 @@
   }, 0);
 }
 
+function objectiveOf({ kind: { rules }, workMs }: DrawnJob): Milliseconds {
+  const chainMs = workMs.reduce((sum, work) => sum + Math.max(...work), 0);
+  return rules.stretch * chainMs + rules.targetMs;
+}
+
 function valueOf(job: DrawnJob, endedAt: Milliseconds | undefined): number {
   if (endedAt === undefined) return 0;
-  const { rules, worth, lateWorth } = job.kind;
-  const chainMs = job.workMs.reduce((sum, work) => sum + Math.max(...work), 0);
-  const objective = rules.stretch * chainMs + rules.targetMs;
+  const { worth, lateWorth } = job.kind;
+  const objective = objectiveOf(job);
   const took = endedAt - job.arrivesAt;
   if (took <= objective) return worth;
   return took <= USEFUL_OBJECTIVES * objective ? lateWorth : 0;
