--- a/packages/bench/src/cell_simulation.ts
+++ b/packages/bench/src/cell_simulation.ts
@@ -88,23 +88,7 @@
     ),
     deployment: load,
   });
-  const entries = Array.from({ length: load.workers }, (_, index) => {
-    const rack = `rack-${Math.floor(index / load.workersPerRack)}`;
-    const entry: WorkerEntry = {
-      id: `worker-${index}`,
-      lifetime: 1,
-      service: load.kinds[0].rules.service,
-      address: "",
-      zone: "",
-      labels: [],
-      rack,
-      capacity: load.capacity,
-      isDraining: false,
-      remainingMs: 0,
-    };
-    return entry;
-  });
-  scheduler.list({ entries, left: new Set() });
+  scheduler.list({ entries: workersOf(load), left: new Set() });
   const workers = new Map(
     [...scheduler.state.workers.values()].map((state) => [
       state,
@@ -216,6 +200,21 @@
   return summarize(load, { jobs, endedAt, wasted, used });
 }
 
+function workersOf(load: CellLoadCase): WorkerEntry[] {
+  return Array.from({ length: load.workers }, (_, index) => ({
+    id: `worker-${index}`,
+    lifetime: 1,
+    service: load.kinds[0].rules.service,
+    address: "",
+    zone: "",
+    labels: [],
+    rack: `rack-${Math.floor(index / load.workersPerRack)}`,
+    capacity: load.capacity,
+    isDraining: false,
+    remainingMs: 0,
+  }));
+}
+
 /** @returns the factor by which its placement slows a run */
 function slownessOf({ step, worker }: Run, load: CellLoadCase): number {
   if (!step.spec.needsOneRack) return 1;
