revert(entry): a refusal is no proof after the owner of an earlier try is gone

It also made things worse: a repeat that was refused with 'unknown' kept that result, and later repeats of its key joined it in place of being placed.

--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -1,7 +1,6 @@
 export * from "./account_status.ts";
 export * from "./compaction.ts";
 export * from "./config_history.ts";
-export * from "./earlier_tries.ts";
 export * from "./fit.ts";
 export * from "./fragmentation.ts";
 export * from "./homes.ts";
--- a/packages/core/src/request.ts
+++ b/packages/core/src/request.ts
@@ -28,16 +28,13 @@
  *
  * @param spec the request
  * @param now time by the owner's clock, in milliseconds
- * @param options number of the first attempt, larger than 1 when earlier claims of the key are known; whether a lost entry may have run an earlier try
+ * @param options number of the first attempt; larger than 1 when earlier claims of the key are known
  * @returns the state in its first attempt
  */
 export function createRequest(
   spec: RequestSpec,
   now: Milliseconds,
-  { attempt = 1, mayHaveRun = false }: {
-    attempt?: number;
-    mayHaveRun?: boolean;
-  } = {},
+  { attempt = 1 }: { attempt?: number } = {},
 ): RequestStep {
   const state: RequestState = {
     spec,
@@ -46,8 +43,8 @@
     parts: [],
     holdsEndAt: 0,
     deadlineAt: now + spec.deadlineMs,
-    ranBefore: mayHaveRun,
-    lostBefore: mayHaveRun,
+    ranBefore: false,
+    lostBefore: false,
     retries: 0,
     avoid: [],
     checkpoints: {},
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -18,7 +18,6 @@
   createMembership,
   type EntryInfo,
   LeaseState,
-  mayHaveLostTry,
   NO_RULES,
   parseRules,
   PlacerNote,
@@ -322,8 +321,6 @@
     isLeaving: () => info.leaving,
     isUnknownEverywhere: lookup.isUnknownEverywhere,
     isDeniedByAll: lookup.isDeniedByAll,
-    mayHaveLostTry: (key) =>
-      mayHaveLostTry(key, { membership, clock, startedAt }),
     joined: metrics.joined,
     findElsewhere: lookup.findElsewhere,
     cancelElsewhere: lookup.cancelElsewhere,
--- a/packages/entry/src/problems.ts
+++ b/packages/entry/src/problems.ts
@@ -85,7 +85,7 @@
 }
 
 function statusOf({ outcome, reason }: RequestResult): number {
-  if (outcome === Outcome.unknown) return UNKNOWN_STATUS[reason] ?? 504;
+  if (outcome === Outcome.unknown) return 504;
   if (outcome === Outcome.failed) return FAILED_STATUS[reason] ?? 502;
   return NOT_RUN_STATUS[reason] ?? 503;
 }
@@ -95,11 +95,6 @@
   [EndReason.deadline]: 504,
 };
 
-/** Waiting was refused, but an earlier try may have run under an entry that is gone. */
-const UNKNOWN_STATUS: Readonly<Partial<Record<Reason, number>>> = {
-  [EndReason.queueFull]: 503,
-};
-
 const NOT_RUN_STATUS: Readonly<Partial<Record<Reason, number>>> = {
   [EndReason.cancelled]: 410,
   [EndReason.neverFits]: 422,
--- a/packages/entry/src/request_host.ts
+++ b/packages/entry/src/request_host.ts
@@ -36,7 +36,7 @@
   admit(
     spec: RequestSpec,
     payload: string,
-    options?: { attempt?: number; mayHaveRun?: boolean },
+    options?: { attempt?: number },
   ): OwnedRequest;
   /** Continues an adopted request. */
   resume(
@@ -297,13 +297,13 @@
   };
 
   return {
-    admit: (spec, payload, earlier = {}) => {
+    admit: (spec, payload, { attempt } = {}) => {
       options.log(Events.requestAdmitted, {
         request: spec.id,
         class: spec.class,
         account: spec.account,
       });
-      return open(createRequest(spec, clock.now(), earlier), payload);
+      return open(createRequest(spec, clock.now(), { attempt }), payload);
     },
     resume: (spec, payload, { entry, parts }) => {
       options.log(Events.requestAdopted, { request: spec.id });
--- a/packages/entry/src/request_service.ts
+++ b/packages/entry/src/request_service.ts
@@ -86,8 +86,6 @@
   isUnknownEverywhere(account: string, id: string): Promise<boolean>;
   /** @returns whether every known entry could be asked and denies the key */
   isDeniedByAll(account: string, key: string): Promise<boolean>;
-  /** @returns whether an entry that is gone may have run an earlier try of a key */
-  mayHaveLostTry(key: string): boolean;
   joined(): void;
   /** Asks all other entries for a request. @returns the reply of the one that has it */
   findElsewhere(
@@ -120,21 +118,16 @@
   const submit = async (submission: Submission): Promise<RequestView> => {
     const spec = describeRequest(submission);
     const payload = JSON.stringify(submission.body.payload ?? null);
-    let mayHaveRun = false;
     if (submission.key !== undefined) {
-      mayHaveRun = spec.repeatable && options.mayHaveLostTry(submission.key);
       const earlier = await findEarlier(spec, payload);
-      if (earlier === OWNER_LOST) mayHaveRun = true;
-      else if (earlier !== undefined) return earlier;
+      if (earlier !== undefined) return earlier;
     }
-    refuseOverLimits(submission.account, spec, mayHaveRun);
+    refuseOverLimits(submission.account, spec);
     if (!spec.repeatable || spec.isJob) await requireCurrentLog(spec);
     if (spec.isJob) return await acceptJob(spec, payload);
     const attempt =
       (follower.ledger.find(spec.account, spec.key)?.attempt ?? 0) + 1;
-    return await waitForEnd(
-      options.host.admit(spec, payload, { attempt, mayHaveRun }),
-    );
+    return await waitForEnd(options.host.admit(spec, payload, { attempt }));
   };
 
   const describeRequest = (
@@ -205,7 +198,7 @@
   const findEarlier = async (
     spec: RequestSpec,
     payload: string,
-  ): Promise<RequestView | typeof OWNER_LOST | undefined> => {
+  ): Promise<RequestView | undefined> => {
     const own = registry.findKey(spec.account, spec.key);
     if (own !== undefined && !isOpenForRetry(own.result)) {
       requireSameBody(own.spec.bodyDigest, spec);
@@ -247,7 +240,7 @@
   const joinElsewhere = async (
     first: FindReply__Output,
     spec: RequestSpec,
-  ): Promise<RequestView | typeof OWNER_LOST | undefined> => {
+  ): Promise<RequestView | undefined> => {
     requireSameBody(first.bodyDigest, spec);
     noteJoin(first.id);
     const until = clock.now() + spec.deadlineMs;
@@ -262,7 +255,7 @@
         waitMs: JOIN_WAIT_MS,
       });
     }
-    return OWNER_LOST; // a repeatable request may run again
+    return undefined; // its owner is gone, and a repeatable request may run again
   };
 
   const noteJoin = (request: string): void => {
@@ -270,27 +263,16 @@
     options.joined();
   };
 
-  const refuseOverLimits = (
-    account: AccountRule,
-    spec: RequestSpec,
-    mayHaveRun: boolean,
-  ): void => {
-    const outcome = mayHaveRun ? Outcome.unknown : Outcome.notRun;
-    if (options.isLeaving()) {
-      throw notNow("this entry is shutting down", { outcome, retryMs: 200 });
-    }
+  const refuseOverLimits = (account: AccountRule, spec: RequestSpec): void => {
+    if (options.isLeaving()) throw notNow("this entry is shutting down", 200);
     if (registry.activeCount() >= limits.requests) {
-      const text = "this entry has too many requests in progress";
-      throw notNow(text, { outcome });
+      throw notNow("this entry has too many requests in progress");
     }
     const waiting = registry.waitingCount(account.name);
     if (waiting < account.waitingLimit) return;
     const text = `${waiting} requests of ${spec.account} are waiting, ` +
       `the limit is ${account.waitingLimit}`;
-    throw new RequestProblem(mayHaveRun ? 503 : 429, text, {
-      outcome,
-      retryAfterMs: RETRY_AFTER_MS,
-    });
+    throw new RequestProblem(429, text, { retryAfterMs: RETRY_AFTER_MS });
   };
 
   /** Without the log, an earlier try of the same key may run under an entry that cannot be asked. */
@@ -328,7 +310,7 @@
       return viewOfEntry(entry);
     }
     throw verdict === "failed"
-      ? notNow("the job could not be recorded")
+      ? notNow("the job could not be recorded", RETRY_AFTER_MS)
       : uncertainJob();
   };
 
@@ -398,8 +380,6 @@
   return { submit, read, cancel };
 }
 
-/** The owner of an earlier try does not answer any more. */
-const OWNER_LOST = Symbol("owner lost");
 const JOIN_WAIT_MS: Milliseconds = 2_000;
 const CANCEL_WAIT_MS: Milliseconds = 5_000;
 const DEADLINE_GRACE_MS: Milliseconds = 30_000; // tasks that must be stopped are asked for this long
@@ -420,12 +400,9 @@
 
 function notNow(
   text: string,
-  { outcome, retryMs = RETRY_AFTER_MS }: {
-    outcome?: Outcome;
-    retryMs?: Milliseconds;
-  } = {},
+  retryAfterMs: Milliseconds = RETRY_AFTER_MS,
 ): RequestProblem {
-  return new RequestProblem(503, text, { outcome, retryAfterMs: retryMs });
+  return new RequestProblem(503, text, { retryAfterMs });
 }
 
 /** A job whose record may still appear is looked up by its key. */
