refactor(bench): the work of a task and the fit on a worker come from the scheduler

The simulation weighed thrown-away work and the size of a job by formulas of its own, and the bound counted tasks on a worker anew; workOf and countFitting of the scheduler do both. Format, lint and unit tests pass.

--- a/packages/bench/src/capacity_bound.ts
+++ b/packages/bench/src/capacity_bound.ts
@@ -1,6 +1,15 @@
 import type { Milliseconds } from "@rattanhill/shared";
+import { countFitting } from "@rattanhill/scheduler";
 import type { CellLoadCase, DrawnJob } from "./cell_loads.ts";
 
+/** A job, its value in time and late, and its objective. */
+export interface ValuedJob {
+  job: DrawnJob;
+  worth: number;
+  lateWorth: number;
+  objectiveMs: Milliseconds;
+}
+
 /** A job as the bound sees it. */
 interface BoundJob {
   arrivesAt: Milliseconds;
@@ -32,12 +41,7 @@
  */
 export function boundValue(
   load: CellLoadCase,
-  jobs: readonly {
-    job: DrawnJob;
-    worth: number;
-    lateWorth: number;
-    objectiveMs: Milliseconds;
-  }[],
+  jobs: readonly ValuedJob[],
 ): number {
   let value = 0;
   const open: BoundJob[] = [];
@@ -64,13 +68,7 @@
   load: CellLoadCase,
 ): Milliseconds {
   return spec.steps.reduce((sum, step, index) => {
-    const perWorker = Math.floor(
-      Math.min(
-        load.capacity.accelerators / step.accelerators,
-        load.capacity.milliCores / step.milliCores,
-        load.capacity.memoryMegabytes / step.memoryMegabytes,
-      ),
-    );
+    const perWorker = countFitting(step, load.capacity);
     const fitsRack = step.taskCount <= perWorker * load.workersPerRack;
     const isSlowed = step.needsOneRack === true && !fitsRack;
     return sum +
--- a/packages/bench/src/cell_simulation.ts
+++ b/packages/bench/src/cell_simulation.ts
@@ -10,8 +10,9 @@
   type Run,
   type WorkerEntry,
   type WorkerState,
+  workOf,
 } from "@rattanhill/scheduler";
-import { boundValue } from "./capacity_bound.ts";
+import { boundValue, type ValuedJob } from "./capacity_bound.ts";
 import { type CellLoadCase, drawJobs, type DrawnJob } from "./cell_loads.ts";
 import { createEventQueue } from "./event_queue.ts";
 import { createSimulatedWorker } from "./simulated_worker.ts";
@@ -43,7 +44,6 @@
 const GATHER_MS: Milliseconds = 4; // as the lead's
 const TICK_MS: Milliseconds = 100; // as the lead's
 const REPORT_MS: Milliseconds = 2_000; // longest wait of a question to a worker
-const CORES_PER_ACCELERATOR = 8; // the users' price of thrown-away work
 const WINDOW_MS: Milliseconds = 2_000; // the users' windows
 const USEFUL_OBJECTIVES = 3; // the users' limit of late results
 const TAIL_MS: Milliseconds = 120_000; // enough for all work to end
@@ -106,7 +106,7 @@
         failureShare: (run) =>
           byId.get(run.step.job.spec.id)!.kind.failureShare,
         ended: (run, end, lostMs) => {
-          wasted += workOf(run, lostMs);
+          wasted += workOf(run.step.spec, lostMs) / 1_000;
           after(HOP_MS, () => report(state));
           if (end !== "done" && run.step.spec.isGang) breakGang(run);
         },
@@ -224,12 +224,6 @@
   return isSplit ? load.remoteFactor : 1;
 }
 
-function workOf({ step: { spec } }: Run, lostMs: Milliseconds): number {
-  const cores = spec.milliCores / 1_000 +
-    CORES_PER_ACCELERATOR * spec.accelerators;
-  return cores * lostMs / 1_000;
-}
-
 function summarize(
   load: CellLoadCase,
   played: {
@@ -247,7 +241,7 @@
     sum.earned += earned;
     sum.owed += owed;
   };
-  const valued: Parameters<typeof boundValue>[1][number][] = [];
+  const valued: ValuedJob[] = [];
   for (const kind of load.kinds) {
     const own = owedJobs.filter((job) => job.kind === kind);
     const mean = own.reduce((sum, job) => sum + sizeOf(job), 0) / own.length;
@@ -293,11 +287,11 @@
 
 /** Work of a job in core milliseconds. */
 function sizeOf({ spec, workMs }: DrawnJob): number {
-  return spec.steps.reduce((sum, step, index) => {
-    const cores = step.milliCores / 1_000 +
-      CORES_PER_ACCELERATOR * step.accelerators;
-    return sum + cores * workMs[index].reduce((all, work) => all + work, 0);
-  }, 0);
+  return spec.steps.reduce(
+    (sum, step, index) =>
+      sum + workOf(step, workMs[index].reduce((all, work) => all + work, 0)),
+    0,
+  );
 }
 
 function objectiveOf({ kind: { rules }, workMs }: DrawnJob): Milliseconds {
