fix(cell): require a seen heartbeat for the withdrawal of a worker

Cause: the list of workers counted the age of an entry from the moment it was read. A second cause of the same kind: a read that returned part of a backlog counted as reaching the end of the topic, so an entry could deny a job that it had not read of yet.

A follower is current only once it has reached the end offset that the store names, and catchUp waits for that end.

--- a/packages/cell/__tests__/memory_store.ts
+++ b/packages/cell/__tests__/memory_store.ts
@@ -87,6 +87,7 @@
         kind: "records",
         records: recordsOf(topic).slice(from),
         nextOffset: recordsOf(topic).length,
+        endOffset: recordsOf(topic).length,
       };
     },
     readNewest: (topic) =>
--- a/packages/cell/__tests__/topic_follower.test.ts
+++ b/packages/cell/__tests__/topic_follower.test.ts
@@ -77,3 +77,38 @@
   expect(appliedKeys).to.include("a");
   expect(catchUpReads).to.equal(1);
 });
+
+// One answer of the store holds 1 MB at most, so a backlog takes several reads.
+it("topic follower: a read of part of a backlog does not count as current", async () => {
+  const { store } = createMemoryStore();
+  const timeoutMs = WAIT_MS;
+  const follower = createTopicFollower({
+    topic: "t",
+    clock: createSystemClock(),
+    log: silentLogger,
+    apply: () => {},
+    readIntervalMs: () => 100,
+    waitMs: 0,
+    store: {
+      ...store,
+      readNewest: () => Promise.resolve({ records: [], endOffset: 0 }),
+      read: async (topic, from, limits) => {
+        const answer = await store.read(topic, from, limits);
+        if (answer.kind === "expired") return answer;
+        const records = answer.records.slice(0, 1);
+        return { ...answer, records, nextOffset: from + records.length };
+      },
+    },
+  });
+  const backlog = Array.from(
+    { length: 6 },
+    (_, index) => ({ key: `${index}`, value: "1" }),
+  );
+  await pause(50);
+  await store.append("t", backlog, { timeoutMs });
+  await pause(350);
+  expect(follower.ageMs()).to.be.greaterThan(250);
+  await follower.catchUp();
+  expect(follower.position()).to.equal(backlog.length);
+  follower.close();
+});
--- a/packages/cell/src/store.ts
+++ b/packages/cell/src/store.ts
@@ -43,7 +43,17 @@
 
 /** Answer of the store to a read. */
 export type ReadResult =
-  | { kind: "records"; records: StoredRecord[]; nextOffset: number }
+  | {
+    kind: "records";
+    records: StoredRecord[];
+    /** Offset behind the last record of the answer. */
+    nextOffset: number;
+    /**
+     * Offset at which the topic ended; larger than `nextOffset` when one answer
+     * could not hold all records.
+     */
+    endOffset: number;
+  }
   /** The records at the offset were deleted. */
   | { kind: "expired" };
 
--- a/packages/cell/src/topic_follower.ts
+++ b/packages/cell/src/topic_follower.ts
@@ -1,10 +1,13 @@
 import {
   type Clock,
   describeError,
+  elapsedSince,
   ErrorCode,
+  type Instant,
   type Logger,
   type Milliseconds,
   pause,
+  readInstant,
   UnavailableError,
 } from "@rattanhill/shared";
 import type { Store, StoredRecord } from "./store.ts";
@@ -15,8 +18,9 @@
  */
 export interface TopicFollower {
   /**
-   * @returns time since the last successful read was sent, by the monotonic or
-   * the wall clock, whichever is larger; Infinity before the first one
+   * @returns time since the last read that reached the end of the topic was
+   * sent, by the monotonic or the wall clock, whichever is larger; Infinity
+   * before the first one
    */
   ageMs(): Milliseconds;
   /** @returns whether the newest record of each key has been applied */
@@ -40,6 +44,21 @@
   close(): void;
 }
 
+/** How records were read from a topic. */
+export interface TopicRead {
+  /**
+   * Whether the records are the newest of each key, rather than those appended
+   * since the previous read.
+   */
+  isSnapshot: boolean;
+  /**
+   * Moment before which none of the records was appended: the previous read
+   * was sent then and did not return them. Undefined for a snapshot, whose
+   * records may have any age.
+   */
+  appendedAfter?: Instant;
+}
+
 /** Options of {@link createTopicFollower}. */
 export interface TopicFollowerOptions {
   store: Store;
@@ -49,10 +68,10 @@
   /**
    * Applies records.
    *
-   * @param isSnapshot whether the records are the newest of each key, rather
-   * than those appended since the previous read
+   * @param records the records, in the order of their offsets
+   * @param read how they were read
    */
-  apply(records: readonly StoredRecord[], isSnapshot: boolean): void;
+  apply(records: readonly StoredRecord[], read: TopicRead): void;
   /** @returns the minimum time between the starts of two reads */
   readIntervalMs(): Milliseconds;
   /**
@@ -88,9 +107,10 @@
   let position = 0;
   let isLoaded = false;
   let isClosed = false;
-  let lastReadSentAt:
-    | { monotonicMs: Milliseconds; wallMs: Milliseconds }
-    | undefined;
+  /** When the last read that reached the end of the topic was sent. */
+  let lastCurrentAt: Instant | undefined;
+  /** When the last successful read was sent. */
+  let lastReadSentAt: Instant | undefined;
   let failures = 0;
   let currentCatchUp: Promise<void> = Promise.resolve();
   let queuedCatchUp: Promise<void> | undefined;
@@ -120,27 +140,30 @@
       timeoutMs: ANSWER_TIMEOUT_MS,
     });
     if (result.kind !== "expired") {
-      const { nextOffset } = result;
-      await Promise.race([waitForOffset(nextOffset), pause(ANSWER_TIMEOUT_MS)]);
-      if (isClosed || position >= nextOffset) return;
+      const { endOffset } = result;
+      await Promise.race([waitForOffset(endOffset), pause(ANSWER_TIMEOUT_MS)]);
+      if (isClosed || position >= endOffset) return;
     }
     const message = `topic ${topic} was not read to its end`;
     const context = { step: "store.probe", peer: "store" };
     throw new UnavailableError(ErrorCode.logUnavailable, message, context);
   };
 
-  const loadSnapshot = async (): Promise<void> => {
+  /** @returns whether all records of the topic have been applied */
+  const loadSnapshot = async (): Promise<boolean> => {
     const { records, endOffset } = await store.readNewest(
       topic,
       ANSWER_TIMEOUT_MS,
     );
-    if (isClosed) return;
-    apply(records, true);
+    if (isClosed) return false;
+    apply(records, { isSnapshot: true });
     position = Math.max(position, endOffset);
     isLoaded = true;
+    return true;
   };
 
-  const readNewRecords = async (): Promise<void> => {
+  /** @returns whether all records of the topic have been applied */
+  const readNewRecords = async (): Promise<boolean> => {
     // After a failure the read only has to show that the store answers again;
     // a long poll would delay that until there is a new record.
     const longPollMs = failures > 0 ? 0 : waitMs;
@@ -148,28 +171,36 @@
       waitMs: longPollMs,
       timeoutMs: longPollMs + ANSWER_TIMEOUT_MS,
     });
-    if (isClosed) return;
+    if (isClosed) return false;
     if (result.kind === "expired") {
       log.warn(
         { topic, from: position },
         "records deleted before they were read; loading the topic again",
       );
       isLoaded = false;
-      return;
+      return false;
+    }
+    if (result.records.length > 0) {
+      apply(result.records, {
+        isSnapshot: false,
+        appendedAfter: lastReadSentAt,
+      });
     }
-    if (result.records.length > 0) apply(result.records, false);
     position = result.nextOffset;
+    return position >= result.endOffset;
   };
 
   const runReadLoop = async (): Promise<void> => {
     while (!isClosed) {
-      const sentAt = { monotonicMs: clock.now(), wallMs: clock.wallTime() };
+      const sentAt = readInstant(clock);
       try {
-        if (isLoaded) await readNewRecords();
-        else await loadSnapshot();
+        const isCurrent = isLoaded
+          ? await readNewRecords()
+          : await loadSnapshot();
         if (failures > 0) log.info({ topic, failures }, "store reads resumed");
         failures = 0;
-        if (isLoaded) lastReadSentAt = sentAt;
+        lastReadSentAt = sentAt;
+        if (isCurrent) lastCurrentAt = sentAt;
         resolveWaiters();
       } catch (error) {
         failures += 1;
@@ -186,15 +217,10 @@
   void runReadLoop();
 
   return {
-    ageMs: () => {
-      if (lastReadSentAt === undefined) return Infinity;
-      // The monotonic clock stops while the VM is suspended, so the wall clock
-      // counts as well.
-      return Math.max(
-        clock.now() - lastReadSentAt.monotonicMs,
-        clock.wallTime() - lastReadSentAt.wallMs,
-      );
-    },
+    ageMs: () =>
+      lastCurrentAt === undefined
+        ? Infinity
+        : elapsedSince(clock, lastCurrentAt),
     isLoaded: () => isLoaded,
     position: () => position,
     waitForOffset,
--- a/packages/cell/src/worker_list.ts
+++ b/packages/cell/src/worker_list.ts
@@ -1,12 +1,18 @@
 import {
   type Clock,
   describeError,
+  elapsedSince,
+  type Instant,
   type Logger,
   type Milliseconds,
 } from "@rattanhill/shared";
 import type { WorkerEntry, WorkerListing } from "@rattanhill/scheduler";
 import { PlatformTopic, type Store, type StoredRecord } from "./store.ts";
-import { createTopicFollower, type TopicFollower } from "./topic_follower.ts";
+import {
+  createTopicFollower,
+  type TopicFollower,
+  type TopicRead,
+} from "./topic_follower.ts";
 
 /** The platform's list of workers, followed while this process leads. */
 export interface WorkerList {
@@ -41,7 +47,7 @@
 }
 
 const READ_WAIT_MS: Milliseconds = 1_000;
-// An entry that is deleted within this many heartbeat intervals of its last
+// An entry that is deleted at most this many heartbeat intervals after a
 // renewal was withdrawn by the worker itself, since the platform deletes the
 // entry of a silent worker only after three intervals.
 const MAXIMUM_WITHDRAWAL_HEARTBEATS = 2;
@@ -68,30 +74,44 @@
         const invalidKeys = new Set<string>();
         /** Workers that withdrew their entries themselves. */
         const withdrawn = new Set<string>();
-        /** Monotonic time of each worker's last heartbeat. */
-        const lastHeartbeats = new Map<string, Milliseconds>();
-        let lastReadAt = clock.now();
+        /**
+         * Earliest time at which each worker can have sent its last heartbeat.
+         * A worker known only from a snapshot has none: when it renewed its
+         * entry is unknown, so its removal does not prove that it left.
+         */
+        const lastHeartbeats = new Map<string, Instant>();
         let isFirst = true;
 
-        const applyRecord = ({ key, value }: StoredRecord): void => {
+        const recordHeartbeat = (key: string, read: TopicRead): void => {
+          if (read.appendedAfter === undefined) lastHeartbeats.delete(key);
+          else lastHeartbeats.set(key, read.appendedAfter);
+        };
+        const applyRecord = (
+          { key, value }: StoredRecord,
+          read: TopicRead,
+        ): void => {
           if (value === undefined) {
-            const silenceMs = clock.now() -
-              (lastHeartbeats.get(key) ?? -Infinity);
-            // After a long gap between reads, the time of the last heartbeat is
-            // not known precisely enough.
-            const isTimeKnown = clock.now() - lastReadAt < options.heartbeatMs;
+            const heartbeatAt = lastHeartbeats.get(key);
             const limitMs = MAXIMUM_WITHDRAWAL_HEARTBEATS * options.heartbeatMs;
-            if (isTimeKnown && silenceMs < limitMs) withdrawn.add(key);
+            if (
+              heartbeatAt !== undefined &&
+              elapsedSince(clock, heartbeatAt) < limitMs
+            ) {
+              withdrawn.add(key);
+            }
             entries.delete(key);
+            lastHeartbeats.delete(key);
             return;
           }
-          lastHeartbeats.set(key, clock.now());
           withdrawn.delete(key);
           try {
             entries.set(key, decode(key, value));
+            recordHeartbeat(key, read);
             invalidKeys.delete(key);
           } catch (error) {
+            // A worker's own entries are valid, so this is no heartbeat.
             entries.delete(key);
+            lastHeartbeats.delete(key);
             if (invalidKeys.has(key)) return;
             invalidKeys.add(key);
             log.warn(
@@ -108,10 +128,12 @@
           log,
           waitMs: READ_WAIT_MS,
           readIntervalMs: () => READ_INTERVAL_MS,
-          apply: (records, isSnapshot) => {
-            if (isSnapshot) entries.clear();
-            records.forEach(applyRecord);
-            lastReadAt = clock.now();
+          apply: (records, read) => {
+            if (read.isSnapshot) {
+              entries.clear();
+              lastHeartbeats.clear();
+            }
+            for (const record of records) applyRecord(record, read);
             const listing = { entries: [...entries.values()], left: withdrawn };
             if (isFirst) resolve(listing);
             else onChange(listing);
--- a/packages/shared/src/clock.ts
+++ b/packages/shared/src/clock.ts
@@ -15,6 +15,39 @@
   now(): Milliseconds;
 }
 
+/**
+ * A moment by both clocks of a process. The monotonic clock stands still while
+ * the VM is suspended; the wall clock does not, but it may be set.
+ */
+export interface Instant {
+  monotonicMs: Milliseconds;
+  wallMs: Milliseconds;
+}
+
+/**
+ * Reads both clocks.
+ *
+ * @param clock the clock to read
+ * @returns the current moment
+ */
+export function readInstant(clock: Clock): Instant {
+  return { monotonicMs: clock.now(), wallMs: clock.wallTime() };
+}
+
+/**
+ * Computes the time since an instant without missing a suspension of the VM.
+ *
+ * @param clock the clock that the instant was read from
+ * @param instant the earlier moment
+ * @returns elapsed time by the monotonic or the wall clock, whichever is larger
+ */
+export function elapsedSince(clock: Clock, instant: Instant): Milliseconds {
+  return Math.max(
+    clock.now() - instant.monotonicMs,
+    clock.wallTime() - instant.wallMs,
+  );
+}
+
 /**
  * Creates the clock of the running process.
  *
