fix(core): keep a newer attempt in the queue when a hold is refused late

Cause: when a worker refused a hold of attempt 1 after the owner had placed attempt 2, requeueRefused put attempt 1 in the place of attempt 2.

Change: the host requeues only the attempt that its owner still awaits, the placer never displaces a newer attempt, and a requeued attempt keeps the list of workers that it avoids.

--- a/packages/core/__tests__/placer.test.ts
+++ b/packages/core/__tests__/placer.test.ts
@@ -1,11 +1,13 @@
 import { expect } from "chai";
 import {
   assignGuarantees,
+  createPlacer,
   createQuarantine,
   createRunTimeEstimator,
+  type HoldPlan,
   parseRules,
 } from "../src/mod.ts";
-import { createZone } from "./zone_fixture.ts";
+import { createZone, DEFAULT_SPEC } from "./zone_fixture.ts";
 
 const gang = (parts: number, accelerators = 8) =>
   ({ parts, accelerators, adjacent: "rack" }) as const;
@@ -243,3 +245,56 @@
   for (let index = 0; index < 20; index++) runTimes.recordRun(task, 3_000);
   expect(runTimes.estimate(task)).to.be.within(2_700, 3_300);
 });
+
+/** Creates a placer of one worker whose holds the test answers. */
+function createHeldPlacer() {
+  const plans: HoldPlan[] = [];
+  const refusedIds: string[] = [];
+  const placer = createPlacer({
+    zone: "suva",
+    host: {
+      hold: (plan) => plans.push(plan),
+      preempt: () => {},
+      refuse: (id) => refusedIds.push(id),
+      createLeaseName: () => `lease-${plans.length}`,
+      random: () => 0,
+    },
+  });
+  placer.applyReport(
+    {
+      worker: "w",
+      address: "",
+      zone: "suva",
+      rack: "r",
+      boot: "boot",
+      leaving: false,
+      accelerators: 8,
+      sequence: 0,
+      leases: [],
+    },
+    0,
+  );
+  return { placer, plans, refusedIds };
+}
+
+it("placer: a refused hold leaves a newer attempt in the queue", () => {
+  const { placer, plans } = createHeldPlacer();
+  const spec = { ...DEFAULT_SPEC, id: "a" };
+  const submission = { spec, owner: "owner", avoid: ["x"] };
+  placer.submit({ ...submission, attempt: 1 }, 0);
+  placer.decide(0);
+  placer.submit({ ...submission, attempt: 2 }, 1);
+  placer.requeueRefused(plans[0]);
+  placer.decide(2);
+  expect(plans.map(({ attempt }) => attempt)).to.deep.equal([1, 2]);
+});
+
+it("placer: a requeued attempt still avoids its workers", () => {
+  const { placer, plans } = createHeldPlacer();
+  const spec = { ...DEFAULT_SPEC, id: "a" };
+  placer.submit({ spec, owner: "owner", avoid: ["x"], attempt: 1 }, 0);
+  placer.decide(0);
+  placer.requeueRefused(plans[0]);
+  placer.decide(1);
+  expect(plans.map(({ avoid }) => avoid)).to.deep.equal([["x"], ["x"]]);
+});
--- a/packages/core/__tests__/zone_fixture.ts
+++ b/packages/core/__tests__/zone_fixture.ts
@@ -161,7 +161,8 @@
   };
 }
 
-const DEFAULT_SPEC: RequestSpec = {
+/** A repeatable job of one accelerator. */
+export const DEFAULT_SPEC: RequestSpec = {
   id: "",
   account: "crates",
   key: "",
--- a/packages/core/src/placer.ts
+++ b/packages/core/src/placer.ts
@@ -291,7 +291,7 @@
     placement: Placement,
     now: Milliseconds,
   ): void => {
-    const { spec, attempt, since } = request;
+    const { spec, attempt, since, avoid: avoidedWorkers } = request;
     const owner = owners.get(spec.id) ?? "";
     removeRequest(spec.id);
     const parts = placement.map((target, part) => ({
@@ -311,7 +311,7 @@
         !quarantine.isEligible(target.name, now),
       );
     }
-    host.hold({ spec, attempt, since, parts });
+    host.hold({ spec, attempt, since, avoid: avoidedWorkers, parts });
   };
 
   /**
@@ -672,15 +672,24 @@
         inventory.confirmHold(target.name, lease.lease, sequences[part])
       );
     },
-    requeueRefused: ({ spec, attempt, since, parts }) => {
+    requeueRefused: (
+      { spec, attempt, since, avoid: avoidedWorkers, parts },
+    ) => {
       for (const { target, lease } of parts) {
         inventory.removeLease(target.name, lease.lease);
       }
-      owners.set(spec.id, parts[0].lease.owner);
-      const arrival = nextArrival++;
-      const plannedMs = expectedRunMs(spec);
-      queue.add({ spec, attempt, avoid: [], since, arrival, plannedMs });
       isDirty = true;
+      const waiting = queue.find(spec.id);
+      if (waiting !== undefined && waiting.attempt > attempt) return;
+      owners.set(spec.id, parts[0].lease.owner);
+      queue.add({
+        spec,
+        attempt,
+        avoid: avoidedWorkers,
+        since,
+        arrival: nextArrival++,
+        plannedMs: expectedRunMs(spec),
+      });
     },
     releaseHold: (worker, lease) => {
       inventory.removeLease(worker, lease);
--- a/packages/core/src/placer_types.ts
+++ b/packages/core/src/placer_types.ts
@@ -18,6 +18,8 @@
   attempt: number;
   /** Time at which the request was first submitted to the placer. */
   since: Milliseconds;
+  /** Workers to use only if the request fits nowhere else. */
+  avoid: readonly string[];
   parts: readonly { target: WorkerView; lease: LeaseDescriptor }[];
 }
 
@@ -135,7 +137,10 @@
    * sequence at that point.
    */
   confirmHolds(plan: HoldPlan, sequences: readonly number[]): void;
-  /** Returns a request to the queue after a worker refused one of its holds. */
+  /**
+   * Returns a request to the queue after a worker refused one of its holds. A
+   * newer attempt that already waits keeps its place.
+   */
   requeueRefused(plan: HoldPlan): void;
   /** Frees the accelerators of a hold that was released. */
   releaseHold(worker: string, lease: string): void;
--- a/packages/entry/src/placer_host.ts
+++ b/packages/entry/src/placer_host.ts
@@ -148,8 +148,10 @@
     const refusal = await requestHolds(plan, grantByPart);
     if (refusal !== undefined) {
       releaseHolds(plan, grantByPart);
-      placer.requeueRefused(plan);
-      if (!waiters.has(plan.spec.id)) placer.withdraw(plan.spec.id);
+      // Meanwhile the owner may have withdrawn the attempt or placed a newer
+      // one, which must keep its place in the queue.
+      const isAwaited = waiters.get(plan.spec.id)?.attempt === plan.attempt;
+      if (isAwaited) placer.requeueRefused(plan);
       scheduleDecision();
       return;
     }
