fix(core): forecast waiting times with workers that have not reported yet

Cause: the placer divided the waiting work by the accelerators of the workers in its view. While only the first of four workers had reported, or while a refused hold had taken workers out of the view, 32 requests of 9 s looked like 36 s of work, and up to 14 were refused with 429 and told to come back after 20 to 30 s although the zone was empty.

Change: zone_capacity.ts estimates the zone: listed workers that have not reported count as average ones, discarded reports still count, silent workers do not.

Result: two new tests fail on the old code (14 and 29 of 32 refused), a third keeps the refusal where workers really are silent.

--- a/packages/core/__tests__/placer.test.ts
+++ b/packages/core/__tests__/placer.test.ts
@@ -247,7 +247,7 @@
 });
 
 /** Creates a placer of one worker whose holds the test answers. */
-function createHeldPlacer() {
+function createHeldPlacer(accelerators = 8) {
   const plans: HoldPlan[] = [];
   const refusedIds: string[] = [];
   const placer = createPlacer({
@@ -268,7 +268,7 @@
       rack: "r",
       boot: "boot",
       leaving: false,
-      accelerators: 8,
+      accelerators,
       sequence: 0,
       leases: [],
     },
@@ -277,6 +277,46 @@
   return { placer, plans, refusedIds };
 }
 
+/** Submits a burst of requests of 9 s that would fill four workers. */
+function submitBurst({ placer }: ReturnType<typeof createHeldPlacer>): void {
+  for (let index = 0; index < 32; index++) {
+    const spec = {
+      ...DEFAULT_SPEC,
+      id: `${index}`,
+      expectedMs: 9_000,
+      isJob: false,
+    };
+    placer.submit({ spec, owner: "owner", avoid: [], attempt: 1 }, 0);
+  }
+}
+const WAIT_RULE = "class batch priority 50 wait 20s # asked by: a test";
+
+it("placer: workers that have not reported yet cause no refusals", () => {
+  const zone = createHeldPlacer();
+  zone.placer.configure(parseRules(WAIT_RULE).rules!);
+  zone.placer.setListedWorkers(["w", "x", "y", "z"]);
+  submitBurst(zone);
+  expect(zone.refusedIds).to.deep.equal([]);
+});
+
+it("placer: a worker whose report was discarded causes no refusals", () => {
+  const zone = createHeldPlacer(32);
+  zone.placer.configure(parseRules(WAIT_RULE).rules!);
+  zone.placer.setListedWorkers(["w"]);
+  zone.placer.discardReport("w");
+  submitBurst(zone);
+  expect(zone.refusedIds).to.deep.equal([]);
+});
+
+it("placer: a worker that does not respond shortens no forecast", () => {
+  const zone = createHeldPlacer();
+  zone.placer.configure(parseRules(WAIT_RULE).rules!);
+  zone.placer.setListedWorkers(["w", "x", "y", "z"]);
+  for (const worker of ["x", "y", "z"]) zone.placer.removeWorker(worker);
+  submitBurst(zone);
+  expect(zone.refusedIds).not.to.deep.equal([]);
+});
+
 it("placer: a refused hold leaves a newer attempt in the queue", () => {
   const { placer, plans } = createHeldPlacer();
   const spec = { ...DEFAULT_SPEC, id: "a" };
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -22,5 +22,6 @@
 export * from "./rules.ts";
 export * from "./run_times.ts";
 export * from "./shape.ts";
+export * from "./zone_capacity.ts";
 export * from "./zone_choice.ts";
 export * from "./zone_summary.ts";
--- a/packages/core/src/placer.ts
+++ b/packages/core/src/placer.ts
@@ -34,6 +34,7 @@
 import { NO_RULES } from "./rules.ts";
 import { createRunTimeEstimator, type DeclaredTask } from "./run_times.ts";
 import { type RequestSpec, totalAccelerators } from "./shape.ts";
+import { createZoneCapacity } from "./zone_capacity.ts";
 
 /**
  * Smallest difference in priority at which a request beyond its account's
@@ -90,6 +91,7 @@
 export function createPlacer(options: PlacerOptions): Placer {
   const { zone, host, policy = FULL_POLICY } = options;
   const inventory = createInventory();
+  const zoneCapacity = createZoneCapacity();
   const queue = createWaitingQueue();
   const runTimes = createRunTimeEstimator();
   const quarantine = createQuarantine();
@@ -149,7 +151,7 @@
    * waiting work of at least this priority.
    */
   const drainTimeMs = (priority: number): Milliseconds =>
-    queue.totalWork(priority) / Math.max(1, zoneAccelerators());
+    queue.totalWork(priority) / Math.max(1, zoneCapacity.estimate());
 
   const computeRetryAfterMs = (priority: number): Milliseconds => {
     const jitterFactor = 1 + host.random() * 0.5;
@@ -610,6 +612,11 @@
     if (victims.length > 0) preemptLeases(victims);
   };
 
+  const discardReport = (worker: string): void => {
+    inventory.remove(worker);
+    areSharesStale = true;
+  };
+
   const updateQuarantinedWorkers = (now: Milliseconds): void => {
     for (const worker of quarantine.members()) {
       inventory.setBlocked(worker, !quarantine.isEligible(worker, now));
@@ -696,6 +703,7 @@
       isDirty = true;
     },
     applyReport: (report, now) => {
+      zoneCapacity.recordReport(report.worker, report.accelerators);
       const isNew = inventory.find(report.worker)?.boot !== report.boot;
       if (inventory.applyReport(report, now)) isDirty = true;
       if (!isNew) return;
@@ -714,10 +722,12 @@
       host.reportDecision?.(decision, task.worker);
       isDirty = true;
     },
+    setListedWorkers: zoneCapacity.setListed,
     removeWorker: (worker) => {
-      inventory.remove(worker);
-      areSharesStale = true;
+      zoneCapacity.exclude(worker);
+      discardReport(worker);
     },
+    discardReport,
     decide: (now) => {
       refuseOverdue(now);
       compact(now);
--- a/packages/core/src/placer_types.ts
+++ b/packages/core/src/placer_types.ts
@@ -155,8 +155,16 @@
     ranMs: Milliseconds,
     now: Milliseconds,
   ): void;
+  /** Sets the workers that the platform lists in the zone. */
+  setListedWorkers(workers: readonly string[]): void;
   /** Removes a worker that has left or does not respond. */
   removeWorker(worker: string): void;
+  /**
+   * Discards what a worker last reported, because it no longer holds. Nothing
+   * is placed on the worker before its next report, but its accelerators still
+   * count in the forecast of waiting times.
+   */
+  discardReport(worker: string): void;
   /**
    * Refuses overdue requests and starts a compaction when one is due. After a
    * change, or when the last scheduling pass is too long ago, also runs a pass:
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -430,6 +430,10 @@
     try {
       const { vms } = await platform.listVms();
       links.updateVms(vms);
+      placerHost.placer.setListedWorkers(
+        vms.filter((vm) => vm.kind === "worker" && vm.zone === zone)
+          .map(({ name }) => name),
+      );
       const entries = vms.filter(({ kind }) => kind === "entry");
       const listedAddresses = new Set(entries.map(({ address }) => address));
       peers.addAddresses(listedAddresses);
--- a/packages/entry/src/placer_host.ts
+++ b/packages/entry/src/placer_host.ts
@@ -187,9 +187,9 @@
       );
       const refusal = refusals.find((reason) => reason !== undefined);
       if (refusal === undefined) continue;
-      // The placer's view of this worker is outdated. The worker is removed
-      // from the view until its next report, which is requested at once.
-      placer.removeWorker(worker);
+      // The placer's view of this worker is outdated until its next report,
+      // which is requested at once.
+      placer.discardReport(worker);
       options.links().pollWorker(worker);
       return refusal;
     }
