fix(entry): do not call a key not run when its owner may be lost

Cause: repeatable requests are known only to the registry of the entry that admitted them.

Change: a refusal of a repeatable key says unknown, with 503 and a retry time, while an entry that was heard of within the retention does not respond, or when the key is older than this entry.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -41,6 +41,7 @@
 import { createOperatorsServer } from "./operators_server.ts";
 import { createPeerHandlers } from "./peer_handlers.ts";
 import { createPeers } from "./peers.ts";
+import { mayHaveLostOwner } from "./lost_owners.ts";
 import { createPeerLookup } from "./peer_lookup.ts";
 import { createPlacerHost } from "./placer_host.ts";
 import { createRequestHost } from "./request_host.ts";
@@ -342,6 +343,13 @@
     isLeaving: () => selfInfo.leaving,
     isRequestUnknownEverywhere: lookup.isRequestUnknownEverywhere,
     isKeyUnknownToAllPeers: lookup.isKeyUnknownToAllPeers,
+    mayHaveLostOwner: (key) =>
+      mayHaveLostOwner(key, {
+        peers: membership.allPeers(),
+        startedAt: selfInfo.startedAt,
+        wallTime: clock.wallTime(),
+        retentionMs: timing.claimWindowMs,
+      }),
     countJoin: metrics.countJoin,
     findAtPeers: lookup.findAtPeers,
     cancelAtPeers: lookup.cancelAtPeers,
--- a/packages/entry/src/request_service.ts
+++ b/packages/entry/src/request_service.ts
@@ -10,6 +10,7 @@
 import {
   type AccountRule,
   type ClassRule,
+  EndReason,
   type LedgerEntry,
   LedgerVerdict,
   Outcome,
@@ -122,6 +123,11 @@
    * end, every other entry replied, and none of them has the request
    */
   isRequestUnknownEverywhere(account: string, id: string): Promise<boolean>;
+  /**
+   * @returns whether an entry that no longer responds may have admitted a
+   * request with the key
+   */
+  mayHaveLostOwner(key: string): boolean;
   /**
    * @returns whether every other entry replied and none has a request with the
    * key
@@ -171,6 +177,45 @@
 
   const submit = async (submission: Submission): Promise<RequestView> => {
     const spec = createSpec(submission);
+    try {
+      const view = await admitOrJoin(submission, spec);
+      if (view.result?.outcome === Outcome.notRun) {
+        requireKnownOwner(submission, spec, view.result);
+      }
+      return view;
+    } catch (error) {
+      if (isTemporaryRefusal(error)) requireKnownOwner(submission, spec, error);
+      throw error;
+    }
+  };
+
+  /**
+   * Replaces a refusal that says `not-run` when an entry that no longer
+   * responds may have run the request. Only the registries of entries know the
+   * keys of repeatable requests; the log has those of all others.
+   *
+   * @throws RequestProblem with the outcome `unknown`
+   */
+  const requireKnownOwner = (
+    { key }: Submission,
+    spec: RequestSpec,
+    refusal: { reason?: string; retryAfterMs?: Milliseconds },
+  ): void => {
+    if (key === undefined || !spec.repeatable || spec.isJob) return;
+    if (refusal.reason === EndReason.neverFits) return;
+    if (!options.mayHaveLostOwner(key)) return;
+    const text = "an entry that no longer responds may have run the request; " +
+      "ask again with the same key";
+    throw new RequestProblem(503, text, {
+      outcome: Outcome.unknown,
+      retryAfterMs: refusal.retryAfterMs ?? RETRY_AFTER_MS,
+    });
+  };
+
+  const admitOrJoin = async (
+    submission: Submission,
+    spec: RequestSpec,
+  ): Promise<RequestView> => {
     const payload = JSON.stringify(submission.body.payload ?? null);
     if (submission.key !== undefined) {
       const earlier = await joinEarlier(spec, payload);
@@ -518,6 +563,13 @@
   return result?.outcome === Outcome.notRun;
 }
 
+/** Tests whether an error refuses a request only for now, as not run. */
+function isTemporaryRefusal(error: unknown): error is RequestProblem {
+  return error instanceof RequestProblem &&
+    error.outcome === Outcome.notRun &&
+    (error.status === 429 || error.status === 503);
+}
+
 function requireSameBody(digest: string, spec: RequestSpec): void {
   if (digest === spec.bodyDigest) return;
   throw new RequestProblem(409, "the key was used with another body", {
--- a/packages/scenarios/__tests__/callers_interface.test.ts
+++ b/packages/scenarios/__tests__/callers_interface.test.ts
@@ -2,7 +2,7 @@
 // although they were reported as not run, keys that run more than once, and
 // accounts that reach the requests of others.
 import { expect } from "chai";
-import { createIdentifier } from "@rattanhill/shared";
+import { createIdentifier, pause } from "@rattanhill/shared";
 import { readJournal } from "@rattanhill/standins";
 import { type SmallSystem, startSmallSystem } from "./small_system.ts";
 
@@ -177,6 +177,29 @@
   expect((await running).status).to.equal(200);
 });
 
+// An entry that has ended may have run the key, which was created before this
+// entry started.
+it("callers: a refused key that may have run before is not called not run", async () => {
+  const blocker = system.send("POST", PATH, {
+    body: draft({ parts: 2, accelerators: 8, payload: { runMs: 900 } }),
+  });
+  await pause(100);
+  const key = "01900000-0000-7000-8000-000000000001";
+  const refused = await system.send("POST", PATH, {
+    body: draft(),
+    headers: withKey(key),
+  });
+  expect(refused.status).to.equal(503);
+  expect(refused.body.outcome).to.equal("unknown");
+  expect(refused.body.retryAfterMs).to.be.greaterThan(0);
+  await blocker;
+  const repeated = await system.send("POST", PATH, {
+    body: draft(),
+    headers: withKey(key),
+  });
+  expect(repeated.body.outcome).to.equal("done");
+});
+
 it("callers: a failed task is reported with its failure text", async () => {
   const body = draft({ payload: { runMs: 5, fail: "no hall" } });
   const response = await system.send("POST", PATH, { body });
