fix(platform-adapter): one malformed message ends neither process nor planning

Cause: found by generated bodies. A job whose step waits for a step that does not exist ({"spec":"","steps":[{"after":[1]}]}) was accepted and stored; then every planning pass of every lead threw in a timer, which ended one process after the other. Rows of polls and of advice were cast unchecked; a lease record that is JSON but no record (null) stopped the follower of the lead's topic for good; a job that cannot be restored left a lead that held its lease and did nothing.

Lease records are checked.

--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -13,6 +13,7 @@
   type JobSpec,
   type Rules,
   type Scheduler,
+  type StoredJob,
   type WorkerCommand,
   type WorkerListing,
   type WorkerState,
@@ -268,7 +269,13 @@
 
   const runPlanner = (): void => {
     const startedAt = clock.now();
-    scheduler?.plan();
+    try {
+      scheduler?.plan();
+    } catch (error) {
+      // Runs keep their leases, and the next pass may succeed.
+      metrics.incrementCounter("planning.failed");
+      log.error({ term, error: describeError(error) }, "planning pass failed");
+    }
     planningMs = clock.now() - startedAt;
   };
 
@@ -291,6 +298,22 @@
     );
   };
 
+  /** Restores a job; one that is not valid must not keep the others waiting. */
+  const restoreJob = (
+    target: Scheduler,
+    job: StoredJob,
+    takenOverAt: Milliseconds,
+  ): void => {
+    try {
+      target.restore(job, takenOverAt + INHERITED_LEASE_MS);
+    } catch (error) {
+      log.error(
+        { term, job: job.spec.id, error: describeError(error) },
+        "stored job could not be restored; skipped",
+      );
+    }
+  };
+
   return {
     start: async () => {
       const takenOverAt = clock.now();
@@ -308,9 +331,7 @@
       });
       scheduler.setRules(options.rules());
       scheduler.updateWorkers(listing);
-      for (const job of book.jobs()) {
-        scheduler.restore(job, takenOverAt + INHERITED_LEASE_MS);
-      }
+      for (const job of book.jobs()) restoreJob(scheduler, job, takenOverAt);
       const jobs = scheduler.state.jobs.size;
       const tookMs = clock.now() - takenOverAt;
       log.info(
--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -1,4 +1,9 @@
-import type { Clock, Logger, Milliseconds } from "@rattanhill/shared";
+import {
+  type Clock,
+  describeError,
+  type Logger,
+  type Milliseconds,
+} from "@rattanhill/shared";
 import {
   createJobBook,
   decodeRecord,
@@ -201,7 +206,15 @@
         keepEndedMs: limits.keepEndedMs,
         metrics,
       });
-      void lead.start();
+      const started = lead;
+      started.start().catch((error) => {
+        log.error(
+          { term, error: describeError(error) },
+          "lead could not start; releasing the lease",
+        );
+        // Another process may succeed, or this one when it is elected again.
+        if (lead === started) void lease.yield();
+      });
     },
     onLost: () => {
       metrics.incrementCounter("lead.lost");
--- a/packages/cell/src/lead_lease.ts
+++ b/packages/cell/src/lead_lease.ts
@@ -23,6 +23,10 @@
    * take over at once.
    */
   release(): Promise<void>;
+  /**
+   * Gives up a lease that is held, and goes on to take part in elections.
+   */
+  yield(): Promise<void>;
   /**
    * Stops renewing and campaigning; a lease that is held stays valid until it
    * expires.
@@ -144,7 +148,7 @@
     endOffset = offset + 1;
     const record = parseLeadRecord(value);
     if (record === undefined) {
-      log.warn({ topic, offset }, "lease record skipped: not valid JSON");
+      log.warn({ topic, offset }, "invalid lease record skipped");
       return;
     }
     if (newestRecord?.holder !== record.holder) {
@@ -266,6 +270,14 @@
     if (isStored && held?.term === term) held = { term, ...sentAt };
   };
 
+  const giveUpLease = async (): Promise<void> => {
+    if (!isHeld() || held === undefined) return;
+    const { term } = held;
+    loseLead("released");
+    renewal += 1;
+    await appendLeaseRecord({ holder, term, renewal, isReleased: true });
+  };
+
   /** Checks whether this process may campaign for the lease now. */
   const mayCampaign = (): boolean => {
     if (!follower.isLoaded() || held !== undefined) return false;
@@ -304,14 +316,11 @@
   return {
     isHeld,
     holder: () => newestRecord?.holder,
-    release: async () => {
+    release: () => {
       isReleasing = true;
-      if (!isHeld() || held === undefined) return;
-      const { term } = held;
-      loseLead("released");
-      renewal += 1;
-      await appendLeaseRecord({ holder, term, renewal, isReleased: true });
+      return giveUpLease();
     },
+    yield: giveUpLease,
     close: () => {
       isClosed = true;
       clearInterval(timer);
@@ -325,11 +334,15 @@
 // that waits 1 s, and the store's answer.
 const MAXIMUM_AGE_MS: Milliseconds = 1_800;
 
+/** @returns the record; undefined when it is not valid, which callers log */
 function parseLeadRecord(value: string): LeadRecord | undefined {
   try {
-    return JSON.parse(value) as LeadRecord;
+    const record = JSON.parse(value);
+    const isValid = typeof record?.holder === "string" &&
+      Number.isSafeInteger(record.term) &&
+      Number.isSafeInteger(record.renewal);
+    return isValid ? record : undefined;
   } catch {
-    // The caller logs invalid records.
     return undefined;
   }
 }
