fix(entry): an idle link or a paused entry loses no running work

Cause: a link to a worker kept the time of its first failed poll while it was idle, and counted its own process's pause as silence of the worker. The next failed poll then lost a lease at once, and a repeatable request was started again while it still ran.

Change: the time starts anew when polling resumes, and after a gap between two failures that is longer than any poll.

Ruled out beside it: holdsEndAt in request_host.ts counts from the arrival of the reply, so a late reply makes a lapsed hold look valid; the worker refuses the start of a lapsed hold ('lapsed', tests of the lease table), so it costs an attempt and runs nothing twice. Conclusion: dismissed for holdsEndAt, mended for failingSince."

--- a/packages/entry/src/worker_links.ts
+++ b/packages/entry/src/worker_links.ts
@@ -92,8 +92,13 @@
   lastSequence: number;
   /** Time of the last response or, if later, of the start of polling. */
   lastResponseAt: Milliseconds;
-  /** Time of the first failed poll since the last response. */
+  /**
+   * Time of the first failed poll since the last response, or since polling
+   * resumed.
+   */
   failingSince?: Milliseconds;
+  /** Time of the last failed poll. */
+  lastFailureAt?: Milliseconds;
   isAlive: boolean;
   hasResponded: boolean;
   isStopped: boolean;
@@ -109,6 +114,9 @@
 // Polls last longer by this factor, and so are less frequent, while the entry
 // neither leads the zone nor owns a lease on the worker.
 const IDLE_POLL_FACTOR = 3;
+// Time between two failed polls, in multiples of the longest poll, from which
+// this process counts as paused in between.
+const MAXIMUM_FAILURE_GAP_FACTOR = 1.5;
 // Leases of requests that are not repeatable count as lost only after a silence
 // that is longer by this factor, since such a request cannot run again to get
 // an answer.
@@ -163,6 +171,9 @@
     while (!link.isStopped) {
       if (!link.isListed && link.ownedLeases.size === 0) {
         await new Promise<void>((resolve) => link.wake = resolve);
+        // Nothing was polled meanwhile, so failures before say nothing about
+        // the worker now.
+        link.failingSince = undefined;
         continue;
       }
       const waitMs = choosePollWaitMs(link);
@@ -252,8 +263,15 @@
     // The silence is measured from the first failed poll, plus the time limit
     // of a normal poll, and not from the last response: while this process is
     // paused it polls no worker, so the time since the last response does not
-    // show whether the worker is lost.
-    link.failingSince ??= clock.now();
+    // show whether the worker is lost. A gap between two failures that is longer
+    // than any poll is such a pause as well.
+    const now = clock.now();
+    const longestPollMs = choosePollWaitMs(link) + timing.workerTimeoutMs;
+    const wasPaused = link.lastFailureAt !== undefined &&
+      now - link.lastFailureAt > MAXIMUM_FAILURE_GAP_FACTOR * longestPollMs;
+    if (wasPaused) link.failingSince = undefined;
+    link.failingSince ??= now;
+    link.lastFailureAt = now;
     const silentForMs = clock.now() - link.failingSince +
       timing.watchMs +
       timing.workerTimeoutMs;
