perf(cell): keep the progress of jobs in a topic that only the lead reads

Cause: every entry read and kept every progress record, which holds all runs of a step and is written anew with each of them. Bytes and calls grew with entries times tasks, although entries answer callers from submissions, cancellations and outcomes alone.

Change: progress goes to a topic of its own, fenced by the same term. Entries read one start record and one outcome a job instead. A new lead fences both topics and reads the progress once; it is deleted when its job has ended, so a takeover reads that of live jobs only. Both topics are written at the same time; a batch stored in part is safe either way, which the takeover model now plays (storePart).

--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -8,17 +8,23 @@
 import {
   type AdviceAnswer,
   type AdviceQuestion,
+  type CellRecord,
+  collectProgress,
   createScheduler,
+  isProgressRecord,
   type JobBook,
   type JobSpec,
   type Rules,
   type Scheduler,
   type StoredJob,
+  type StoredProgress,
+  withProgress,
   type WorkerCommand,
   type WorkerListing,
   type WorkerState,
 } from "@rattanhill/scheduler";
 import { createJournal } from "./journal.ts";
+import { decodeStoredRecords } from "./stored_records.ts";
 import type { Metrics } from "./metrics.ts";
 import type { Store } from "./store.ts";
 import type { Advise, ConnectWorker } from "./worker_calls.ts";
@@ -59,6 +65,8 @@
   store: Store;
   /** Topic of the cell's journal. */
   topic: string;
+  /** Topic of the progress of the cell's jobs. */
+  progressTopic: string;
   /** Fencing token of this lead. */
   term: number;
   /** In-memory index of the jobs in the journal. */
@@ -95,6 +103,10 @@
 // Planning runs this often even without changes, to check due times, leases and
 // stuck runs.
 const PLANNING_INTERVAL_MS: Milliseconds = 100;
+// Time for one page of stored progress. A store that is slowed down 60-fold
+// answers in 0.5 s.
+const PROGRESS_READ_TIMEOUT_MS: Milliseconds = 1_500;
+const PROGRESS_RETRY_DELAY_MS: Milliseconds = 100;
 // The advice service's queue of 32 calls drains in this time.
 const ADVICE_RETRY_DELAY_MS: Milliseconds = 200;
 const LOAD_LOG_INTERVAL_MS: Milliseconds = 1_000;
@@ -118,6 +130,11 @@
   const links = new Map<WorkerState, { link: WorkerLink; address: string }>();
   const isLeading = (): boolean => !isClosed && options.isLeading();
   const journal = createJournal({ ...options, isLeading });
+  const progressJournal = createJournal({
+    ...options,
+    topic: options.progressTopic,
+    isLeading,
+  });
   let scheduler: Scheduler | undefined;
   let isClosed = false;
   let isStoring = false;
@@ -210,6 +227,49 @@
     }
   };
 
+  /**
+   * Stores the records of a batch, in both topics at the same time. A batch may
+   * be stored in part when this process loses the lead: an outcome without the
+   * last progress of its job is true all the same, and so is progress without
+   * the outcome, which the next lead then stores.
+   *
+   * @returns whether all of them are stored
+   */
+  const storeRecords = async (
+    records: readonly CellRecord[],
+  ): Promise<boolean> => {
+    const results = await Promise.all([
+      progressJournal.append(records.filter(isProgressRecord)),
+      journal.append(records.filter((record) => !isProgressRecord(record))),
+    ]);
+    return results.every((isStored) => isStored);
+  };
+
+  /**
+   * Reads the progress that earlier leads stored, with retries while this
+   * process leads.
+   *
+   * @returns the progress; undefined when this process no longer leads
+   */
+  const readProgress = async (): Promise<StoredProgress | undefined> => {
+    while (isLeading()) {
+      try {
+        const { records } = await options.store.readNewest(
+          options.progressTopic,
+          PROGRESS_READ_TIMEOUT_MS,
+        );
+        return collectProgress(decodeStoredRecords(records, log));
+      } catch (error) {
+        log.warn(
+          { term, error: describeError(error) },
+          "progress of jobs could not be read; trying again",
+        );
+        await pause(PROGRESS_RETRY_DELAY_MS);
+      }
+    }
+    return undefined;
+  };
+
   /**
    * Appends the scheduler's batches of records to the journal until there is
    * none left. Commands that depend on a batch are sent once it is stored.
@@ -222,7 +282,7 @@
         const batch = scheduler.takeBatch();
         for (const { link } of links.values()) link.notifyEndsStored();
         if (batch === undefined) return;
-        if (!await journal.append(batch.records) || !isLeading()) return;
+        if (!await storeRecords(batch.records) || !isLeading()) return;
         for (const { placedAt, step } of batch.starting) {
           metrics.recordDuration("stored.start", clock.now() - placedAt);
           if (step.highestRun === 1) {
@@ -317,9 +377,14 @@
   return {
     start: async () => {
       const takenOverAt = clock.now();
-      const journalEnd = await journal.open();
-      if (journalEnd === undefined) return;
+      const [journalEnd, progressEnd] = await Promise.all([
+        journal.open(),
+        progressJournal.open(),
+      ]);
+      if (journalEnd === undefined || progressEnd === undefined) return;
+      const progress = await readProgress();
       await options.waitForBook(journalEnd);
+      if (progress === undefined) return;
       const listing = await options.listWorkers();
       if (!isLeading()) return;
       scheduler = createScheduler({
@@ -331,7 +396,15 @@
       });
       scheduler.setRules(options.rules());
       scheduler.updateWorkers(listing);
-      for (const job of book.jobs()) restoreJob(scheduler, job, takenOverAt);
+      for (const job of book.jobs()) {
+        const stored = progress.get(job.spec.id);
+        restoreJob(scheduler, withProgress(job, stored), takenOverAt);
+      }
+      for (const [job, steps] of progress) {
+        if (book.find(job) === undefined) {
+          scheduler.removeProgress(steps.keys());
+        }
+      }
       const jobs = scheduler.state.jobs.size;
       const tookMs = clock.now() - takenOverAt;
       log.info(
--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -27,6 +27,7 @@
   journalTopic,
   leadTopic,
   PlatformTopic,
+  progressTopic,
   type Store,
   type StoredRecord,
 } from "./store.ts";
@@ -193,6 +194,7 @@
       lead = createCellLead({
         store,
         topic,
+        progressTopic: progressTopic(options.cell),
         term,
         book,
         clock,
--- a/packages/cell/src/store.ts
+++ b/packages/cell/src/store.ts
@@ -105,6 +105,11 @@
   workers: "workers",
 } as const;
 
+/** @returns the topic of the progress of a cell's jobs, read by its lead */
+export function progressTopic(cell: number): string {
+  return `progress-${cell}`;
+}
+
 /** @returns the topic of a cell's journal */
 export function journalTopic(cell: number): string {
   return `cell-${cell}`;
--- a/packages/scheduler/__tests__/job_book.test.ts
+++ b/packages/scheduler/__tests__/job_book.test.ts
@@ -21,12 +21,13 @@
       checkpoints: [[1, "c"]],
     },
   },
+  { kind: "start", job: "a" },
   { kind: "outcome", job: "a", outcome: "failed", at: 5 },
 ];
 
 it("job book: records may arrive in any order and more than once", () => {
   const order = fc.shuffledSubarray([...RECORDS, ...RECORDS], {
-    minLength: 6,
+    minLength: 8,
   });
   fc.assert(fc.property(order, (records) => {
     const book = createJobBook();
--- a/packages/scheduler/__tests__/takeover_model.ts
+++ b/packages/scheduler/__tests__/takeover_model.ts
@@ -1,9 +1,11 @@
 import { createManualClock, silentLogger } from "@rattanhill/shared";
 import {
+  type CellRecord,
   createJobBook,
   createScheduler,
   decodeRecord,
   encodeRecord,
+  isProgressRecord,
   type RecordBatch,
   type Scheduler,
   taskNameOf,
@@ -29,6 +31,8 @@
   "store",
   /** The lead's batch is stored, but the confirmation is lost. */
   "storeUnconfirmed",
+  /** Only the progress records of the lead's batch are stored, or the others. */
+  "storePart",
   /** A call reaches its worker and is answered. */
   "deliver",
   /** A call times out at the lead and stays in flight. */
@@ -253,6 +257,25 @@
     });
   };
 
+  const writeRecords = (records: readonly CellRecord[]): void => {
+    if (lead.term !== storeTerm) return;
+    for (const { key, value } of records.flatMap(encodeRecord)) {
+      if (value === undefined) stored.delete(key);
+      else stored.set(key, value);
+    }
+  };
+
+  /** Stores part of a batch, as when a lead ends between two appends. */
+  const storePart = (isProgress: boolean): void => {
+    if (!isLeading(lead) || fault === "startBeforeStored") return;
+    lead.batch ??= lead.scheduler.takeBatch();
+    writeRecords(
+      (lead.batch?.records ?? []).filter((record) =>
+        isProgressRecord(record) === isProgress
+      ),
+    );
+  };
+
   const storeBatch = (isConfirmed: boolean): void => {
     if (!isLeading(lead)) return;
     lead.batch ??= lead.scheduler.takeBatch();
@@ -266,11 +289,7 @@
       lead.batch = undefined;
       return;
     }
-    if (lead.term === storeTerm) {
-      for (const { key, value } of batch.records.flatMap(encodeRecord)) {
-        stored.set(key, value!);
-      }
-    }
+    writeRecords(batch.records);
     if (!isConfirmed) return;
     lead.batch = undefined;
     if (fault !== "startBeforeStored") lead.scheduler.handleBatchStored(batch);
@@ -307,6 +326,8 @@
       case "storeUnconfirmed":
         if (expiredLead !== undefined) sendAfterLease(expiredLead);
         return storeBatch(false);
+      case "storePart":
+        return storePart(pick % 2 === 0);
       case "deliver":
         if (call === undefined) return;
         calls = calls.filter((other) => other !== call);
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -113,6 +113,8 @@
   /** Monotonic time of its submission, from which its wait is measured. */
   waitingSince: Milliseconds;
   isCancelled: boolean;
+  /** Whether the record of its first start is stored or being stored. */
+  hasStarted: boolean;
   outcome?: JobOutcome;
   /** Steps by step key, created on first use. */
   steps: Map<string, StepState>;
@@ -187,6 +189,8 @@
   workers: Map<string, WorkerState>;
   /** Steps whose stored record is out of date. */
   unsavedSteps: Set<StepState>;
+  /** Keys of steps whose stored record is to be deleted. */
+  removedSteps: Set<string>;
   /** Jobs whose outcome is not stored yet. */
   unsavedOutcomes: Set<ActiveJob>;
 }
@@ -197,6 +201,7 @@
     jobs: new Map(),
     workers: new Map(),
     unsavedSteps: new Set(),
+    removedSteps: new Set(),
     unsavedOutcomes: new Set(),
   };
 }
@@ -220,6 +225,7 @@
     spec,
     waitingSince: now,
     isCancelled: false,
+    hasStarted: false,
     steps: new Map(),
     finishedOccurrences: new Set(),
   };
@@ -304,11 +310,18 @@
   deleteJobIfFinished(state, step.job);
 }
 
-/** Deletes a job if its outcome is stored and all its runs are released. */
+/**
+ * Deletes a job and its stored progress if its outcome is stored and all its
+ * runs are released.
+ */
 export function deleteJobIfFinished(state: CellState, job: ActiveJob): void {
   if (job.outcome === undefined || state.unsavedOutcomes.has(job)) return;
   for (const step of job.steps.values()) if (step.runs.size > 0) return;
   state.jobs.delete(job.spec.id);
+  for (const step of job.steps.values()) {
+    state.unsavedSteps.delete(step);
+    state.removedSteps.add(step.key);
+  }
 }
 
 /** @returns the record that stores the step's progress */
--- a/packages/scheduler/src/job_book.ts
+++ b/packages/scheduler/src/job_book.ts
@@ -9,7 +9,10 @@
   outcome?: JobOutcome;
   /** Wall time of the outcome. */
   endedAt?: Milliseconds;
-  /** Progress by step key. */
+  /**
+   * Progress by step key. Entries that do not lead have none, since it is
+   * stored apart.
+   */
   steps: Map<string, StepRecord>;
   /** Whether a run of any of its steps was ever placed. */
   hasStarted: boolean;
@@ -74,6 +77,8 @@
       if (job.isCancelled) return;
       applyChange(job, () => job.isCancelled = true);
       listener.cancelled?.(job.spec.id);
+    } else if (record.kind === "start") {
+      applyChange(job, () => job.hasStarted = true);
     } else if (record.kind === "progress") {
       job.steps.set(record.step, record.progress);
       applyChange(job, () => job.hasStarted ||= record.progress.highestRun > 0);
@@ -110,7 +115,8 @@
         jobs.delete(record.job);
         return;
       }
-      const id = record.kind === "progress"
+      const id = record.kind === "progress" ||
+          record.kind === "progressRemoval"
         ? record.step.slice(0, record.step.indexOf("."))
         : record.job;
       const job = jobs.get(id);
--- a/packages/scheduler/src/mod.ts
+++ b/packages/scheduler/src/mod.ts
@@ -14,6 +14,7 @@
 export * from "./rules.ts";
 export * from "./run_ends.ts";
 export * from "./scheduler.ts";
+export * from "./stored_progress.ts";
 export * from "./stuck_runs.ts";
 export * from "./waiting_work.ts";
 export * from "./worker_roster.ts";
--- a/packages/scheduler/src/records.ts
+++ b/packages/scheduler/src/records.ts
@@ -19,11 +19,23 @@
 export type CellRecord =
   | { kind: "submission"; spec: JobSpec }
   | { kind: "cancellation"; job: string }
+  /** A run of one of the job's tasks was placed for the first time. */
+  | { kind: "start"; job: string }
   | { kind: "progress"; step: string; progress: StepRecord }
+  /** Deletes the progress of a step whose job has ended. */
+  | { kind: "progressRemoval"; step: string }
   | { kind: "outcome"; job: string; outcome: JobOutcome; at: Milliseconds }
   /** Deletes all records of an ended job. */
   | { kind: "removal"; job: string; steps: string[] };
 
+/**
+ * Tests whether only the lead needs a record. All other records are read by
+ * every entry, which answers callers from them.
+ */
+export function isProgressRecord({ kind }: CellRecord): boolean {
+  return kind === "progress" || kind === "progressRemoval";
+}
+
 /** A key and its value; without a value, the key is to be deleted. */
 export interface KeyedValue {
   key: string;
@@ -33,6 +45,7 @@
 const KEY_PREFIX = {
   submission: "job/",
   cancellation: "cancel/",
+  start: "start/",
   progress: "step/",
   outcome: "end/",
 } as const;
@@ -52,6 +65,10 @@
     }
     case "cancellation":
       return [{ key: KEY_PREFIX.cancellation + record.job, value: "1" }];
+    case "start":
+      return [{ key: KEY_PREFIX.start + record.job, value: "1" }];
+    case "progressRemoval":
+      return [{ key: KEY_PREFIX.progress + record.step }];
     case "progress": {
       const { highestRun, done, runs, failures, checkpoints } = record.progress;
       const value = [highestRun, done, runs, failures, checkpoints];
@@ -69,6 +86,7 @@
       return [
         ...record.steps.map((step) => ({ key: KEY_PREFIX.progress + step })),
         { key: KEY_PREFIX.cancellation + record.job },
+        { key: KEY_PREFIX.start + record.job },
         { key: KEY_PREFIX.outcome + record.job },
         { key: KEY_PREFIX.submission + record.job },
       ];
@@ -98,6 +116,8 @@
       return value === undefined
         ? undefined
         : { kind: "cancellation", job: name };
+    case KEY_PREFIX.start:
+      return value === undefined ? undefined : { kind: "start", job: name };
     case KEY_PREFIX.progress: {
       if (value === undefined) return undefined;
       const [highestRun, done, runs, failures, checkpoints] = JSON.parse(value);
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -83,6 +83,8 @@
    * `leasesEndBy` has passed.
    */
   restore(job: StoredJob, leasesEndBy: Milliseconds): void;
+  /** Deletes the stored progress of steps whose job no longer exists. */
+  removeProgress(steps: Iterable<string>): void;
   /** Adds a new job; a job that is already known is ignored. */
   submit(spec: JobSpec): void;
   /** Cancels a job and stops its runs. */
@@ -235,9 +237,12 @@
       const { spec, steps, isCancelled, outcome } = storedJob;
       const waitingSince = now() - Math.max(0, wallTime() - spec.submittedAt);
       const hasRuns = [...steps.values()].some(({ runs }) => runs.length > 0);
-      if (outcome !== undefined && !hasRuns) return;
+      if (outcome !== undefined && !hasRuns) {
+        return removeProgress(steps.keys());
+      }
       const job = addJob(state, spec, waitingSince);
       job.outcome = outcome;
+      job.hasStarted = storedJob.hasStarted;
       for (const [key, record] of steps) {
         const [, occurrence, index] = key.split(".").map(Number);
         const step = getOrCreateStep(job, occurrence, index);
@@ -245,6 +250,10 @@
         step.done = new Set(record.done);
         step.failures = new Map(record.failures);
         step.checkpoints = new Map(record.checkpoints);
+        // The earlier lead may have ended between the two appends.
+        if (!job.hasStarted && step.highestRun > 0) {
+          state.unsavedSteps.add(step);
+        }
         for (const [task, number, workerId] of record.runs) {
           roster.restoreRun(step, task, number, workerId, leasesEndBy);
         }
@@ -252,6 +261,7 @@
       if (isCancelled) cancel(spec.id);
       completeJobIfDone(state, job);
     },
+    removeProgress,
     submit: (spec) => {
       if (state.jobs.has(spec.id)) return;
       const delay = Math.max(0, wallTime() - spec.submittedAt);
@@ -334,6 +344,10 @@
       const records: CellRecord[] = [];
       const starting: Run[] = [];
       for (const step of state.unsavedSteps) {
+        if (step.highestRun > 0 && !step.job.hasStarted) {
+          step.job.hasStarted = true;
+          records.push({ kind: "start", job: step.job.spec.id });
+        }
         records.push({
           kind: "progress",
           step: step.key,
@@ -349,7 +363,11 @@
         const outcome = job.outcome!;
         records.push({ kind: "outcome", job: id, outcome, at: wallTime() });
       }
+      for (const step of state.removedSteps) {
+        records.push({ kind: "progressRemoval", step });
+      }
       state.unsavedSteps.clear();
+      state.removedSteps.clear();
       state.unsavedOutcomes.clear();
       if (records.length > 0) return { records, starting, ends, outcomes };
       // These run ends changed no step, so they can be acknowledged without a
@@ -380,6 +398,10 @@
     },
   };
 
+  function removeProgress(steps: Iterable<string>): void {
+    for (const step of steps) state.removedSteps.add(step);
+  }
+
   function cancel(id: string): void {
     const job = state.jobs.get(id);
     if (job === undefined || isOver(job)) return;
