fix(core): resume a gang job with all of its parts or none

A preemption reached one part of a gang in the same millisecond in which the other three ended (parts 0, 2, 3 at 833, 837 and 840 ms, part 1 stopped at 833). The next attempt resumed part 1 from its checkpoint, where it ended after 8 ms, while the others started anew and worked for 180 ms without it.

Change: checkpoints of a gang are used only when every part was stopped with one; otherwise all parts start anew.

Result: two new tests, one of which fails on the old code. The first attempt itself stays possible: stops of four workers are not atomic, and three parts that end within 7 ms of the stop of the fourth count as a partial gang.

--- a/packages/core/__tests__/request.test.ts
+++ b/packages/core/__tests__/request.test.ts
@@ -181,6 +181,46 @@
   expect(effects.at(-1)).to.include({ kind: "run", checkpoint: "saved" });
 });
 
+/** Runs of a gang of two whose parts settle with the given messages. */
+function rerunGang(settled: readonly RequestMessage[]) {
+  const readyAgain = [0, 1].map((part): RequestMessage => ({
+    kind: "part-ready",
+    attempt: 2,
+    part,
+  }));
+  const { effects } = applyMessages(createSpec({}, 2), [
+    placedMessage(2),
+    partMessage("part-ready", 0),
+    partMessage("part-ready", 1),
+    partMessage("part-running", 0),
+    partMessage("part-running", 1),
+    ...settled,
+    placedMessage(2, 2),
+    ...readyAgain,
+  ]);
+  return effects.filter((effect) =>
+    effect.kind === "run" && effect.attempt === 2
+  ).map((effect) => "checkpoint" in effect ? effect.checkpoint : undefined);
+}
+const stoppedMessage = (part: number): RequestMessage => ({
+  kind: "part-stopped",
+  attempt: 1,
+  part,
+  checkpoint: `saved ${part}`,
+});
+
+it("request: a preempted gang job resumes with all of its parts", () => {
+  expect(rerunGang([stoppedMessage(0), stoppedMessage(1)]))
+    .to.deep.equal(["saved 0", "saved 1"]);
+});
+
+// One part would end at once, while the others work without it.
+it("request: a gang job with a part that ended starts all parts anew", () => {
+  const ended = { kind: "part-ended", attempt: 1, part: 0, answer: "x" };
+  expect(rerunGang([ended as RequestMessage, stoppedMessage(1)]))
+    .to.deep.equal([undefined, undefined]);
+});
+
 it("request: a job is placed again while the log is unavailable", () => {
   const { state } = applyMessages(createSpec({ isJob: true }), [
     placedMessage(),
--- a/packages/core/src/request.ts
+++ b/packages/core/src/request.ts
@@ -434,6 +434,7 @@
       phase: RequestPhase.placing,
       mayHaveRunBefore: mayHaveRun(state),
       lostBefore: hasLostPart(state),
+      checkpoints: resumableCheckpoints(state),
       afterStop: undefined,
     },
     effects: [{ kind: "place", attempt, avoid: avoidedWorkers, delayMs }],
@@ -604,6 +605,22 @@
   };
 }
 
+/**
+ * Returns the checkpoints for the next attempt. The parts of a gang job work
+ * together, so they resume together or all start anew: a part that ended or was
+ * lost has no checkpoint that fits those of the others.
+ */
+function resumableCheckpoints(
+  { spec, parts, checkpoints }: RequestState,
+): RequestState["checkpoints"] {
+  if (spec.shape.parts === 1 || !parts.some(partMayHaveRun)) return checkpoints;
+  const canResume = parts.every(({ phase, failure }, index) =>
+    phase === PartPhase.stopped && failure === undefined &&
+    checkpoints[index] !== undefined
+  );
+  return canResume ? checkpoints : {};
+}
+
 function withPart(
   state: RequestState,
   index: number,
