--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -117,11 +117,17 @@
 // well below the time after which a revoked key must be rejected.
 const CONFIG_READ_WAIT_MS: Milliseconds = 1_000;
 const JOURNAL_READ_WAIT_MS: Milliseconds = 1_000;
-// Interval at which the lead reads the journal.
-const LEAD_READ_INTERVAL_MS: Milliseconds = 10;
-// Interval at which the other entries read the journal. Callers query the state
-// of a job every few hundred milliseconds.
-const ENTRY_READ_INTERVAL_MS: Milliseconds = 120;
+// Interval at which the lead reads the journal, which delays the start of new
+// jobs.
+const LEAD_READ_INTERVAL_MS: Milliseconds = 20;
+// Interval at which an entry reads the journal while callers query it, which
+// they do every few hundred milliseconds for each job.
+const QUERIED_READ_INTERVAL_MS: Milliseconds = 200;
+// Interval at which the other entries read the journal. Each read costs the
+// store as much as an append.
+const IDLE_READ_INTERVAL_MS: Milliseconds = 700;
+// Time after its last query from which an entry counts as idle.
+const QUERY_MEMORY_MS: Milliseconds = 2_000;
 const CONFIG_READ_INTERVAL_MS: Milliseconds = 50;
 // API keys are no longer accepted when the configuration is older than the
 // revocation limit minus this margin.
@@ -146,6 +152,8 @@
   let config: ActiveConfig | undefined;
   let lead: CellLead | undefined;
   let isDraining = false;
+  /** Monotonic time of the last query of a caller. */
+  let lastQueryAt = -Infinity;
 
   const book = createJobBook({
     submitted: (spec) => lead?.submitJob(spec),
@@ -157,8 +165,7 @@
     clock,
     log,
     waitMs: JOURNAL_READ_WAIT_MS,
-    readIntervalMs: () =>
-      lead === undefined ? ENTRY_READ_INTERVAL_MS : LEAD_READ_INTERVAL_MS,
+    readIntervalMs: chooseJournalReadInterval,
     apply: (records) => records.forEach(applyJournalRecord),
   });
   const configFollower = createTopicFollower({
@@ -242,6 +249,13 @@
     metrics,
   });
 
+  function chooseJournalReadInterval(): Milliseconds {
+    if (lead !== undefined) return LEAD_READ_INTERVAL_MS;
+    return clock.now() - lastQueryAt < QUERY_MEMORY_MS
+      ? QUERIED_READ_INTERVAL_MS
+      : IDLE_READ_INTERVAL_MS;
+  }
+
   function applyJournalRecord({ key, value, offset }: StoredRecord): void {
     try {
       const record = decodeRecord(key, value);
@@ -281,7 +295,10 @@
     journalFollower.ageMs() < MAXIMUM_READY_AGE_MS;
 
   return {
-    handle: service.handle,
+    handle: (call) => {
+      if (call.action === "ask") lastQueryAt = clock.now();
+      return service.handle(call);
+    },
     isReady,
     drain: async () => {
       isDraining = true;
--- a/packages/cell/src/lead_lease.ts
+++ b/packages/cell/src/lead_lease.ts
@@ -139,7 +139,10 @@
     clock,
     log,
     waitMs: READ_WAIT_MS,
-    readIntervalMs: () => 0,
+    readIntervalMs: () =>
+      held === undefined
+        ? (1 - options.electionPriority) * MAXIMUM_READ_INTERVAL_MS
+        : MAXIMUM_READ_INTERVAL_MS,
     apply: (records) => records.forEach(applyRecord),
   });
 
@@ -330,6 +333,10 @@
 }
 
 const READ_WAIT_MS: Milliseconds = 1_000;
+// Interval at which the lead and a candidate of election priority 0 read the
+// topic; it falls linearly to 0 ms at priority 1. Each renewal of the lease ends
+// the long poll of every entry, but few candidates have to see it at once.
+const MAXIMUM_READ_INTERVAL_MS: Milliseconds = 1_200;
 // A candidate must have read the topic within this time, which covers a read
 // that waits 1 s, and the store's answer.
 const MAXIMUM_AGE_MS: Milliseconds = 1_800;
