--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -119,15 +119,15 @@
 const JOURNAL_READ_WAIT_MS: Milliseconds = 1_000;
 // Interval at which the lead reads the journal, which delays the start of new
 // jobs.
-const LEAD_READ_INTERVAL_MS: Milliseconds = 20;
+const LEAD_READ_INTERVAL_MS: Milliseconds = 10;
 // Interval at which an entry reads the journal while callers query it, which
 // they do every few hundred milliseconds for each job.
-const QUERIED_READ_INTERVAL_MS: Milliseconds = 200;
+const QUERIED_READ_INTERVAL_MS: Milliseconds = 120;
 // Interval at which the other entries read the journal. Each read costs the
 // store as much as an append.
-const IDLE_READ_INTERVAL_MS: Milliseconds = 700;
+const IDLE_READ_INTERVAL_MS: Milliseconds = 500;
 // Time after its last query from which an entry counts as idle.
-const QUERY_MEMORY_MS: Milliseconds = 2_000;
+const QUERY_MEMORY_MS: Milliseconds = 5_000;
 const CONFIG_READ_INTERVAL_MS: Milliseconds = 50;
 // API keys are no longer accepted when the configuration is older than the
 // revocation limit minus this margin.
--- a/packages/scheduler/__tests__/scheduler.test.ts
+++ b/packages/scheduler/__tests__/scheduler.test.ts
@@ -223,6 +223,27 @@
   expect(cell.runs("a")).to.deep.equal([]);
 });
 
+// The worker renews its entry while it drains, with less time each time.
+it("scheduler: the time of a draining worker is not counted twice", () => {
+  const cell = createCell({ workers: 2 });
+  const isCheckpointing = true;
+  cell.submit(
+    job("a", { steps: [step({ estimateMs: 3_500, isCheckpointing })] }),
+  );
+  cell.settle();
+  const [{ worker }] = cell.runs("a");
+  const index = cell.entries.findIndex(({ id }) => id === worker);
+  for (const remainingMs of [4_000, 3_000, 2_000]) {
+    const entry = { ...cell.entries[index], isDraining: true, remainingMs };
+    cell.entries[index] = entry;
+    cell.updateListing();
+    cell.settle();
+    cell.clock.advance(1_000);
+  }
+  cell.scheduler.plan();
+  expect(cell.commands).to.deep.equal([]);
+});
+
 // A restarted worker has lost the run but would accept a late start command of
 // it. If the task were placed again before the worker rejects that command, it
 // would run twice.
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -153,8 +153,10 @@
   /** Capacity that its runs occupy. */
   used: Resources;
   runs: Set<Run>;
-  /** Monotonic time at which it began to drain. */
-  drainingSince?: Milliseconds;
+  /**
+   * Monotonic time at which `remainingMs` of a draining worker was first read.
+   */
+  remainingSince?: Milliseconds;
   /** Whether the platform's list of workers contains it. */
   isListed: boolean;
   /**
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -311,8 +311,8 @@
    */
   const evacuateDrainingWorkers = (): void => {
     for (const worker of state.workers.values()) {
-      if (!worker.isDraining || worker.drainingSince === undefined) continue;
-      const leavesInMs = worker.drainingSince + worker.remainingMs - now();
+      if (!worker.isDraining || worker.remainingSince === undefined) continue;
+      const leavesInMs = worker.remainingSince + worker.remainingMs - now();
       for (const run of worker.runs) {
         if (run.phase !== RunPhase.running) continue;
         if (!run.step.spec.isCheckpointing || run.step.spec.isGang) continue;
--- a/packages/scheduler/src/worker_roster.ts
+++ b/packages/scheduler/src/worker_roster.ts
@@ -135,8 +135,13 @@
           log.info({ worker: entry.id, zone: entry.zone }, "worker found");
         }
         updateLifetime(worker, entry.lifetime);
+        if (
+          entry.isDraining &&
+          (!worker.isDraining || entry.remainingMs !== worker.remainingMs)
+        ) {
+          worker.remainingSince = now();
+        }
         if (entry.isDraining && !worker.isDraining) {
-          worker.drainingSince = now();
           log.info(
             { worker: entry.id, remainingMs: entry.remainingMs },
             "worker draining",
