perf(cell): an entry counts as idle by its last call of any kind

Cause: a submission did not count, so the first query of a new job could be answered from records up to 0.5 s old.

Tests of cell, adapter and scheduler pass.

--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -120,14 +120,14 @@
 // Interval at which the lead reads the journal, which delays the start of new
 // jobs.
 const LEAD_READ_INTERVAL_MS: Milliseconds = 10;
-// Interval at which an entry reads the journal while callers query it, which
-// they do every few hundred milliseconds for each job.
-const QUERIED_READ_INTERVAL_MS: Milliseconds = 120;
+// Interval at which an entry with callers reads the journal. They query the
+// state of each job every few hundred milliseconds.
+const CALLED_READ_INTERVAL_MS: Milliseconds = 120;
 // Interval at which the other entries read the journal. Each read costs the
 // store as much as an append.
 const IDLE_READ_INTERVAL_MS: Milliseconds = 500;
-// Time after its last query from which an entry counts as idle.
-const QUERY_MEMORY_MS: Milliseconds = 5_000;
+// Time after its last call from which an entry counts as idle.
+const CALL_MEMORY_MS: Milliseconds = 5_000;
 const CONFIG_READ_INTERVAL_MS: Milliseconds = 50;
 // API keys are no longer accepted when the configuration is older than the
 // revocation limit minus this margin.
@@ -152,8 +152,8 @@
   let config: ActiveConfig | undefined;
   let lead: CellLead | undefined;
   let isDraining = false;
-  /** Monotonic time of the last query of a caller. */
-  let lastQueryAt = -Infinity;
+  /** Monotonic time of the last call of a caller. */
+  let lastCallAt = -Infinity;
 
   const book = createJobBook({
     submitted: (spec) => lead?.submitJob(spec),
@@ -251,8 +251,8 @@
 
   function chooseJournalReadInterval(): Milliseconds {
     if (lead !== undefined) return LEAD_READ_INTERVAL_MS;
-    return clock.now() - lastQueryAt < QUERY_MEMORY_MS
-      ? QUERIED_READ_INTERVAL_MS
+    return clock.now() - lastCallAt < CALL_MEMORY_MS
+      ? CALLED_READ_INTERVAL_MS
       : IDLE_READ_INTERVAL_MS;
   }
 
@@ -296,7 +296,7 @@
 
   return {
     handle: (call) => {
-      if (call.action === "ask") lastQueryAt = clock.now();
+      lastCallAt = clock.now();
       return service.handle(call);
     },
     isReady,
