--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -7,6 +7,7 @@
 import { type CellRow, runCellBench } from "./cell_bench.ts";
 import { measureIdle, measurePath } from "./live_bench.ts";
 import { runPolicyBench } from "./policy_bench.ts";
+import { runRegression } from "./regression_runner.ts";
 import { renderReport } from "./report.ts";
 import type { CaseResult } from "./simulation.ts";
 
@@ -112,7 +113,38 @@
       console.table(runCellBench(policies, { seeds }).map(flattenCellRow));
     },
   )
-  .demandCommand(1, "missing command: policy, cell, path or idle")
+  .command(
+    "regression <sites..>",
+    "score deployments with the users' bench beside the kept figures",
+    (options) =>
+      options.positional("sites", {
+        type: "string",
+        array: true,
+        demandOption: true,
+        describe: "site files",
+      }).options({
+        program: {
+          type: "string",
+          demandOption: true,
+          describe: "path of the users' bench",
+        },
+        jobs: { type: "number", default: 3, describe: "days at the same time" },
+        journal: { type: "string", default: "journal" },
+        keptFile: { type: "string", default: "docs/regression.json" },
+        keep: {
+          type: "boolean",
+          default: false,
+          describe: "replace the kept figures by those of this run",
+        },
+      }),
+    async (args) => {
+      const { rows, faults } = await runRegression(args);
+      console.table(rows);
+      for (const fault of faults) console.log(`regression: ${fault}`);
+      process.exitCode = faults.length === 0 ? 0 : 1;
+    },
+  )
+  .demandCommand(1, "missing command: policy, cell, path, idle or regression")
   .strict()
   .parseAsync();
 
