fix(cell): answer calls within their deadline while the store is silent

An append that waited behind two unanswered ones did not count that wait, and a retry began with a pause although no time was left after it.

Change: the time of an append counts from when it is queued; one that was never sent is refused, one that was sent is uncertain. No pause reaches past the deadline.

Conclusion: an entry that is cut off still takes up to 2.5 s to notice."

--- a/packages/cell/__tests__/job_service.test.ts
+++ b/packages/cell/__tests__/job_service.test.ts
@@ -1,11 +1,20 @@
 import { expect } from "chai";
-import { createManualClock, silentLogger } from "@rattanhill/shared";
+import {
+  type Clock,
+  createManualClock,
+  createSystemClock,
+  ErrorCode,
+  pause,
+  silentLogger,
+  UncertainError,
+} from "@rattanhill/shared";
 import { createJobBook, type JobBook } from "@rattanhill/scheduler";
 import {
   type CallerCall,
   createJobService,
   createMetrics,
   indexConfig,
+  type Store,
 } from "../src/mod.ts";
 import { type AppendFault, createMemoryStore } from "./memory_store.ts";
 
@@ -42,6 +51,8 @@
     outageMs = 0,
     hasConfig = true,
     catchUpBook = () => Promise.resolve(),
+    clock = createManualClock(),
+    append,
   }: {
     faults?: AppendFault[];
     configAgeMs?: number;
@@ -49,15 +60,17 @@
     outageMs?: number;
     hasConfig?: boolean;
     catchUpBook?: (book: JobBook) => Promise<void>;
+    clock?: Clock;
+    append?: Store["append"];
   } = {},
 ) {
   const memory = createMemoryStore(faults);
   const book = createJobBook();
   const service = createJobService({
-    store: memory.store,
+    store: { ...memory.store, append: append ?? memory.store.append },
     topic: "t",
     book,
-    clock: createManualClock(),
+    clock,
     log: silentLogger,
     config: () => hasConfig ? CONFIG : undefined,
     configAgeMs: () => configAgeMs,
@@ -215,3 +228,33 @@
   const reply = await call({ action: "cancel", deadlineMs: 120 });
   expect(reply).to.deep.equal({ kind: "cancelled" });
 });
+
+// Two appends may be in flight; further ones wait behind them.
+it("job service: calls behind a silent store are answered in time", async () => {
+  const deadlineMs = 400;
+  const { call } = createService({
+    clock: createSystemClock(),
+    append: async (_topic, _records, { timeoutMs }) => {
+      await pause(timeoutMs);
+      throw new UncertainError(ErrorCode.logUncertain, "no answer", {
+        step: "store.append",
+        peer: "memory",
+      });
+    },
+  });
+  const startedAt = performance.now();
+  const calls = await Promise.all(
+    Array.from({ length: 6 }, async (_, index) => {
+      await pause(index * 20);
+      const sentAt = performance.now();
+      const reply = await call({
+        path: `/a/${ID.slice(1)}${index}`,
+        deadlineMs,
+      });
+      return { reply, tookMs: performance.now() - sentAt };
+    }),
+  );
+  expect(calls.filter(({ tookMs }) => tookMs > deadlineMs)).to.deep.equal([]);
+  expect(calls[0].reply.kind).to.equal("uncertain");
+  expect(performance.now() - startedAt).to.be.lessThan(2 * deadlineMs);
+});
--- a/packages/cell/src/job_service.ts
+++ b/packages/cell/src/job_service.ts
@@ -1,10 +1,12 @@
 import {
   type Clock,
   describeError,
+  ErrorCode,
   type Logger,
   type Milliseconds,
   pause,
   UnavailableError,
+  UncertainError,
 } from "@rattanhill/shared";
 import {
   encodeRecord,
@@ -166,15 +168,19 @@
     let refusals = 0;
     while (true) {
       const remainingMs = deadline - clock.now();
-      if (remainingMs <= 0) return isUncertain ? "uncertain" : "refused";
       try {
-        await writer.append(value, Math.min(remainingMs, APPEND_TIMEOUT_MS));
+        await writer.append(
+          value,
+          Math.max(0, Math.min(remainingMs, APPEND_TIMEOUT_MS)),
+        );
         return "stored";
       } catch (error) {
         if (error instanceof UnavailableError) refusals += 1;
         else isUncertain = true;
       }
       if (!isUncertain && refusals >= MAXIMUM_REFUSALS) return "refused";
+      const hasTimeLeft = clock.now() + RETRY_DELAY_MS < deadline;
+      if (!hasTimeLeft) return isUncertain ? "uncertain" : "refused";
       await pause(RETRY_DELAY_MS);
     }
   };
@@ -351,10 +357,11 @@
  * Creates a writer that batches appends (group commit): records that arrive
  * while the maximum number of calls is in flight share the next call.
  */
-function createBatchWriter({ store, topic }: JobServiceOptions) {
+function createBatchWriter({ store, topic, clock }: JobServiceOptions) {
   interface PendingAppend {
     value: KeyedValue;
-    timeoutMs: Milliseconds;
+    /** Monotonic time at which its caller stops waiting. */
+    expiresAt: Milliseconds;
     resolve(): void;
     reject(error: unknown): void;
   }
@@ -371,10 +378,11 @@
       maximumCount: MAXIMUM_RECORDS_PER_CALL,
     });
     const batch = pendingAppends.splice(0, count);
+    const expiresAt = Math.max(...batch.map((pending) => pending.expiresAt));
     callsInFlight += 1;
     try {
       await store.append(topic, batch.map(({ value }) => value), {
-        timeoutMs: Math.min(...batch.map(({ timeoutMs }) => timeoutMs)),
+        timeoutMs: Math.max(1, expiresAt - clock.now()),
       });
       for (const { resolve } of batch) resolve();
     } catch (error) {
@@ -385,10 +393,43 @@
     }
   };
 
+  /** Fails an append whose time is over, wherever it waits. */
+  const expireAppend = (pending: PendingAppend): void => {
+    const context = { step: "store.append", peer: "store" };
+    const index = pendingAppends.indexOf(pending);
+    if (index < 0) {
+      const message = "the store has not answered the append in time";
+      const error = new UncertainError(
+        ErrorCode.logUncertain,
+        message,
+        context,
+      );
+      return pending.reject(error);
+    }
+    pendingAppends.splice(index, 1);
+    const message = "the append was not sent in time behind earlier ones";
+    pending.reject(
+      new UnavailableError(ErrorCode.logUnavailable, message, context),
+    );
+  };
+
   return {
     append: (value: KeyedValue, timeoutMs: Milliseconds): Promise<void> =>
       new Promise((resolve, reject) => {
-        pendingAppends.push({ value, timeoutMs, resolve, reject });
+        const timer = setTimeout(() => expireAppend(pending), timeoutMs);
+        const pending: PendingAppend = {
+          value,
+          expiresAt: clock.now() + timeoutMs,
+          resolve: () => {
+            clearTimeout(timer);
+            resolve();
+          },
+          reject: (error) => {
+            clearTimeout(timer);
+            reject(error);
+          },
+        };
+        pendingAppends.push(pending);
         void sendNextBatch();
       }),
   };
