--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -8,23 +8,18 @@
 import {
   type AdviceAnswer,
   type AdviceQuestion,
-  type CellRecord,
-  collectProgress,
   createScheduler,
-  isProgressRecord,
   type JobBook,
   type JobSpec,
   type Rules,
   type Scheduler,
   type StoredJob,
-  type StoredProgress,
   withProgress,
   type WorkerCommand,
   type WorkerListing,
   type WorkerState,
 } from "@rattanhill/scheduler";
-import { createJournal } from "./journal.ts";
-import { decodeStoredRecords } from "./stored_records.ts";
+import { createCellJournal } from "./cell_journal.ts";
 import type { Metrics } from "./metrics.ts";
 import type { Store } from "./store.ts";
 import type { Advise, ConnectWorker } from "./worker_calls.ts";
@@ -103,10 +98,6 @@
 // Planning runs this often even without changes, to check due times, leases and
 // stuck runs.
 const PLANNING_INTERVAL_MS: Milliseconds = 100;
-// Time for one page of stored progress. A store that is slowed down 60-fold
-// answers in 0.5 s.
-const PROGRESS_READ_TIMEOUT_MS: Milliseconds = 1_500;
-const PROGRESS_RETRY_DELAY_MS: Milliseconds = 100;
 // The advice service's queue of 32 calls drains in this time.
 const ADVICE_RETRY_DELAY_MS: Milliseconds = 200;
 const LOAD_LOG_INTERVAL_MS: Milliseconds = 1_000;
@@ -129,12 +120,7 @@
   const { book, clock, log, term, connect, metrics } = options;
   const links = new Map<WorkerState, { link: WorkerLink; address: string }>();
   const isLeading = (): boolean => !isClosed && options.isLeading();
-  const journal = createJournal({ ...options, isLeading });
-  const progressJournal = createJournal({
-    ...options,
-    topic: options.progressTopic,
-    isLeading,
-  });
+  const journal = createCellJournal({ ...options, isLeading });
   let scheduler: Scheduler | undefined;
   let isClosed = false;
   let isStoring = false;
@@ -227,49 +213,6 @@
     }
   };
 
-  /**
-   * Stores the records of a batch, in both topics at the same time. A batch may
-   * be stored in part when this process loses the lead: an outcome without the
-   * last progress of its job is true all the same, and so is progress without
-   * the outcome, which the next lead then stores.
-   *
-   * @returns whether all of them are stored
-   */
-  const storeRecords = async (
-    records: readonly CellRecord[],
-  ): Promise<boolean> => {
-    const results = await Promise.all([
-      progressJournal.append(records.filter(isProgressRecord)),
-      journal.append(records.filter((record) => !isProgressRecord(record))),
-    ]);
-    return results.every((isStored) => isStored);
-  };
-
-  /**
-   * Reads the progress that earlier leads stored, with retries while this
-   * process leads.
-   *
-   * @returns the progress; undefined when this process no longer leads
-   */
-  const readProgress = async (): Promise<StoredProgress | undefined> => {
-    while (isLeading()) {
-      try {
-        const { records } = await options.store.readNewest(
-          options.progressTopic,
-          PROGRESS_READ_TIMEOUT_MS,
-        );
-        return collectProgress(decodeStoredRecords(records, log));
-      } catch (error) {
-        log.warn(
-          { term, error: describeError(error) },
-          "progress of jobs could not be read; trying again",
-        );
-        await pause(PROGRESS_RETRY_DELAY_MS);
-      }
-    }
-    return undefined;
-  };
-
   /**
    * Appends the scheduler's batches of records to the journal until there is
    * none left. Commands that depend on a batch are sent once it is stored.
@@ -282,7 +225,7 @@
         const batch = scheduler.takeBatch();
         for (const { link } of links.values()) link.notifyEndsStored();
         if (batch === undefined) return;
-        if (!await storeRecords(batch.records) || !isLeading()) return;
+        if (!await journal.append(batch.records) || !isLeading()) return;
         for (const { placedAt, step } of batch.starting) {
           metrics.recordDuration("stored.start", clock.now() - placedAt);
           if (step.highestRun === 1) {
@@ -377,12 +320,9 @@
   return {
     start: async () => {
       const takenOverAt = clock.now();
-      const [journalEnd, progressEnd] = await Promise.all([
-        journal.open(),
-        progressJournal.open(),
-      ]);
-      if (journalEnd === undefined || progressEnd === undefined) return;
-      const progress = await readProgress();
+      const journalEnd = await journal.open();
+      if (journalEnd === undefined) return;
+      const progress = await journal.readProgress();
       await options.waitForBook(journalEnd);
       if (progress === undefined) return;
       const listing = await options.listWorkers();
--- a/packages/cell/src/job_service.ts
+++ b/packages/cell/src/job_service.ts
@@ -1,12 +1,10 @@
 import {
   type Clock,
   describeError,
-  ErrorCode,
   type Logger,
   type Milliseconds,
   pause,
   UnavailableError,
-  UncertainError,
 } from "@rattanhill/shared";
 import {
   encodeRecord,
@@ -16,7 +14,8 @@
   type KeyedValue,
   type StoredJob,
 } from "@rattanhill/scheduler";
-import { countFittingRecords, sizeOfRecord } from "./append_limits.ts";
+import { sizeOfRecord } from "./append_limits.ts";
+import { createBatchWriter } from "./batch_writer.ts";
 import type { ActiveConfig, Queue } from "./cluster_config.ts";
 import type { Metrics } from "./metrics.ts";
 import type { Store } from "./store.ts";
@@ -352,92 +351,3 @@
   /** Client account that the API key belongs to; empty for public queues. */
   account: string;
 }
-
-/**
- * Creates a writer that batches appends (group commit): records that arrive
- * while the maximum number of calls is in flight share the next call.
- */
-function createBatchWriter({ store, topic, clock }: JobServiceOptions) {
-  interface PendingAppend {
-    value: KeyedValue;
-    /** Monotonic time at which its caller stops waiting. */
-    expiresAt: Milliseconds;
-    resolve(): void;
-    reject(error: unknown): void;
-  }
-  const pendingAppends: PendingAppend[] = [];
-  let callsInFlight = 0;
-
-  const sendNextBatch = async (): Promise<void> => {
-    if (
-      pendingAppends.length === 0 || callsInFlight >= MAXIMUM_CALLS_IN_FLIGHT
-    ) return;
-    const sizes = pendingAppends.map(({ value }) => sizeOfRecord(value));
-    const count = countFittingRecords(sizes, {
-      callBytes: store.limits.callBytes,
-      maximumCount: MAXIMUM_RECORDS_PER_CALL,
-    });
-    const batch = pendingAppends.splice(0, count);
-    const expiresAt = Math.max(...batch.map((pending) => pending.expiresAt));
-    callsInFlight += 1;
-    try {
-      await store.append(topic, batch.map(({ value }) => value), {
-        timeoutMs: Math.max(1, expiresAt - clock.now()),
-      });
-      for (const { resolve } of batch) resolve();
-    } catch (error) {
-      for (const { reject } of batch) reject(error);
-    } finally {
-      callsInFlight -= 1;
-      void sendNextBatch();
-    }
-  };
-
-  /** Fails an append whose time is over, wherever it waits. */
-  const expireAppend = (pending: PendingAppend): void => {
-    const context = { step: "store.append", peer: "store" };
-    const index = pendingAppends.indexOf(pending);
-    if (index < 0) {
-      const message = "the store has not answered the append in time";
-      const error = new UncertainError(
-        ErrorCode.logUncertain,
-        message,
-        context,
-      );
-      return pending.reject(error);
-    }
-    pendingAppends.splice(index, 1);
-    const message = "the append was not sent in time behind earlier ones";
-    pending.reject(
-      new UnavailableError(ErrorCode.logUnavailable, message, context),
-    );
-  };
-
-  return {
-    append: (value: KeyedValue, timeoutMs: Milliseconds): Promise<void> =>
-      new Promise((resolve, reject) => {
-        const timer = setTimeout(() => expireAppend(pending), timeoutMs);
-        const pending: PendingAppend = {
-          value,
-          expiresAt: clock.now() + timeoutMs,
-          resolve: () => {
-            clearTimeout(timer);
-            resolve();
-          },
-          reject: (error) => {
-            clearTimeout(timer);
-            reject(error);
-          },
-        };
-        pendingAppends.push(pending);
-        void sendNextBatch();
-      }),
-  };
-}
-
-// Maximum number of records in one append, which bounds the number of callers
-// that get an uncertain reply when one answer of the store is lost.
-const MAXIMUM_RECORDS_PER_CALL = 50;
-// More than one call may be in flight, so that a call without an answer does
-// not block all others.
-const MAXIMUM_CALLS_IN_FLIGHT = 2;
--- a/packages/cell/src/lead_lease.ts
+++ b/packages/cell/src/lead_lease.ts
@@ -1,9 +1,11 @@
 import {
   type Clock,
   describeError,
+  type Instant,
   type Logger,
   type Milliseconds,
   pause,
+  readInstant,
   UnavailableError,
 } from "@rattanhill/shared";
 import type { Store, StoredRecord } from "./store.ts";
@@ -123,11 +125,7 @@
    * Lease of this process, with the time at which its last stored renewal was
    * sent; undefined while this process is not the lead.
    */
-  let held: {
-    term: number;
-    monotonicMs: Milliseconds;
-    wallMs: Milliseconds;
-  } | undefined;
+  let held: ({ term: number } & Instant) | undefined;
   let renewal = 0;
   let isClosed = false;
   let isReleasing = false;
@@ -239,7 +237,7 @@
       priorityGap * MAXIMUM_PRIORITY_DELAY_MS + random() * CAMPAIGN_JITTER_MS,
     );
     if (!mayCampaign() || isClosed) return;
-    const sentAt = { monotonicMs: clock.now(), wallMs: clock.wallTime() };
+    const sentAt = readInstant(clock);
     const term = (newestRecord?.term ?? 0) + 1;
     renewal += 1;
     if (
@@ -262,7 +260,7 @@
   const renew = async (): Promise<void> => {
     if (held === undefined) return;
     const { term } = held;
-    const sentAt = { monotonicMs: clock.now(), wallMs: clock.wallTime() };
+    const sentAt = readInstant(clock);
     renewal += 1;
     const isStored = await appendLeaseRecord({
       holder,
--- a/packages/cell/src/mod.ts
+++ b/packages/cell/src/mod.ts
@@ -1,4 +1,6 @@
 export * from "./append_limits.ts";
+export * from "./batch_writer.ts";
+export * from "./cell_journal.ts";
 export * from "./cell_lead.ts";
 export * from "./cluster_config.ts";
 export * from "./entry.ts";
@@ -7,6 +9,7 @@
 export * from "./lead_lease.ts";
 export * from "./metrics.ts";
 export * from "./store.ts";
+export * from "./stored_records.ts";
 export * from "./topic_follower.ts";
 export * from "./worker_calls.ts";
 export * from "./worker_link.ts";
