fix(entry): do not invite the retry of a cancelled key

Cause: found when reading the diff: a cancelled request whose key may have run at a lost entry was answered with 503 and a retry time, so its caller would have sent again what was cancelled.

Change: it gets 504 with the outcome unknown.

--- a/packages/entry/src/request_service.ts
+++ b/packages/entry/src/request_service.ts
@@ -204,9 +204,12 @@
     if (key === undefined || !spec.repeatable || spec.isJob) return;
     if (refusal.reason === EndReason.neverFits) return;
     if (!options.mayHaveLostOwner(key)) return;
-    const text = "an entry that no longer responds may have run the request; " +
-      "ask again with the same key";
-    throw new RequestProblem(503, text, {
+    const text = "an entry that no longer responds may have run the request";
+    // A request that was cancelled must not be sent again.
+    if (refusal.reason === EndReason.cancelled) {
+      throw new RequestProblem(504, text, { outcome: Outcome.unknown });
+    }
+    throw new RequestProblem(503, `${text}; ask again with the same key`, {
       outcome: Outcome.unknown,
       retryAfterMs: refusal.retryAfterMs ?? RETRY_AFTER_MS,
     });
--- a/packages/scenarios/__tests__/callers_interface.test.ts
+++ b/packages/scenarios/__tests__/callers_interface.test.ts
@@ -200,6 +200,26 @@
   expect(repeated.body.outcome).to.equal("done");
 });
 
+it("callers: a cancelled key that may have run before is not sent again", async () => {
+  const blocker = system.send("POST", PATH, {
+    body: draft({ parts: 2, accelerators: 8, payload: { runMs: 900 } }),
+  });
+  await pause(100);
+  const key = "01900000-0000-7000-8000-000000000002";
+  const cancelled = system.send("POST", PATH, {
+    body: draft(),
+    headers: withKey(key),
+  });
+  await pause(50);
+  const { body } = await system.send("GET", "/debug/state");
+  const requests = body.requests as { id: string; key: string }[];
+  const id = requests.find((request) => request.key === key)!.id;
+  await system.send("DELETE", `${PATH}/${id}`);
+  const { status, body: problem } = await cancelled;
+  expect([status, problem.outcome]).to.deep.equal([504, "unknown"]);
+  await blocker;
+});
+
 it("callers: a failed task is reported with its failure text", async () => {
   const body = draft({ payload: { runMs: 5, fail: "no hall" } });
   const response = await system.send("POST", PATH, { body });
