feat(scheduler): log address, VM and lifetime of a found worker

Cause: the log could not tell a crashed worker's successor from a new worker, since the successor has another id and only its VM and address are the same. Change: the VM is decoded from the worker's entry, and 'worker found' names VM, address and lifetime. Conclusion: the two hypotheses of a slow release (leases, unknown successor) can be told apart by one line.

--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -137,6 +137,8 @@
    * it. Identifies this incarnation of the worker process.
    */
   lifetime: number;
+  /** The VM on which it runs; undefined when the list does not give it. */
+  vm?: string;
   service: string;
   address: string;
   zone: string;
--- a/packages/scheduler/src/worker_roster.ts
+++ b/packages/scheduler/src/worker_roster.ts
@@ -132,7 +132,11 @@
         // The entry belongs to an earlier lifetime or does not give one.
         if (entry.lifetime < worker.lifetime) continue;
         if (!worker.isListed) {
-          log.info({ worker: entry.id, zone: entry.zone }, "worker found");
+          const { id, zone, vm, address, lifetime } = entry;
+          log.info(
+            { worker: id, zone, vm, address, lifetime },
+            "worker found",
+          );
         }
         updateLifetime(worker, entry.lifetime);
         if (
@@ -147,9 +151,10 @@
             "worker draining",
           );
         }
-        const { service, address, zone, labels, rack, capacity } = entry;
+        const { vm, service, address, zone, labels, rack, capacity } = entry;
         const { isDraining, remainingMs } = entry;
         Object.assign(worker, {
+          vm,
           service,
           address,
           zone,
