fix(cell): no refusal after an unanswered start counts as proof of absence

What callers saw: a task could run twice. A start command got no answer, its repetition was refused (no room, late, no ticket, unhealthy, ...), the task was placed elsewhere at once, and then the worker carried out the first attempt.

Cause: only "superseded" was taken as uncertain after a first attempt. The answer was also lost, so that the run hung, when the lead or the link ended between two attempts: nothing was reported then.

Evidence: with the old code, 12 of the 14 new tests failed: seven kinds of refusal were reported as "refused" or "unhealthy", "superseded" without its reason; a "superseded" after an undelivered attempt as "uncertain", although nothing but that repetition had been sent; and three times there was no answer within 2 s (lead ended, link closed, refused once the link was closed).

Change: after an attempt that may have been delivered (any error but UnavailableError), only a confirmation is certain. All else is "uncertain", so the scheduler withdraws the run by an acknowledged stop, after which the worker rejects the late attempt. Each start command gets an answer; once the link is closed a refusal is "uncertain" too, since it would make a closed lead send stops to the other members of a gang.

No refusal is excepted. "noRoom", "late", "noTicket", "unhealthy" and "invalid" describe the moment of the repetition; "fenced" and "superseded" do not exclude that the first attempt ran before. "otherLifetime" (421) shows that the address answers for another identifier, not that the named worker has ended or did not run the first attempt before; a run on it waits for its leases like any other.

--- /dev/null
+++ b/packages/cell/__tests__/worker_link.test.ts
@@ -0,0 +1,191 @@
+import { expect } from "chai";
+import {
+  createSystemClock,
+  ErrorCode,
+  type Milliseconds,
+  pause,
+  silentLogger,
+  UnavailableError,
+  UncertainError,
+} from "@rattanhill/shared";
+import type { Run, StartAnswer, WorkerState } from "@rattanhill/scheduler";
+import {
+  createWorkerLink,
+  type HoldAnswer,
+  type StartRefusal,
+  type StartResult,
+  type WorkerConnection,
+} from "../src/mod.ts";
+
+const CONTEXT = { step: "worker.call", peer: "w" };
+const unanswered = new UncertainError(
+  ErrorCode.workerUnreachable,
+  "no response",
+  CONTEXT,
+);
+const undelivered = new UnavailableError(
+  ErrorCode.workerUnreachable,
+  "connection failed",
+  CONTEXT,
+);
+const STARTED: StartResult = { kind: "started", clock: 0 };
+const refusedAs = (reason: StartRefusal): StartResult => ({
+  kind: "refused",
+  reason,
+});
+const POLL_INTERVAL_MS: Milliseconds = 20;
+const TEST_TIMEOUT_MS: Milliseconds = 2_000;
+
+/** Waits until a condition holds, or fails after the time of a test. */
+async function waitUntil(condition: () => boolean): Promise<void> {
+  const clock = createSystemClock();
+  const end = clock.now() + TEST_TIMEOUT_MS;
+  while (!condition()) {
+    if (clock.now() > end) throw new Error("condition not met in time");
+    await pause(2);
+  }
+}
+
+/** Opens a link to a worker that answers polls, and else as the test says. */
+async function openLink(calls: Partial<WorkerConnection>) {
+  const worker = {
+    id: "w",
+    lifetime: 1,
+    runs: new Set<Run>(),
+    leasesEndBy: 0,
+    lastHandledEnd: 0,
+    lastStoredEnd: 0,
+  } as WorkerState;
+  const job = { spec: { id: "job", payload: "" } };
+  const step = { job, occurrence: 0, index: 0, key: "job.0.0" };
+  const run = { step, index: 0, number: 1, worker, checkpoint: "" } as Run;
+  worker.runs.add(run);
+  const answers: [StartAnswer, string?][] = [];
+  const warnings: string[] = [];
+  let isLeading = true;
+  let reports = 0;
+  const link = createWorkerLink({
+    worker,
+    connection: {
+      hold: async (): Promise<HoldAnswer> => {
+        await pause(POLL_INTERVAL_MS);
+        return { clock: 0, lifetime: 1, running: [], ended: [] };
+      },
+      start: () => Promise.resolve(STARTED),
+      stop: () => Promise.resolve(true),
+      close: () => Promise.resolve(),
+      ...calls,
+    },
+    term: 1,
+    clock: createSystemClock(),
+    log: {
+      ...silentLogger,
+      warn: (_fields: unknown, message: string) => warnings.push(message),
+    },
+    isLeading: () => isLeading,
+    onReport: () => reports += 1,
+    onNoAnswer: () => {},
+    onStartAnswer: (_run, answer, reason) => answers.push([answer, reason]),
+    onStopAnswer: () => {},
+  });
+  await waitUntil(() => reports > 0);
+  return {
+    link,
+    run,
+    worker,
+    warnings,
+    loseLead: () => isLeading = false,
+    /** Sends the start command; resolves to the answer that the lead gets. */
+    start: async () => {
+      link.sendCommand({ kind: "start", run });
+      try {
+        await waitUntil(() => answers.length > 0);
+      } finally {
+        link.close();
+      }
+      return answers;
+    },
+  };
+}
+
+/** Answers the attempts of a command one after another; errors are thrown. */
+function inTurn<Answer>(...replies: (Answer | Error)[]) {
+  return (): Promise<Answer> => {
+    const reply = replies.shift()!;
+    return reply instanceof Error
+      ? Promise.reject(reply)
+      : Promise.resolve(reply);
+  };
+}
+
+// The first attempt was carried out after the second was refused: ran twice.
+for (
+  const reason of [
+    "fenced",
+    "superseded",
+    "late",
+    "noRoom",
+    "noTicket",
+    "unhealthy",
+    "otherLifetime",
+    "invalid",
+  ] as const
+) {
+  it(`worker link: an unanswered start, then refused (${reason}), is uncertain`, async () => {
+    const { start } = await openLink({
+      start: inTurn<StartResult>(unanswered, refusedAs(reason)),
+    });
+    expect(await start()).to.deep.equal([["uncertain", reason]]);
+  });
+}
+
+it("worker link: an unanswered start, then undelivered, is uncertain", async () => {
+  const { start } = await openLink({
+    start: inTurn<StartResult>(unanswered, undelivered),
+  });
+  expect(await start()).to.deep.equal([["uncertain", undefined]]);
+});
+
+it("worker link: an unanswered start, then confirmed, has started", async () => {
+  const { start } = await openLink({
+    start: inTurn<StartResult>(unanswered, STARTED),
+  });
+  expect(await start()).to.deep.equal([["started", undefined]]);
+});
+
+it("worker link: a start refused after an undelivered attempt is refused", async () => {
+  const { start } = await openLink({
+    start: inTurn<StartResult>(undelivered, refusedAs("superseded")),
+  });
+  expect(await start()).to.deep.equal([["refused", "superseded"]]);
+});
+
+it("worker link: an unanswered start is uncertain when leading ends", async () => {
+  const { start, loseLead } = await openLink({
+    start: () => {
+      loseLead();
+      return Promise.reject(unanswered);
+    },
+  });
+  expect(await start()).to.deep.equal([["uncertain", undefined]]);
+});
+
+it("worker link: an unanswered start is uncertain when the link closes", async () => {
+  const { start, link } = await openLink({
+    start: () => {
+      link.close();
+      return Promise.reject(unanswered);
+    },
+  });
+  expect(await start()).to.deep.equal([["uncertain", undefined]]);
+});
+
+it("worker link: a start refused once the link is closed is uncertain", async () => {
+  const { start, link } = await openLink({
+    start: () => {
+      link.close();
+      return Promise.resolve(refusedAs("noRoom"));
+    },
+  });
+  expect(await start()).to.deep.equal([["uncertain", "noRoom"]]);
+});
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -16,7 +16,7 @@
   type WorkerReport,
   type WorkerState,
 } from "@rattanhill/scheduler";
-import type { WorkerConnection } from "./worker_calls.ts";
+import type { StartRefusal, WorkerConnection } from "./worker_calls.ts";
 
 /**
  * Link from the lead to one worker: renews the lease of its runs, polls their
@@ -49,8 +49,9 @@
   /** Called when the worker gave no usable answer to a poll. */
   onNoAnswer(): void;
   /**
-   * Called with the answer to a start command; `uncertain` when no attempt was
-   * clearly answered.
+   * Called once with the answer to each start command, also after the link was
+   * closed; `uncertain` unless the worker confirmed it or will certainly not
+   * carry out any attempt.
    */
   onStartAnswer(run: Run, answer: StartAnswer, reason?: string): void;
   /**
@@ -212,14 +213,21 @@
   };
   void runPollLoop();
 
-  /** Sends a start command, and repeats it once if it is not answered. */
+  /**
+   * Sends a start command, and repeats it once if it is not answered. Once an
+   * attempt may have been delivered, the worker may carry it out even after it
+   * has refused the repetition, for whatever reason; only a confirmation is
+   * then certain.
+   */
   const startRun = async (run: Run): Promise<void> => {
     const taskName = taskNameOf(run);
+    let mayBeDelivered = false;
+    let reason: StartRefusal | undefined;
     for (let attempt = 1; attempt <= MAXIMUM_START_ATTEMPTS; attempt++) {
       const leaseUntil = extendLease();
-      if (!isLeading() || leaseUntil === undefined) {
-        if (attempt === 1) options.onStartAnswer(run, "refused", "not sent");
-        return;
+      if (isClosed || !isLeading() || leaseUntil === undefined) {
+        if (attempt > 1) break;
+        return options.onStartAnswer(run, "refused", "not sent");
       }
       try {
         const result = await connection.start({
@@ -232,17 +240,15 @@
           ticket: ticketFor(run.step, worker, clock.now())?.text,
           timeoutMs: START_TIMEOUT_MS,
         });
-        if (isClosed) return;
         if (result.kind === "started") {
           return options.onStartAnswer(run, "started");
         }
-        const { reason } = result;
-        // The worker may have carried out the first attempt, so this refusal
-        // does not prove that the run never started.
-        if (reason === "superseded" && attempt > 1) break;
+        reason = result.reason;
+        if (mayBeDelivered || isClosed) break;
         const answer = reason === "unhealthy" ? "unhealthy" : "refused";
         return options.onStartAnswer(run, answer, reason);
       } catch (error) {
+        if (!(error instanceof UnavailableError)) mayBeDelivered = true;
         log.warn(
           { ...describeRun(run), attempt, error: describeError(error) },
           "start command not answered",
@@ -252,9 +258,8 @@
         }
       }
     }
-    if (isClosed) return;
-    options.onStartAnswer(run, "uncertain");
-    pollNow();
+    options.onStartAnswer(run, "uncertain", reason);
+    if (!isClosed && isLeading()) pollNow();
   };
 
   /**
