fix(cell): take no lapse around a store outage for a withdrawal

Cause: the list counted each removal less than two heartbeats after a heartbeat as a withdrawal by the worker itself, since the platform waits for three. While the store is down that time may expire sooner, so the removal proves nothing.

Change: the follower of a topic tells since when the store has answered every read, and in time: a failed read, more than 300 ms beyond the interval and the wait of a read from answer to answer (by both clocks), and a load of the newest records each begin that time anew. A removal is a withdrawal only if the heartbeat before it was appended 3 s or more after that moment, by the monotonic clock, as entries of live workers are back about 2 s after the store. Otherwise the leases decide. Reads of the list wait 0.5 s instead of 1 s, since a read that is held across a shorter outage does not show it.

Why it works: a heartbeat that counts and the removal both lie in a stretch in which the store was seen to answer. An outage that fits between two answers in time (at most 1 s) still goes unseen, as does one that refuses appends alone.

Evidence: five new tests; on the old code all five failed, the removal counted as a withdrawal (true, expected false; [true, true], expected [false, true]). They pass now. The older tests of the list wait until heartbeats count, so that each still fails for its own reason, and their clock passes in steps of reads, since a jump of the clock is now a store that does not answer; they pass on the old code as well.

--- a/packages/cell/src/topic_follower.ts
+++ b/packages/cell/src/topic_follower.ts
@@ -57,6 +57,12 @@
    * records may have any age.
    */
   appendedAfter?: Instant;
+  /**
+   * Moment since which the store has answered every read, and in time: the
+   * first answer after a failed or late read. A snapshot begins anew, since
+   * nothing is known of the time before it.
+   */
+  steadySince: Instant;
 }
 
 /** Options of {@link createTopicFollower}. */
@@ -85,6 +91,9 @@
 // slowed down 60-fold answers in 0.5 s.
 const ANSWER_TIMEOUT_MS: Milliseconds = 1_500;
 const RETRY_DELAY_MS: Milliseconds = 200;
+// An answer that is this much later than the interval and the wait of its read
+// counts as late. The store answers in 1 to 3 ms; the rest allows for a slow VM.
+const LATE_ANSWER_MS: Milliseconds = 300;
 
 /**
  * Starts to follow a topic.
@@ -111,6 +120,9 @@
   let lastCurrentAt: Instant | undefined;
   /** When the last successful read was sent. */
   let lastReadSentAt: Instant | undefined;
+  /** When the last answer to a read of the loop arrived. */
+  let lastAnswerAt: Instant | undefined;
+  let steadySince = readInstant(clock);
   let failures = 0;
   let currentCatchUp: Promise<void> = Promise.resolve();
   let queuedCatchUp: Promise<void> | undefined;
@@ -149,6 +161,19 @@
     throw new UnavailableError(ErrorCode.logUnavailable, message, context);
   };
 
+  /**
+   * Notes that a read was answered. From answer to answer, so that a suspension
+   * of the VM between two reads counts as well.
+   */
+  const recordAnswer = (isSnapshot: boolean): void => {
+    const limitMs = readIntervalMs() + waitMs + LATE_ANSWER_MS;
+    const isSteady = !isSnapshot && failures === 0 &&
+      lastAnswerAt !== undefined &&
+      elapsedSince(clock, lastAnswerAt) <= limitMs;
+    lastAnswerAt = readInstant(clock);
+    if (!isSteady) steadySince = lastAnswerAt;
+  };
+
   /** @returns whether all records of the topic have been applied */
   const loadSnapshot = async (): Promise<boolean> => {
     const { records, endOffset } = await store.readNewest(
@@ -156,7 +181,8 @@
       ANSWER_TIMEOUT_MS,
     );
     if (isClosed) return false;
-    apply(records, { isSnapshot: true });
+    recordAnswer(true);
+    apply(records, { isSnapshot: true, steadySince });
     position = Math.max(position, endOffset);
     isLoaded = true;
     return true;
@@ -172,6 +198,7 @@
       timeoutMs: longPollMs + ANSWER_TIMEOUT_MS,
     });
     if (isClosed) return false;
+    recordAnswer(false);
     if (result.kind === "expired") {
       log.warn(
         { topic, from: position },
@@ -184,6 +211,7 @@
       apply(result.records, {
         isSnapshot: false,
         appendedAfter: lastReadSentAt,
+        steadySince,
       });
     }
     position = result.nextOffset;
--- a/packages/cell/src/worker_list.ts
+++ b/packages/cell/src/worker_list.ts
@@ -46,11 +46,16 @@
   heartbeatMs: Milliseconds;
 }
 
-const READ_WAIT_MS: Milliseconds = 1_000;
+// A read may be held across an outage of the store that is shorter than its
+// wait, and would not show it.
+const READ_WAIT_MS: Milliseconds = 500;
 // An entry that is deleted at most this many heartbeat intervals after a
 // renewal was withdrawn by the worker itself, since the platform deletes the
 // entry of a silent worker only after three intervals.
 const MAXIMUM_WITHDRAWAL_HEARTBEATS = 2;
+// While the store is away, entries may lapse sooner. Those of live workers are
+// back about 2 s after its return; heartbeats count again after that.
+const SETTLING_MS: Milliseconds = 3_000;
 // Each worker renews its entry every 1.5 s, and this process must detect within
 // 2 s that a worker drains.
 const READ_INTERVAL_MS: Milliseconds = 200;
@@ -86,19 +91,28 @@
           if (read.appendedAfter === undefined) lastHeartbeats.delete(key);
           else lastHeartbeats.set(key, read.appendedAfter);
         };
+        /**
+         * Returns whether the removal of an entry shows that its worker left:
+         * the entry cannot have lapsed, neither for lack of heartbeats nor
+         * while the store was away.
+         */
+        const isWithdrawal = (key: string, read: TopicRead): boolean => {
+          const heartbeatAt = lastHeartbeats.get(key);
+          if (heartbeatAt === undefined) return false;
+          // By the monotonic clock alone: time during which the VM was
+          // suspended must not count as steady.
+          const steadyMs = heartbeatAt.monotonicMs -
+            read.steadySince.monotonicMs;
+          const limitMs = MAXIMUM_WITHDRAWAL_HEARTBEATS * options.heartbeatMs;
+          return steadyMs >= SETTLING_MS &&
+            elapsedSince(clock, heartbeatAt) < limitMs;
+        };
         const applyRecord = (
           { key, value }: StoredRecord,
           read: TopicRead,
         ): void => {
           if (value === undefined) {
-            const heartbeatAt = lastHeartbeats.get(key);
-            const limitMs = MAXIMUM_WITHDRAWAL_HEARTBEATS * options.heartbeatMs;
-            if (
-              heartbeatAt !== undefined &&
-              elapsedSince(clock, heartbeatAt) < limitMs
-            ) {
-              withdrawn.add(key);
-            }
+            if (isWithdrawal(key, read)) withdrawn.add(key);
             entries.delete(key);
             lastHeartbeats.delete(key);
             return;
