fix(cell): a start that was certainly not delivered releases the run

What callers saw: the task of a start to a worker whose port was closed waited until all leases on that worker had expired, up to 10 s, although nothing had been delivered.

Cause: a start command whose attempts all ended with UnavailableError was answered as "uncertain".

Evidence: with the old code the new test failed: "uncertain" in place of "unhealthy" with reason "undelivered". Two further tests guard the limits and passed before as well: undelivered then unanswered, and undelivered when leading ends, stay "uncertain".

Change: when no attempt can have been delivered, the answer is "unhealthy" with the reason "undelivered".

--- a/packages/cell/__tests__/worker_link.test.ts
+++ b/packages/cell/__tests__/worker_link.test.ts
@@ -189,3 +189,27 @@
   });
   expect(await start()).to.deep.equal([["uncertain", "noRoom"]]);
 });
+
+it("worker link: a start that was never delivered releases the run", async () => {
+  const { start } = await openLink({
+    start: inTurn<StartResult>(undelivered, undelivered),
+  });
+  expect(await start()).to.deep.equal([["unhealthy", "undelivered"]]);
+});
+
+it("worker link: an undelivered start, then unanswered, is uncertain", async () => {
+  const { start } = await openLink({
+    start: inTurn<StartResult>(undelivered, unanswered),
+  });
+  expect(await start()).to.deep.equal([["uncertain", undefined]]);
+});
+
+it("worker link: an undelivered start is uncertain when leading ends", async () => {
+  const { start, loseLead } = await openLink({
+    start: () => {
+      loseLead();
+      return Promise.reject(undelivered);
+    },
+  });
+  expect(await start()).to.deep.equal([["uncertain", undefined]]);
+});
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -258,8 +258,14 @@
         }
       }
     }
+    if (isClosed || !isLeading()) {
+      return options.onStartAnswer(run, "uncertain", reason);
+    }
+    if (!mayBeDelivered) {
+      return options.onStartAnswer(run, "unhealthy", "undelivered");
+    }
     options.onStartAnswer(run, "uncertain", reason);
-    if (!isClosed && isLeading()) pollNow();
+    pollNow();
   };
 
   /**
