fix(cell): repeat an unanswered stop ever less often, and log it once

What callers saw: calls and log lines without use while a worker was dead; one log holds "stop command not answered" 78 times within some seconds.

Cause: a stop was repeated every 250 ms until all leases had expired, each time with a log line.

Evidence: with the old code, a stop that is refused at once was sent 8 times within 1.9 s (7 pauses where the test expects 3 that grow), and a stop that was on its way when the worker answered a poll again was repeated 652 ms after that answer, with a bound of 600. The tests that a waiting stop goes out soon after the worker answers, and that it ends with the link, guard the new pause; the old code, whose pause was short, passed them.

When a poll succeeds after failed ones, waiting stops are sent at once, and one that is on its way then is repeated without a pause. Only the first failure of a stop is logged. Closing the link ends the pauses.

--- a/packages/cell/__tests__/worker_link.test.ts
+++ b/packages/cell/__tests__/worker_link.test.ts
@@ -95,6 +95,10 @@
     worker,
     warnings,
     loseLead: () => isLeading = false,
+    sendStop: () => {
+      const task = { job: "job", occurrence: 0, step: 0, index: 0 };
+      link.sendCommand({ kind: "stop", worker, task, number: 1, run });
+    },
     /** Sends the start command; resolves to the answer that the lead gets. */
     start: async () => {
       link.sendCommand({ kind: "start", run });
@@ -213,3 +217,74 @@
   });
   expect(await start()).to.deep.equal([["uncertain", undefined]]);
 });
+
+// A dead worker was sent 78 stops within seconds, with a log line for each.
+it("worker link: an unanswered stop is repeated ever less often, logged once", async () => {
+  const sentAt: Milliseconds[] = [];
+  const { sendStop, link, warnings } = await openLink({
+    stop: () => {
+      sentAt.push(performance.now());
+      return Promise.reject(unanswered);
+    },
+  });
+  sendStop();
+  await pause(1_900);
+  link.close();
+  const pauses = sentAt.slice(1).map((at, index) => at - sentAt[index]);
+  expect(pauses.length).to.equal(3);
+  expect(pauses[1]).to.be.greaterThan(1.5 * pauses[0]);
+  expect(pauses[2]).to.be.greaterThan(1.5 * pauses[1]);
+  expect(warnings).to.deep.equal(["stop command not answered"]);
+});
+
+for (const kind of ["waits", "is being sent"]) {
+  it(`worker link: a stop that ${kind} goes out once the worker answers again`, async () => {
+    let isDead = false;
+    let revivedAt: Milliseconds = 0;
+    let delayMs: Milliseconds | undefined;
+    let stops = 0;
+    const { sendStop, link } = await openLink({
+      hold: async () => {
+        await pause(POLL_INTERVAL_MS);
+        if (isDead) throw unanswered;
+        return { clock: 0, lifetime: 1, running: [], ended: [] };
+      },
+      stop: async () => {
+        stops += 1;
+        if (isDead) {
+          if (kind === "is being sent" && stops === 3) {
+            await waitUntil(() => !isDead);
+            await pause(400);
+          }
+          throw unanswered;
+        }
+        delayMs = performance.now() - revivedAt;
+        return true;
+      },
+    });
+    isDead = true;
+    sendStop();
+    await waitUntil(() => stops === 3);
+    await pause(kind === "waits" ? 50 : 0);
+    isDead = false;
+    revivedAt = performance.now();
+    await pause(900);
+    link.close();
+    expect(delayMs).to.be.lessThan(600);
+  });
+}
+
+it("worker link: a stop in waiting ends with the link", async () => {
+  let stops = 0;
+  const { sendStop, link } = await openLink({
+    stop: () => {
+      stops += 1;
+      return Promise.reject(unanswered);
+    },
+  });
+  sendStop();
+  await waitUntil(() => stops === 1);
+  link.close();
+  await pause(400);
+  expect(stops).to.equal(1);
+});
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -87,6 +87,8 @@
 const STOP_TIMEOUT_MS: Milliseconds = 700;
 const MAXIMUM_START_ATTEMPTS = 2;
 const RETRY_DELAY_MS: Milliseconds = 250;
+// The pause before a stop is repeated doubles up to this bound.
+const MAXIMUM_STOP_DELAY_MS: Milliseconds = 2_000;
 // Bounds the wait for run ends to be stored, since a store outage must not stop
 // lease renewals.
 const STORED_ENDS_TIMEOUT_MS: Milliseconds = 500;
@@ -107,6 +109,10 @@
   let isClosed = false;
   let failures = 0;
   let resolveEndsStored: (() => void) | undefined;
+  /** How often the worker has answered a poll again after failed ones. */
+  let recoveries = 0;
+  /** Ends the pauses of stop commands that wait to be repeated. */
+  const waitingStops = new Set<() => void>();
 
   const recordClock = (value: Milliseconds): void => {
     clockReading = { clock: value, at: clock.now() };
@@ -189,6 +195,8 @@
         await pollWorker(isRenewal ? waitMs : 0);
         if (failures > 0) {
           log.info({ worker: worker.id, failures }, "worker answers again");
+          recoveries += 1;
+          sendWaitingStops();
         }
         failures = 0;
         // A poll that did not renew the lease has read the worker's clock, so
@@ -268,17 +276,36 @@
     pollNow();
   };
 
+  /** Waits for a time, or until the worker answers again or the link closes. */
+  const pauseStop = (durationMs: Milliseconds): Promise<void> =>
+    new Promise((resolve) => {
+      const resume = (): void => {
+        clearTimeout(timer);
+        waitingStops.delete(resume);
+        resolve();
+      };
+      const timer = setTimeout(resume, durationMs);
+      waitingStops.add(resume);
+    });
+
+  const sendWaitingStops = (): void => {
+    for (const resume of [...waitingStops]) resume();
+  };
+
   /**
    * Repeats a stop command until the worker acknowledges it or the run is
-   * released. The command is sent only once for a run that this lead does not
-   * know.
+   * released, ever less often while it is silent. The command is sent only once
+   * for a run that this lead does not know.
    */
   const stopRun = async (
     command: WorkerCommand & { kind: "stop" },
   ): Promise<void> => {
     const { task, number, run } = command;
+    let delayMs = RETRY_DELAY_MS;
+    let isFailureLogged = false;
     while (!isClosed && isLeading()) {
       if (run !== undefined && !worker.runs.has(run)) return;
+      const recoveriesBefore = recoveries;
       try {
         const isAcknowledged = await connection.stop({
           term,
@@ -288,18 +315,24 @@
         });
         if (isAcknowledged && !isClosed) return options.onStopAnswer(run);
       } catch (error) {
-        log.warn(
-          {
-            worker: worker.id,
-            ...task,
-            run: number,
-            error: describeError(error),
-          },
-          "stop command not answered",
-        );
+        if (!isFailureLogged) {
+          log.warn(
+            {
+              worker: worker.id,
+              ...task,
+              run: number,
+              error: describeError(error),
+            },
+            "stop command not answered",
+          );
+        }
+        isFailureLogged = true;
       }
-      await pause(RETRY_DELAY_MS);
-      if (run === undefined) return;
+      if (run === undefined || isClosed) return;
+      // An attempt that was sent before the worker answered again says nothing
+      // about the next one.
+      if (recoveries === recoveriesBefore) await pauseStop(delayMs);
+      delayMs = Math.min(2 * delayMs, MAXIMUM_STOP_DELAY_MS);
     }
   };
 
@@ -315,6 +348,7 @@
     },
     close: () => {
       isClosed = true;
+      sendWaitingStops();
       void connection.close();
     },
   };
