fix(cell): repeat a lost stop soon while its worker answers polls

Change: the pause grows only while polls fail too, and is 250 ms again otherwise. Conclusion: dead workers are spared, live ones get their stops as before.

--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -87,7 +87,8 @@
 const STOP_TIMEOUT_MS: Milliseconds = 700;
 const MAXIMUM_START_ATTEMPTS = 2;
 const RETRY_DELAY_MS: Milliseconds = 250;
-// The pause before a stop is repeated doubles up to this bound.
+// While a worker is silent, the pause before a stop is repeated doubles up to
+// this bound.
 const MAXIMUM_STOP_DELAY_MS: Milliseconds = 2_000;
 // Bounds the wait for run ends to be stored, since a store outage must not stop
 // lease renewals.
@@ -332,7 +333,10 @@
       // An attempt that was sent before the worker answered again says nothing
       // about the next one.
       if (recoveries === recoveriesBefore) await pauseStop(delayMs);
-      delayMs = Math.min(2 * delayMs, MAXIMUM_STOP_DELAY_MS);
+      // A worker that answers polls may have lost only this command.
+      delayMs = failures > 0
+        ? Math.min(2 * delayMs, MAXIMUM_STOP_DELAY_MS)
+        : RETRY_DELAY_MS;
     }
   };
 
