fix(scheduler): release the runs of a worker that was replaced at once

Cause: a worker process that crashes comes back under another id, so the lead never saw "worker restarted", and waited until all leases had expired. The VM of an entry was not read, and an answer with status 421 counted as no answer.

Change: the process of a worker has ended when another worker answers at its address (421), or when it is silent or unlisted and another worker on its VM answers a poll that was sent after its last report. Start times are not compared, since clocks step. A late start for the old id is rejected with 421, so its runs are released without a stop. Stored runs name the VM, so that a new lead can tell as well; records of earlier versions lack it.

--- a/packages/cell/__tests__/worker_link.test.ts
+++ b/packages/cell/__tests__/worker_link.test.ts
@@ -64,6 +64,7 @@
   const warnings: string[] = [];
   let isLeading = true;
   let reports = 0;
+  let replacements = 0;
   const link = createWorkerLink({
     worker,
     connection: {
@@ -85,6 +86,7 @@
     isLeading: () => isLeading,
     onReport: () => reports += 1,
     onNoAnswer: () => {},
+    onReplacement: () => replacements += 1,
     onStartAnswer: (_run, answer, reason) => answers.push([answer, reason]),
     onStopAnswer: () => {},
   });
@@ -94,6 +96,7 @@
     run,
     worker,
     warnings,
+    replacements: () => replacements,
     loseLead: () => isLeading = false,
     sendStop: () => {
       const task = { job: "job", occurrence: 0, step: 0, index: 0 };
@@ -310,3 +313,18 @@
   await pause(400);
   expect(stops).to.equal(1);
 });
+
+it("worker link: an answer of another worker at the address is reported", async () => {
+  let isReplaced = false;
+  const { link, replacements } = await openLink({
+    hold: async () => {
+      await pause(POLL_INTERVAL_MS);
+      if (isReplaced) return undefined;
+      return { clock: 0, lifetime: 1, running: [], ended: [] };
+    },
+  });
+  expect(replacements()).to.equal(0);
+  isReplaced = true;
+  await waitUntil(() => replacements() > 0);
+  link.close();
+});
--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -156,6 +156,10 @@
         if (answer !== "started") schedulePlanning();
       },
       onNoAnswer: () => scheduler?.recordNoAnswer(worker),
+      onReplacement: () => {
+        scheduler?.recordReplacement(worker);
+        schedulePlanning();
+      },
       onStopAnswer: (run) => scheduler?.handleStopAnswer(run),
     });
     links.set(worker, { link, address: worker.address });
--- a/packages/cell/src/worker_calls.ts
+++ b/packages/cell/src/worker_calls.ts
@@ -56,7 +56,8 @@
    * Polls the worker: renews the lease of all its runs, and reads which runs
    * are running and which have ended.
    *
-   * @returns the answer; undefined when another lifetime of the worker answered
+   * @returns the answer; undefined when another worker answered at the address,
+   * so the process of this one has ended
    */
   hold(
     call: WorkerCall & {
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -48,6 +48,8 @@
   onReport(lifetime: number, report: WorkerReport): void;
   /** Called when the worker gave no usable answer to a poll. */
   onNoAnswer(): void;
+  /** Called when another worker answered at the address of this one. */
+  onReplacement(): void;
   /**
    * Called once with the answer to each start command, also after the link was
    * closed; `uncertain` unless the worker confirmed it or will certainly not
@@ -154,7 +156,8 @@
     });
     if (isClosed) return;
     if (answer === undefined) {
-      throw new Error("another lifetime of the worker answered");
+      options.onReplacement();
+      throw new Error("another worker answered at its address");
     }
     if (answer.lifetime !== 0 && answer.lifetime !== worker.lifetime) {
       clockReading = undefined;
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -32,6 +32,8 @@
   /** Run number; rises with each placement of tasks of the step. */
   number: number;
   worker: WorkerState;
+  /** Lifetime of the worker for which it was placed; 0 when unknown. */
+  lifetime: number;
   phase: RunPhase;
   /** Why the run has to stop; undefined while it should continue. */
   stopReason?: string;
@@ -161,6 +163,8 @@
   remainingSince?: Milliseconds;
   /** Whether the platform's list of workers contains it. */
   isListed: boolean;
+  /** Whether its process has certainly ended, and with it all of its runs. */
+  hasEnded: boolean;
   /**
    * Whether it has answered this process in its current lifetime; nothing is
    * placed on it before.
@@ -168,6 +172,8 @@
   hasAnswered: boolean;
   /** Monotonic time of its last report. */
   reportedAt: Milliseconds;
+  /** Monotonic time at which its last answered poll was sent. */
+  lastAnsweredPollAt: Milliseconds;
   /** Monotonic time since which its polls fail; undefined while it answers. */
   silentSince?: Milliseconds;
   /** Whether it drained and then left by itself. */
@@ -337,7 +343,8 @@
       run.index,
       run.number,
       run.worker.id,
-      run.worker.lifetime,
+      run.lifetime,
+      run.worker.vm ?? "",
     ]),
     failures: [...step.failures],
     checkpoints: [...step.checkpoints],
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -97,8 +97,8 @@
 
   /** Returns whether a worker may get new runs now. */
   const isOpen = (worker: WorkerState): boolean =>
-    worker.isListed && worker.hasAnswered && !worker.isDraining &&
-    worker.noPlacementBefore <= now();
+    worker.isListed && !worker.hasEnded && worker.hasAnswered &&
+    !worker.isDraining && worker.noPlacementBefore <= now();
   const penaltyOf = (worker: WorkerState): number =>
     quarantine.isEligible(worker.id, now()) ? 0 : FAILURE_PENALTY;
   const ledger = createCapacityLedger({
@@ -280,6 +280,7 @@
         index,
         number,
         worker,
+        lifetime: worker.lifetime,
         phase: RunPhase.storing,
         placedAt,
         percent: 0,
--- a/packages/scheduler/src/records.ts
+++ b/packages/scheduler/src/records.ts
@@ -7,8 +7,17 @@
   highestRun: number;
   /** Indices of the tasks that ended successfully. */
   done: number[];
-  /** Runs that may exist: task index, run number, worker id and lifetime. */
-  runs: [index: number, run: number, worker: string, lifetime: number][];
+  /**
+   * Runs that may exist: task index, run number, worker id, its lifetime and its
+   * VM; records of earlier versions lack the VM.
+   */
+  runs: [
+    index: number,
+    run: number,
+    worker: string,
+    lifetime: number,
+    vm?: string,
+  ][];
   /** Failed attempts of each task; a gang counts as its task 0. */
   failures: [index: number, count: number][];
   /** Newest checkpoint of each task; a gang keeps one as its task 0. */
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -102,6 +102,11 @@
   ): void;
   /** Records that a poll of a worker failed or got no answer. */
   recordNoAnswer(worker: WorkerState): void;
+  /**
+   * Records that another worker answers at the address of a worker, whose
+   * process has therefore ended.
+   */
+  recordReplacement(worker: WorkerState): void;
   /** Applies the answer to a start command. */
   handleStartAnswer(run: Run, answer: StartAnswer, reason?: string): void;
   /**
@@ -254,8 +259,8 @@
         if (!job.hasStarted && step.highestRun > 0) {
           state.unsavedSteps.add(step);
         }
-        for (const [task, number, workerId] of record.runs) {
-          roster.restoreRun(step, task, number, workerId, leasesEndBy);
+        for (const run of record.runs) {
+          roster.restoreRun(step, run, leasesEndBy);
         }
       }
       if (isCancelled) cancel(spec.id);
@@ -275,8 +280,11 @@
     updateWorkers: (listing) => roster.applyListing(listing),
     applyWorkerReport: (worker, lifetime, report) => {
       roster.updateLifetime(worker, lifetime);
+      // An answer that the process gave before its end arrives late.
+      if (worker.hasEnded) return;
       worker.hasAnswered = true;
       worker.reportedAt = now();
+      worker.lastAnsweredPollAt = report.askedAt;
       worker.silentSince = undefined;
       applyReport(worker, report, {
         state,
@@ -298,6 +306,8 @@
     recordNoAnswer: (worker) => {
       worker.silentSince ??= now();
     },
+    recordReplacement: (worker) =>
+      roster.recordProcessEnd(worker, "another worker answers at its address"),
     handleStartAnswer: (run, answer, reason) => {
       if (!run.worker.runs.has(run)) return;
       if (answer === "started") {
@@ -330,7 +340,7 @@
     },
     handleAdvice: (question, answer) => recordAdvice(question, answer, now()),
     plan: () => {
-      roster.releaseExpiredRuns();
+      roster.releaseLostRuns();
       planner.plan();
     },
     load: () => planner.load(),
@@ -381,7 +391,8 @@
       }
       for (const run of starting) {
         if (run.phase !== RunPhase.storing) continue;
-        if (run.stopReason !== undefined || !run.worker.isListed) {
+        const { isListed, hasEnded } = run.worker;
+        if (run.stopReason !== undefined || !isListed || hasEnded) {
           releaseRun(state, run);
           continue;
         }
--- a/packages/scheduler/src/worker_roster.ts
+++ b/packages/scheduler/src/worker_roster.ts
@@ -10,6 +10,7 @@
   type WorkerEntry,
   type WorkerState,
 } from "./cell_state.ts";
+import type { StepRecord } from "./records.ts";
 
 /** The platform's current list of workers. */
 export interface WorkerListing {
@@ -30,20 +31,24 @@
    * the worker has restarted, and all its runs are stopped.
    */
   updateLifetime(worker: WorkerState, lifetime: number): void;
+  /**
+   * Records that the process of a worker has ended, and releases its runs.
+   *
+   * @param reason what proves it, for the log
+   */
+  recordProcessEnd(worker: WorkerState, reason: string): void;
   /** Restores a run that an earlier lead stored. */
   restoreRun(
     step: StepState,
-    task: number,
-    number: number,
-    workerId: string,
+    stored: StepRecord["runs"][number],
     leasesEndBy: Milliseconds,
   ): void;
   /**
-   * Releases the runs of workers that drained, left and no longer answer, and
-   * of workers whose leases have certainly expired. Deletes unlisted workers
-   * without runs.
+   * Releases the runs of workers that have a successor on their VM, that
+   * drained, left and no longer answer, or whose leases have certainly expired.
+   * Deletes unlisted workers without runs.
    */
-  releaseExpiredRuns(): void;
+  releaseLostRuns(): void;
 }
 
 /** Options of {@link createWorkerRoster}. */
@@ -84,9 +89,11 @@
       isDraining: false,
       remainingMs: 0,
       isListed: false,
+      hasEnded: false,
       hasLeft: false,
       hasAnswered: false,
       reportedAt: 0,
+      lastAnsweredPollAt: 0,
       leasesEndBy: 0,
       noPlacementBefore: 0,
       lastHandledEnd: 0,
@@ -110,6 +117,7 @@
     worker.lastHandledEnd = 0;
     worker.lastStoredEnd = 0;
     worker.hasAnswered = false;
+    worker.hasEnded = false;
     for (const run of [...worker.runs]) {
       if (run.phase === RunPhase.storing) continue;
       // The restarted worker would accept a late start command that was sent in
@@ -122,8 +130,52 @@
     }
   };
 
+  const recordProcessEnd = (worker: WorkerState, reason: string): void => {
+    if (worker.hasEnded) return;
+    worker.hasEnded = true;
+    log.warn(
+      {
+        worker: worker.id,
+        lifetime: worker.lifetime,
+        vm: worker.vm,
+        runs: worker.runs.size,
+        reason,
+      },
+      "worker process ended",
+    );
+    releaseSentRuns(worker, "run lost: the process of its worker has ended");
+  };
+
+  /** Releases the runs of a worker whose start commands may have been sent. */
+  const releaseSentRuns = (worker: WorkerState, event: string): void => {
+    for (const run of [...worker.runs]) {
+      if (run.phase === RunPhase.storing) continue;
+      log.warn(
+        { worker: worker.id, step: run.step.key, task: run.index },
+        event,
+      );
+      releaseRun(state, run);
+    }
+  };
+
+  /**
+   * Returns whether another worker on the same VM answered a poll that was sent
+   * after this worker's last report. A VM runs one worker process at a time, and
+   * start times are not compared, since the clock of a VM may step.
+   */
+  const hasSuccessor = (worker: WorkerState): boolean => {
+    const { vm, isListed, silentSince, reportedAt } = worker;
+    if (vm === undefined || worker.runs.size === 0) return false;
+    if (isListed && silentSince === undefined) return false;
+    return [...state.workers.values()].some((other) =>
+      other !== worker && other.vm === vm &&
+      other.lastAnsweredPollAt > reportedAt
+    );
+  };
+
   return {
     updateLifetime,
+    recordProcessEnd,
     applyListing: ({ entries, left }) => {
       const listedIds = new Set(entries.map(({ id }) => id));
       for (const entry of entries) {
@@ -180,14 +232,21 @@
         deleteIfUnused(worker);
       }
     },
-    restoreRun: (step, task, number, workerId, leasesEndBy) => {
-      const worker = state.workers.get(workerId) ?? createWorker(workerId);
+    restoreRun: (step, stored, leasesEndBy) => {
+      const [index, number, workerId, lifetime, vm] = stored;
+      let worker = state.workers.get(workerId);
+      if (worker === undefined) {
+        worker = createWorker(workerId);
+        worker.lifetime = lifetime;
+        if (vm !== "") worker.vm = vm;
+      }
       worker.leasesEndBy = Math.max(worker.leasesEndBy, leasesEndBy);
       addRun({
         step,
-        index: task,
+        index,
         number,
         worker,
+        lifetime,
         phase: RunPhase.ordered,
         placedAt: now(),
         // This lead's first call raises the fencing token of the worker, which
@@ -198,22 +257,19 @@
         checkpoint: "",
       });
     },
-    releaseExpiredRuns: () => {
+    releaseLostRuns: () => {
       for (const worker of [...state.workers.values()]) {
+        if (hasSuccessor(worker)) {
+          recordProcessEnd(worker, "another worker answers on its VM");
+        }
         const hasDeparted = worker.hasLeft && worker.silentSince !== undefined;
-        if (
-          worker.runs.size > 0 && (hasDeparted || now() > worker.leasesEndBy)
-        ) {
-          for (const run of [...worker.runs]) {
-            if (run.phase === RunPhase.storing) continue;
-            log.warn(
-              { worker: worker.id, step: run.step.key, task: run.index },
-              hasDeparted
-                ? "run lost: its worker drained and left"
-                : "run released: all leases on its worker have expired",
-            );
-            releaseRun(state, run);
-          }
+        if (hasDeparted) {
+          releaseSentRuns(worker, "run lost: its worker drained and left");
+        } else if (now() > worker.leasesEndBy) {
+          releaseSentRuns(
+            worker,
+            "run released: all leases on its worker have expired",
+          );
         }
         deleteIfUnused(worker);
       }
