fix(scheduler): give up a task that crashes worker after worker

What callers saw: a task that crashes each worker that starts it was started without bound, and took the work of its neighbours down with it.

Cause: only runs that end as failed were counted. A run that is lost with its worker counted nowhere, and no lead knew who had run on a crashed worker.

Change: each crash is kept with the tasks that ran on the worker, in the stored progress of their steps, so that the next lead knows it as well. Suspected are the runs that no report has listed yet, since such a task crashes its worker when it starts; if there is none, all. A task is to blame at its second suspected crash if no other job was under suspicion then, and at its third if it is the only such job. Its job fails, and its crashes are struck off the records of its neighbours. A task is given up at its fourth unexplained crash in any case, so that it is started once more at most after three. Suspected tasks are placed away from each other and from others; a VM that crashed is used last, and if it crashes again under other tasks, it is to blame and they are not. The end of a draining worker and expired leases are no crashes.

--- a/packages/cell/__tests__/cell_journal.test.ts
+++ b/packages/cell/__tests__/cell_journal.test.ts
@@ -14,6 +14,7 @@
     runs: [],
     failures: [],
     checkpoints: [],
+    crashes: [],
   },
 };
 
--- /dev/null
+++ b/packages/scheduler/__tests__/crash_blame.test.ts
@@ -0,0 +1,187 @@
+import { expect } from "chai";
+import { decodeRecord } from "../src/mod.ts";
+import { createCell, job, step } from "./cell_fixture.ts";
+import { createFakeWorker } from "./fake_worker.ts";
+
+type Cell = ReturnType<typeof createCell>;
+
+/** Creates a cell with one worker on each of its VMs `m0`, `m1` and so on. */
+function createCellOnVms(workers: number): Cell {
+  const cell = createCell({ workers });
+  cell.entries.forEach((entry, index) => {
+    cell.entries[index] = { ...entry, vm: `m${index}` };
+  });
+  cell.updateListing();
+  return cell;
+}
+
+let lastId = 0;
+
+/** Replaces a worker by one with another id on the same VM. */
+function replaceWorker(cell: Cell, id: string): void {
+  const index = cell.entries.findIndex((entry) => entry.id === id);
+  lastId += 1;
+  const entry = { ...cell.entries[index], id: `next-${lastId}` };
+  cell.fleet.delete(id);
+  cell.fleet.set(entry.id, createFakeWorker(entry.id));
+  cell.scheduler.recordNoAnswer(cell.scheduler.state.workers.get(id)!);
+  cell.entries.splice(index, 1, entry);
+  cell.updateListing();
+}
+
+/**
+ * Settles a cell in which a job crashes each worker that runs it.
+ *
+ * @returns how many workers have crashed
+ */
+function settleWithCrashes(cell: Cell, crashing: string): number {
+  for (let crashes = 0; crashes < 20; crashes++) {
+    cell.settle();
+    const [run] = cell.runs(crashing);
+    if (run === undefined) return crashes;
+    replaceWorker(cell, run.worker);
+    cell.clock.advance(1);
+  }
+  return 20;
+}
+
+// Guards against a task that is started without bound and takes down one
+// worker after the other.
+it("crash blame: a task that crashes its workers is given up", () => {
+  const cell = createCellOnVms(6);
+  cell.submit(job("bad"));
+  const crashes = settleWithCrashes(cell, "bad");
+  expect(crashes).to.equal(2);
+  expect(cell.book.stateOf("bad")).to.equal("failed");
+});
+
+it("crash blame: tasks beside a crashing one are not given up", () => {
+  const cell = createCellOnVms(6);
+  cell.submit(job("good", { steps: [step({ taskCount: 30 })] }));
+  cell.settle();
+  cell.submit(job("bad"));
+  cell.submit(job("new", { steps: [step({ taskCount: 8 })] }));
+  expect(settleWithCrashes(cell, "bad")).to.be.within(2, 4);
+  cell.settle();
+  expect(cell.book.stateOf("bad")).to.equal("failed");
+  expect(cell.runs("good")).to.have.length(30);
+  expect(cell.runs("new")).to.have.length(8);
+});
+
+it("crash blame: several crashing tasks at once are each bounded", () => {
+  const cell = createCellOnVms(8);
+  const names = ["bad0", "bad1", "bad2", "bad3"];
+  for (const name of names) cell.submit(job(name));
+  const starts = new Map<string, number>();
+  for (let round = 0; round < 20; round++) {
+    cell.settle();
+    for (const name of names) {
+      const [run] = cell.runs(name);
+      if (run === undefined) continue;
+      starts.set(name, run.number);
+      if (cell.fleet.has(run.worker)) replaceWorker(cell, run.worker);
+    }
+    cell.clock.advance(1);
+  }
+  for (const name of names) {
+    expect(cell.book.stateOf(name)).to.equal("failed");
+    expect(starts.get(name)).to.be.at.most(5);
+  }
+});
+
+it("crash blame: the next lead knows the crashes of the earlier one", () => {
+  const cell = createCellOnVms(4);
+  cell.submit(job("bad"));
+  cell.settle();
+  replaceWorker(cell, cell.runs("bad")[0].worker);
+  cell.settle();
+  const next = createCellOnVms(4);
+  next.book.apply({ kind: "submission", spec: cell.book.find("bad")!.spec });
+  replaceWorker(next, "w0");
+  next.scheduler.restore(cell.book.find("bad")!, next.clock.now());
+  next.clock.advance(1);
+  expect(settleWithCrashes(next, "bad")).to.equal(1);
+  expect(next.book.stateOf("bad")).to.equal("failed");
+});
+
+it("crash blame: a crash between two leads is counted by the next one", () => {
+  const cell = createCellOnVms(1);
+  cell.submit(job("bad"));
+  cell.settle();
+  const next = createCellOnVms(1);
+  next.entries[0] = { ...next.entries[0], lifetime: 2 };
+  next.fleet.get("w0")!.lifetime = 2;
+  next.updateListing();
+  next.scheduler.restore(cell.book.find("bad")!, next.clock.now() + 10_300);
+  next.scheduler.plan();
+  const restored = next.scheduler.state.jobs.get("bad")!.steps.get("bad.0.0")!;
+  expect([...restored.crashes.get(0)!.met]).to.deep.equal(["w0/1"]);
+});
+
+it("crash blame: a restart under the same id counts as one crash", () => {
+  const cell = createCellOnVms(1);
+  cell.submit(job("a"));
+  cell.settle();
+  cell.fleet.get("w0")!.crash();
+  cell.settle();
+  const known = cell.scheduler.state.jobs.get("a")!.steps.get("a.0.0")!;
+  expect([...known.crashes.get(0)!.met]).to.deep.equal(["w0/1"]);
+  expect(cell.runs("a").map(({ number }) => number)).to.deep.equal([2]);
+});
+
+// A worker that drains ends its process as planned.
+it("crash blame: the end of a draining worker is no crash", () => {
+  const cell = createCellOnVms(1);
+  cell.submit(job("a"));
+  cell.settle();
+  cell.entries[0] = { ...cell.entries[0], isDraining: true };
+  cell.updateListing();
+  cell.scheduler.recordReplacement(cell.scheduler.state.workers.get("w0")!);
+  const known = cell.scheduler.state.jobs.get("a")!.steps.get("a.0.0")!;
+  expect(known.crashes.size).to.equal(0);
+});
+
+it("crash blame: leases that expire on silent workers fail no job", () => {
+  const cell = createCellOnVms(8);
+  cell.submit(job("a"));
+  for (let round = 0; round < 6; round++) {
+    cell.settle();
+    const [{ worker }] = cell.runs("a");
+    cell.fleet.get(worker)!.running.clear();
+    cell.fleet.delete(worker);
+    const index = cell.entries.findIndex(({ id }) => id === worker);
+    cell.entries.splice(index, 1);
+    cell.updateListing();
+    cell.clock.advance(11_000);
+  }
+  cell.settle();
+  expect(cell.book.stateOf("a")).to.equal("running");
+  expect(cell.runs("a")).to.have.length(1);
+});
+
+// The VM crashes under different tasks, so none of them is to blame.
+it("crash blame: a VM that crashes by itself blames no task", () => {
+  const cell = createCellOnVms(1);
+  for (let round = 0; round < 5; round++) {
+    cell.submit(job(`a${round}`));
+    cell.settle();
+    const id = cell.entries[0].id;
+    for (const task of cell.fleet.get(id)!.running.values()) {
+      if (task.task.job !== `a${round}`) {
+        cell.fleet.get(id)!.end(task.task, "done");
+      }
+    }
+    cell.settle();
+    replaceWorker(cell, id);
+    cell.clock.advance(100);
+  }
+  cell.settle();
+  const states = [0, 1, 2, 3, 4].map((round) => cell.book.stateOf(`a${round}`));
+  expect(states).not.to.include("failed");
+});
+
+it("records: progress of earlier versions has no crashes", () => {
+  const record = decodeRecord("step/a.0.0", "[1,[],[],[],[]]");
+  if (record?.kind !== "progress") throw new Error("expected progress");
+  expect(record.progress.crashes).to.deep.equal([]);
+});
--- a/packages/scheduler/__tests__/job_book.test.ts
+++ b/packages/scheduler/__tests__/job_book.test.ts
@@ -19,6 +19,7 @@
       runs: [[1, 2, "w", 7]],
       failures: [[1, 1]],
       checkpoints: [[1, "c"]],
+      crashes: [[1, ["w/7", "v/3"], ["w/7"]]],
     },
   },
   { kind: "start", job: "a" },
--- a/packages/scheduler/__tests__/stored_progress.test.ts
+++ b/packages/scheduler/__tests__/stored_progress.test.ts
@@ -14,6 +14,7 @@
   runs: [],
   failures: [],
   checkpoints: [],
+  crashes: [],
 });
 
 it("stored progress: it is found by job and step", () => {
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -7,6 +7,7 @@
   type StepSpec,
   type TaskName,
 } from "./job_types.ts";
+import type { TaskCrashes } from "./crash_blame.ts";
 import type { StepRecord } from "./records.ts";
 
 /** Phase of a run, from its placement to its release. */
@@ -55,6 +56,8 @@
   firstPercent?: { percent: number; at: Milliseconds };
   /** Newest checkpoint; empty if there is none. */
   checkpoint: string;
+  /** Whether a report of its worker has listed it. */
+  isReported: boolean;
 }
 
 /** A step of one occurrence of a job. */
@@ -75,6 +78,8 @@
   failures: Map<number, number>;
   /** Newest checkpoint by task index; a gang keeps one as its task 0. */
   checkpoints: Map<number, string>;
+  /** Crashes of workers by the index of a task that they ran. */
+  crashes: Map<number, TaskCrashes>;
   /** Workers on which a run of the step failed or made no progress. */
   avoidedWorkers: Set<string>;
   /**
@@ -263,6 +268,7 @@
       runs: new Map(),
       failures: new Map(),
       checkpoints: new Map(),
+      crashes: new Map(),
       avoidedWorkers: new Set(),
       lastCountedRun: 0,
     };
@@ -348,6 +354,11 @@
     ]),
     failures: [...step.failures],
     checkpoints: [...step.checkpoints],
+    crashes: [...step.crashes].map(([index, { met, suspected }]) => [
+      index,
+      [...met],
+      [...suspected],
+    ]),
   };
 }
 
@@ -367,6 +378,24 @@
   setJobOutcome(state, job, "completed");
 }
 
+/**
+ * Fails a job and stops its runs.
+ *
+ * @param state the cell
+ * @param job the job, which has not ended
+ * @param stop how to stop a run
+ */
+export function failJob(
+  state: CellState,
+  job: ActiveJob,
+  stop: (run: Run, reason: string) => void,
+): void {
+  setJobOutcome(state, job, "failed");
+  for (const step of job.steps.values()) {
+    for (const run of [...step.runs.values()]) stop(run, "its job failed");
+  }
+}
+
 /** Sets the outcome of a job, to be stored with the next batch. */
 export function setJobOutcome(
   state: CellState,
--- a/packages/scheduler/src/mod.ts
+++ b/packages/scheduler/src/mod.ts
@@ -1,5 +1,6 @@
 export * from "./advice.ts";
 export * from "./cell_state.ts";
+export * from "./crash_blame.ts";
 export * from "./durations.ts";
 export * from "./job_book.ts";
 export * from "./job_types.ts";
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -11,6 +11,7 @@
   type StepState,
   type WorkerState,
 } from "./cell_state.ts";
+import type { CrashBlame } from "./crash_blame.ts";
 import { createDurationEstimator } from "./durations.ts";
 import { Tier, type WaitingStep } from "./step_ranking.ts";
 import { type Assignment, type PlacementView, placeStep } from "./placement.ts";
@@ -60,6 +61,7 @@
 export interface PlannerOptions {
   state: CellState;
   quarantine: Quarantine;
+  crashBlame: CrashBlame;
   runTimes: RunTimeEstimator;
   now(): Milliseconds;
   wallTime(): Milliseconds;
@@ -90,7 +92,8 @@
  * @returns the planner
  */
 export function createPlanner(options: PlannerOptions): Planner {
-  const { state, quarantine, runTimes, now, wallTime, stop, log } = options;
+  const { state, quarantine, crashBlame, runTimes } = options;
+  const { now, wallTime, stop, log } = options;
   const policy = { ...PLANNING_POLICY, ...options.policy };
   let rules = NO_RULES;
   let waitingSteps: WaitingStep[] = [];
@@ -99,8 +102,9 @@
   const isOpen = (worker: WorkerState): boolean =>
     worker.isListed && !worker.hasEnded && worker.hasAnswered &&
     !worker.isDraining && worker.noPlacementBefore <= now();
-  const penaltyOf = (worker: WorkerState): number =>
-    quarantine.isEligible(worker.id, now()) ? 0 : FAILURE_PENALTY;
+  const penaltyOf = (step: StepState, worker: WorkerState): number =>
+    (quarantine.isEligible(worker.id, now()) ? 0 : FAILURE_PENALTY) +
+    crashBlame.penaltyOf(step, worker);
   const ledger = createCapacityLedger({
     now,
     isOpen,
@@ -132,7 +136,7 @@
     const view = {
       candidates,
       serviceWorkers,
-      penaltyOf,
+      penaltyOf: (worker: WorkerState) => penaltyOf(step, worker),
       freeOn: ledger.freeOn,
       mayUseAnyRack: waiting.waitedMs > rackWaitLimitMs(waiting),
     };
@@ -286,6 +290,7 @@
         percent: 0,
         percentAt: placedAt,
         checkpoint: step.checkpoints.get(step.spec.isGang ? 0 : index) ?? "",
+        isReported: false,
       });
     }
     state.unsavedSteps.add(step);
@@ -364,6 +369,7 @@
     },
     plan: () => {
       ledger.beginPass();
+      crashBlame.beginPass();
       evacuateDrainingWorkers();
       for (const run of findStuckRuns(state)) {
         const { worker, step } = run;
--- a/packages/scheduler/src/records.ts
+++ b/packages/scheduler/src/records.ts
@@ -22,6 +22,11 @@
   failures: [index: number, count: number][];
   /** Newest checkpoint of each task; a gang keeps one as its task 0. */
   checkpoints: [index: number, checkpoint: string][];
+  /**
+   * Unexplained crashes of workers by the task that they ran, and those of them
+   * that it is suspected of.
+   */
+  crashes: [index: number, met: string[], suspected: string[]][];
 }
 
 /** A record of a cell, stored under one or more keys. */
@@ -79,8 +84,9 @@
     case "progressRemoval":
       return [{ key: KEY_PREFIX.progress + record.step }];
     case "progress": {
-      const { highestRun, done, runs, failures, checkpoints } = record.progress;
-      const value = [highestRun, done, runs, failures, checkpoints];
+      const { highestRun, done, runs, failures, checkpoints, crashes } =
+        record.progress;
+      const value = [highestRun, done, runs, failures, checkpoints, crashes];
       return [{
         key: KEY_PREFIX.progress + record.step,
         value: JSON.stringify(value),
@@ -129,11 +135,20 @@
       return value === undefined ? undefined : { kind: "start", job: name };
     case KEY_PREFIX.progress: {
       if (value === undefined) return undefined;
-      const [highestRun, done, runs, failures, checkpoints] = JSON.parse(value);
+      const [highestRun, done, runs, failures, checkpoints, crashes] = JSON
+        .parse(value);
       return {
         kind: "progress",
         step: name,
-        progress: { highestRun, done, runs, failures, checkpoints },
+        progress: {
+          highestRun,
+          done,
+          runs,
+          failures,
+          checkpoints,
+          // Records of earlier versions have none.
+          crashes: crashes ?? [],
+        },
       };
     }
     case KEY_PREFIX.outcome: {
--- a/packages/scheduler/src/run_ends.ts
+++ b/packages/scheduler/src/run_ends.ts
@@ -2,12 +2,12 @@
 import {
   type CellState,
   completeJobIfDone,
+  failJob,
   isOver,
   isStepDone,
   releaseRun,
   type Run,
   RunPhase,
-  setJobOutcome,
   type WorkerState,
 } from "./cell_state.ts";
 import type { RunEnd, TaskName } from "./job_types.ts";
@@ -185,12 +185,7 @@
     { job: job.spec.id, step: step.key, task: run.index, failures },
     "job failed: attempt limit of its queue reached",
   );
-  setJobOutcome(options.state, job, "failed");
-  for (const other of job.steps.values()) {
-    for (const member of [...other.runs.values()]) {
-      options.stop(member, "its job failed");
-    }
-  }
+  failJob(options.state, job, options.stop);
 }
 
 /**
@@ -204,6 +199,7 @@
   if (run.phase === RunPhase.ordered) run.phase = RunPhase.running;
   run.absenceProvableFrom ??= now;
   run.uncertainSince = undefined;
+  run.isReported = true;
   if (reported.percent !== run.percent) {
     run.percent = reported.percent;
     run.percentAt = now;
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -21,6 +21,7 @@
   type AdviceQuestion,
   recordAdvice,
 } from "./advice.ts";
+import { createCrashBlame } from "./crash_blame.ts";
 import type { StoredJob } from "./job_book.ts";
 import type { JobSpec, RunEnd, TaskName } from "./job_types.ts";
 import { type CellLoad, createPlanner } from "./planner.ts";
@@ -172,10 +173,18 @@
   const state = createCellState();
   const quarantine = createQuarantine();
   const runTimes = createRunTimeEstimator();
-  const roster = createWorkerRoster({ state, now, stop, log });
+  const crashBlame = createCrashBlame({ state, now, stop, log });
+  const roster = createWorkerRoster({
+    state,
+    now,
+    stop,
+    onCrash: crashBlame.recordCrash,
+    log,
+  });
   const planner = createPlanner({
     state,
     quarantine,
+    crashBlame,
     runTimes,
     now,
     wallTime,
@@ -255,6 +264,12 @@
         step.done = new Set(record.done);
         step.failures = new Map(record.failures);
         step.checkpoints = new Map(record.checkpoints);
+        for (const [task, met, suspected] of record.crashes) {
+          step.crashes.set(task, {
+            met: new Set(met),
+            suspected: new Set(suspected),
+          });
+        }
         // The earlier lead may have ended between the two appends.
         if (!job.hasStarted && step.highestRun > 0) {
           state.unsavedSteps.add(step);
--- a/packages/scheduler/src/worker_roster.ts
+++ b/packages/scheduler/src/worker_roster.ts
@@ -56,6 +56,8 @@
   state: CellState;
   now(): Milliseconds;
   stop(run: Run, reason: string): void;
+  /** Called when the process of a worker has ended unplanned, with its runs. */
+  onCrash(worker: WorkerState, runs: readonly Run[]): void;
   log: Logger;
 }
 
@@ -72,7 +74,9 @@
  * @returns the roster
  */
 export function createWorkerRoster(options: WorkerRosterOptions): WorkerRoster {
-  const { state, now, stop, log } = options;
+  const { state, now, stop, onCrash, log } = options;
+  /** Restored runs whose worker had restarted before, by worker. */
+  const restoredLosses = new Map<WorkerState, Run[]>();
 
   const createWorker = (id: string): WorkerState => {
     const worker: WorkerState = {
@@ -108,9 +112,21 @@
     state.workers.delete(worker.id);
   };
 
+  /** Returns the runs that a worker loses when its process ends. */
+  const findLostRuns = ({ runs, lifetime }: WorkerState): Run[] =>
+    [...runs].filter((run) =>
+      run.phase !== RunPhase.storing && run.lifetime === lifetime
+    );
+
+  /** Reports the crash of a worker, unless its process ended as planned. */
+  const reportCrash = (worker: WorkerState, lostRuns: readonly Run[]): void => {
+    if (!worker.isDraining) onCrash(worker, lostRuns);
+  };
+
   const updateLifetime = (worker: WorkerState, lifetime: number): void => {
     if (lifetime === 0 || lifetime <= worker.lifetime) return;
     const isFirst = worker.lifetime === 0;
+    if (!isFirst && !worker.hasEnded) reportCrash(worker, findLostRuns(worker));
     worker.lifetime = lifetime;
     if (isFirst) return;
     log.warn({ worker: worker.id, lifetime }, "worker restarted");
@@ -119,7 +135,11 @@
     worker.hasAnswered = false;
     worker.hasEnded = false;
     for (const run of [...worker.runs]) {
-      if (run.phase === RunPhase.storing) continue;
+      if (run.phase === RunPhase.storing) {
+        run.lifetime = lifetime;
+        state.unsavedSteps.add(run.step);
+        continue;
+      }
       // The restarted worker would accept a late start command that was sent in
       // its old lifetime. A stop is sent even if the old lifetime acknowledged
       // one, so that the worker rejects that start command.
@@ -143,7 +163,9 @@
       },
       "worker process ended",
     );
+    const lostRuns = findLostRuns(worker);
     releaseSentRuns(worker, "run lost: the process of its worker has ended");
+    reportCrash(worker, lostRuns);
   };
 
   /** Releases the runs of a worker whose start commands may have been sent. */
@@ -241,7 +263,7 @@
         if (vm !== "") worker.vm = vm;
       }
       worker.leasesEndBy = Math.max(worker.leasesEndBy, leasesEndBy);
-      addRun({
+      const run: Run = {
         step,
         index,
         number,
@@ -255,9 +277,15 @@
         percent: 0,
         percentAt: now(),
         checkpoint: "",
-      });
+        isReported: false,
+      };
+      addRun(run);
+      if (lifetime === 0 || lifetime >= worker.lifetime) return;
+      restoredLosses.set(worker, [...restoredLosses.get(worker) ?? [], run]);
     },
     releaseLostRuns: () => {
+      for (const [worker, runs] of restoredLosses) onCrash(worker, runs);
+      restoredLosses.clear();
       for (const worker of [...state.workers.values()]) {
         if (hasSuccessor(worker)) {
           recordProcessEnd(worker, "another worker answers on its VM");
