fix(scheduler): place nothing on a worker that does not answer

What callers saw: tasks were placed on a worker that had just crashed, all start attempts were refused, and another round of leases was waited for.

Cause: a worker counted as open while the platform listed it, whether it answered polls or not; an entry stays for three heartbeats after a crash.

Change: a worker whose last poll failed gets nothing until one is answered.

Evidence: the new test failed on the code before (a placement was stored while the only worker was silent). A second test holds that nothing is placed over a capacity that shrank while runs go on, and that the room is used when it grows; the code before passed it too.

--- a/packages/scheduler/__tests__/worker_roster.test.ts
+++ b/packages/scheduler/__tests__/worker_roster.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { createCell, job } from "./cell_fixture.ts";
+import { createCell, job, step } from "./cell_fixture.ts";
 import { createFakeWorker } from "./fake_worker.ts";
 
 /**
@@ -80,3 +80,35 @@
   expect(next.fleet.get("w1")!.started.map(({ number }) => number)).to.deep
     .equal([2]);
 });
+
+it("planner: nothing is placed on a worker that does not answer", () => {
+  const cell = createCell({ workers: 1 });
+  cell.scheduler.recordNoAnswer(cell.scheduler.state.workers.get("w0")!);
+  cell.submit(job("a"));
+  cell.scheduler.plan();
+  expect(cell.scheduler.takeBatch()).to.equal(undefined);
+  cell.settle();
+  expect(workersOf(cell)).to.deep.equal(["w0"]);
+});
+
+it("planner: nothing is placed over the capacity of a worker that shrank", () => {
+  const cell = createCell({ workers: 1 });
+  cell.submit(job("a", { steps: [step({ accelerators: 4 })] }));
+  cell.settle();
+  const resize = (accelerators: number) => {
+    const { capacity } = cell.entries[0];
+    cell.entries[0] = {
+      ...cell.entries[0],
+      capacity: { ...capacity, accelerators },
+    };
+    cell.updateListing();
+  };
+  resize(3);
+  cell.submit(job("b"));
+  cell.settle();
+  expect(cell.runs("b")).to.deep.equal([]);
+  resize(5);
+  cell.settle();
+  expect(cell.runs("b")).to.have.length(1);
+  expect(cell.runs("a").map(({ number }) => number)).to.deep.equal([1]);
+});
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -101,7 +101,8 @@
   /** Returns whether a worker may get new runs now. */
   const isOpen = (worker: WorkerState): boolean =>
     worker.isListed && !worker.hasEnded && worker.hasAnswered &&
-    !worker.isDraining && worker.noPlacementBefore <= now();
+    worker.silentSince === undefined && !worker.isDraining &&
+    worker.noPlacementBefore <= now();
   const penaltyOf = (step: StepState, worker: WorkerState): number =>
     (quarantine.isEligible(worker.id, now()) ? 0 : FAILURE_PENALTY) +
     crashBlame.penaltyOf(step, worker);
