test(scheduler): model workers that are replaced under another id

Cause: the model of takeovers only knew restarts under the same id, so nothing checked that the new proof of a worker's end (another worker answers on its VM) is sound. Change: a worker may crash and be replaced by one with another id on its VM, whose start may even be earlier (a clock that stepped back); the list may go on naming the first one.

--- a/packages/scheduler/__tests__/takeover_model.ts
+++ b/packages/scheduler/__tests__/takeover_model.ts
@@ -10,6 +10,7 @@
   type Scheduler,
   taskNameOf,
   type WorkerCommand,
+  type WorkerListing,
   type WorkerState,
 } from "../src/mod.ts";
 import { job, queueRules, step } from "./cell_fixture.ts";
@@ -51,6 +52,13 @@
   "takeover",
   /** In one of four cases, a worker crashes and restarts. */
   "restart",
+  /**
+   * In one of four cases, a worker crashes, and one with another id takes its
+   * place on its VM; the platform may go on listing the first one for a while.
+   */
+  "replace",
+  /** The lead reads the list of workers, without those that have crashed. */
+  "list",
 ] as const;
 
 /** Faults that can be injected and that the model must detect. */
@@ -108,6 +116,8 @@
   let storeTerm = 0;
   const workers = new Map<string, FakeWorker>();
   for (const id of ["w0", "w1"]) workers.set(id, createFakeWorker(id));
+  /** Crashed workers that the platform still lists. */
+  let staleWorkers: FakeWorker[] = [];
   /**
    * Tasks whose successful end is stored or acknowledged; they must not start
    * again.
@@ -137,10 +147,7 @@
       guarantees: new Map(),
       deployment: { remoteFactor: 3, reclaimMs: 3_000, stopMs: 500 },
     });
-    scheduler.updateWorkers({
-      entries: [...workers.values()].map(entryOf),
-      left: new Set(),
-    });
+    scheduler.updateWorkers(listWorkers());
     const waitMs = fault === "takeoverWithoutWait" ? 0 : INHERITED_LEASE_MS;
     for (const storedJob of book.jobs()) {
       scheduler.restore(storedJob, clock.now() + waitMs);
@@ -159,6 +166,11 @@
     return { term: storeTerm, scheduler, commands, leaseEnd };
   }
 
+  function listWorkers(): WorkerListing {
+    const listed = [...workers.values(), ...staleWorkers];
+    return { entries: listed.map(entryOf), left: new Set() };
+  }
+
   const isLeading = (candidate: Lead) => clock.now() < candidate.leaseEnd;
 
   const sendCommands = (): void => {
@@ -180,11 +192,13 @@
   /** Executes a call on its worker. */
   const executeCall = ({ lead: caller, command, leaseUntil }: Call) => {
     if (command.kind === "stop") {
-      const worker = workers.get(command.worker.id)!;
-      return worker.stop(caller.term, command.task, command.number);
+      const worker = workers.get(command.worker.id);
+      return worker?.stop(caller.term, command.task, command.number) ?? false;
     }
     const { run } = command;
-    const worker = workers.get(run.worker.id)!;
+    const worker = workers.get(run.worker.id);
+    // Another worker has its address and rejects the call.
+    if (worker === undefined) return "otherLifetime";
     const taskKey = taskKeyOf(taskNameOf(run));
     const before = worker.started.length;
     const answer = worker.start(
@@ -230,7 +244,8 @@
 
   const pollWorker = (worker: FakeWorker): void => {
     if (!isLeading(lead)) return;
-    const known = lead.scheduler.state.workers.get(worker.id)!;
+    const known = lead.scheduler.state.workers.get(worker.id);
+    if (known === undefined) return;
     const acknowledged = fault === "acknowledgeBeforeStored"
       ? Infinity
       : known.lastStoredEnd;
@@ -377,6 +392,21 @@
         );
         worker.crash();
         return;
+      case "replace": {
+        if (pick % 4 !== 0) return;
+        const next = createFakeWorker(successorIdOf(worker.id));
+        // The clock of a VM may step back between two workers.
+        next.lifetime = worker.lifetime + (pick % 3) - 1;
+        workers.delete(worker.id);
+        workers.set(next.id, next);
+        staleWorkers.push(worker);
+        const known = lead.scheduler.state.workers.get(worker.id);
+        if (known !== undefined) lead.scheduler.recordNoAnswer(known);
+        return lead.scheduler.updateWorkers(listWorkers());
+      }
+      case "list":
+        staleWorkers = [];
+        return lead.scheduler.updateWorkers(listWorkers());
     }
   };
 
@@ -394,7 +424,8 @@
     applyEvent(event);
     for (const worker of workers.values()) {
       for (const { task, end, position } of worker.ends) {
-        const known = lead.scheduler.state.workers.get(worker.id)!;
+        const known = lead.scheduler.state.workers.get(worker.id);
+        if (known === undefined) continue;
         if (end === "done" && position <= known.lastStoredEnd) {
           doneTasks.add(taskKeyOf(task));
         }
@@ -404,10 +435,16 @@
   return violations;
 }
 
+/** Returns an id for the next worker on the VM of a worker. */
+function successorIdOf(id: string): string {
+  return `${id}+`;
+}
+
 function entryOf({ id, lifetime }: FakeWorker) {
   return {
     id,
     lifetime,
+    vm: id.replaceAll("+", ""),
     service: "planner",
     address: id,
     zone: "z",
