--- a/packages/cell/__tests__/worker_list.test.ts
+++ b/packages/cell/__tests__/worker_list.test.ts
@@ -129,7 +129,7 @@
   await write("entry");
   await start();
   expect(isListed()).to.equal(true);
-  await advance(SETTLED_MS);
+  await advance(1_000);
   await write(undefined);
   await advance(0);
   list.stop();
