fix(scheduler): ignore late reports of an earlier lifetime of a worker

What callers saw: possibly a task that ran twice after its worker had crashed and restarted behind a cut.

Cause: a report was applied whatever lifetime it named. A late answer of the earlier process raised the position of handled ends, so that the next lifetime's ends were acknowledged unread and done work ran again; and a run that it listed counted as known to the restarted worker, so that the next report released it while a repeated start was still under way.

Change: a report of a lower lifetime is ignored if it was requested before the current lifetime was known. If it was requested later, the worker has restarted with an earlier start time (its clock stepped back), which counts as any other restart. The clock of an ignored report is not used for leases.

Evidence: with the check taken out, two of the three new tests fail (40 ends handled, expected 0; the run released, expected to stay). The third holds that a restart with an earlier start time moves the run; it passed before as well.

--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -159,12 +159,12 @@
       options.onReplacement();
       throw new Error("another worker answered at its address");
     }
-    if (answer.lifetime !== 0 && answer.lifetime !== worker.lifetime) {
-      clockReading = undefined;
-    }
-    recordClock(answer.clock);
-    const { running, ended } = answer;
-    options.onReport(answer.lifetime, { askedAt, running, ended });
+    const { lifetime, running, ended } = answer;
+    options.onReport(lifetime, { askedAt, running, ended });
+    // A late answer of an earlier lifetime names the time by another clock.
+    if (lifetime === 0 || lifetime === worker.lifetime) {
+      recordClock(answer.clock);
+    } else clockReading = undefined;
   };
 
   /** Polls without waiting for a run to end, in parallel with the long poll. */
--- /dev/null
+++ b/packages/scheduler/__tests__/earlier_lifetime.test.ts
@@ -0,0 +1,56 @@
+import { expect } from "chai";
+import { createCell, job } from "./cell_fixture.ts";
+
+const TASK = { job: "a", occurrence: 0, step: 0, index: 0 };
+
+/** Creates a cell whose only worker restarts while it runs job `a`. */
+function createCellWithRestart() {
+  const cell = createCell({ workers: 1 });
+  cell.submit(job("a"));
+  cell.settle();
+  const worker = cell.scheduler.state.workers.get("w0")!;
+  const [run] = worker.runs;
+  const askedAt = cell.clock.now();
+  cell.clock.advance(1);
+  cell.fleet.get("w0")!.crash();
+  cell.pollWorkers();
+  return { cell, worker, run, askedAt };
+}
+
+it("scheduler: a late report of an earlier lifetime handles no ends", () => {
+  const { cell, worker, askedAt } = createCellWithRestart();
+  const task = { ...TASK, job: "other" };
+  cell.scheduler.applyWorkerReport(worker, 1, {
+    askedAt,
+    running: [],
+    ended: [{ position: 40, task, number: 1, end: "done", checkpoint: "" }],
+  });
+  expect(worker.lastHandledEnd).to.equal(0);
+});
+
+it("scheduler: a late report of an earlier lifetime proves no absence", () => {
+  const { cell, worker, run, askedAt } = createCellWithRestart();
+  const { number } = run;
+  cell.scheduler.applyWorkerReport(worker, 1, {
+    askedAt,
+    running: [{ task: TASK, number, checkpoint: "", percent: 10 }],
+    ended: [],
+  });
+  cell.clock.advance(1);
+  cell.pollWorkers();
+  expect(worker.runs.has(run)).to.equal(true);
+});
+
+// The clock of the VM stepped back while the worker restarted.
+it("scheduler: a worker may restart with an earlier start time", () => {
+  const cell = createCell({ workers: 1 });
+  cell.entries[0] = { ...cell.entries[0], lifetime: 5 };
+  cell.fleet.get("w0")!.lifetime = 5;
+  cell.updateListing();
+  cell.submit(job("a"));
+  cell.settle();
+  cell.fleet.get("w0")!.crash();
+  cell.fleet.get("w0")!.lifetime = 3;
+  cell.settle();
+  expect(cell.runs("a").map(({ number }) => number)).to.deep.equal([2]);
+});
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -294,9 +294,13 @@
     cancel,
     updateWorkers: (listing) => roster.applyListing(listing),
     applyWorkerReport: (worker, lifetime, report) => {
-      roster.updateLifetime(worker, lifetime);
-      // An answer that the process gave before its end arrives late.
-      if (worker.hasEnded) return;
+      const { askedAt } = report;
+      const isCurrent = roster.updateLifetime(worker, lifetime, askedAt);
+      // The process gave this answer before its end.
+      if (!isCurrent || worker.hasEnded) {
+        log.info({ worker: worker.id, lifetime }, "late report ignored");
+        return;
+      }
       worker.hasAnswered = true;
       worker.reportedAt = now();
       worker.lastAnsweredPollAt = report.askedAt;
--- a/packages/scheduler/src/worker_roster.ts
+++ b/packages/scheduler/src/worker_roster.ts
@@ -27,10 +27,19 @@
   /** Applies the complete list; other workers count as unlisted. */
   applyListing(listing: WorkerListing): void;
   /**
-   * Updates the lifetime of a worker. A higher lifetime than before means that
-   * the worker has restarted, and all its runs are stopped.
+   * Updates the lifetime of a worker by its report. Another lifetime than before
+   * means that the worker has restarted, and all its runs are stopped.
+   *
+   * @param lifetime the lifetime that the report names; 0 for none
+   * @param askedAt monotonic time at which the report was requested
+   * @returns whether the report is of the current lifetime; not if an earlier
+   * one answered a request that was sent before the current one was known
    */
-  updateLifetime(worker: WorkerState, lifetime: number): void;
+  updateLifetime(
+    worker: WorkerState,
+    lifetime: number,
+    askedAt: Milliseconds,
+  ): boolean;
   /**
    * Records that the process of a worker has ended, and releases its runs.
    *
@@ -82,6 +91,7 @@
     const worker: WorkerState = {
       id,
       lifetime: 0,
+      lifetimeReadAt: 0,
       service: "",
       address: "",
       zone: "",
@@ -123,11 +133,12 @@
     if (!worker.isDraining) onCrash(worker, lostRuns);
   };
 
-  const updateLifetime = (worker: WorkerState, lifetime: number): void => {
-    if (lifetime === 0 || lifetime <= worker.lifetime) return;
+  /** Sets the lifetime of a worker; unless it is the first, stops all its runs. */
+  const setLifetime = (worker: WorkerState, lifetime: number): void => {
     const isFirst = worker.lifetime === 0;
     if (!isFirst && !worker.hasEnded) reportCrash(worker, findLostRuns(worker));
     worker.lifetime = lifetime;
+    worker.lifetimeReadAt = now();
     if (isFirst) return;
     log.warn({ worker: worker.id, lifetime }, "worker restarted");
     worker.lastHandledEnd = 0;
@@ -196,7 +207,15 @@
   };
 
   return {
-    updateLifetime,
+    updateLifetime: (worker, lifetime, askedAt) => {
+      if (lifetime === 0 || lifetime === worker.lifetime) return true;
+      // The clock of a VM may step back, so a restarted worker may name an
+      // earlier start.
+      const isLate = lifetime < worker.lifetime &&
+        askedAt <= worker.lifetimeReadAt;
+      if (!isLate) setLifetime(worker, lifetime);
+      return !isLate;
+    },
     recordProcessEnd,
     applyListing: ({ entries, left }) => {
       const listedIds = new Set(entries.map(({ id }) => id));
@@ -212,7 +231,9 @@
             "worker found",
           );
         }
-        updateLifetime(worker, entry.lifetime);
+        if (entry.lifetime > worker.lifetime) {
+          setLifetime(worker, entry.lifetime);
+        }
         if (
           entry.isDraining &&
           (!worker.isDraining || entry.remainingMs !== worker.remainingMs)
@@ -260,6 +281,7 @@
       if (worker === undefined) {
         worker = createWorker(workerId);
         worker.lifetime = lifetime;
+        worker.lifetimeReadAt = now();
         if (vm !== "") worker.vm = vm;
       }
       worker.leasesEndBy = Math.max(worker.leasesEndBy, leasesEndBy);
