fix(scheduler): acknowledge stored ends only to the lifetime that reported them

What callers saw: possibly done work that ran again after its worker had restarted.

Cause: a batch kept the position of the last end of each worker, but not the lifetime that it counts in. A worker that restarted while the batch was being stored was then told to forget its own ends up to that position, unread.

Change: the batch keeps the lifetime; a position of another lifetime is dropped.

Evidence: the new test fails without the check (position 1 acknowledged, expected 0) and passes with it.

--- a/packages/scheduler/__tests__/earlier_lifetime.test.ts
+++ b/packages/scheduler/__tests__/earlier_lifetime.test.ts
@@ -54,3 +54,17 @@
   cell.settle();
   expect(cell.runs("a").map(({ number }) => number)).to.deep.equal([2]);
 });
+
+it("scheduler: ends stored for an earlier lifetime acknowledge none of the next", () => {
+  const cell = createCell({ workers: 1 });
+  cell.submit(job("a"));
+  cell.settle();
+  cell.end("a", "done");
+  cell.pollWorkers();
+  const batch = cell.scheduler.takeBatch()!;
+  cell.clock.advance(1);
+  cell.fleet.get("w0")!.crash();
+  cell.pollWorkers();
+  cell.scheduler.handleBatchStored(batch);
+  expect(cell.scheduler.state.workers.get("w0")!.lastStoredEnd).to.equal(0);
+});
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -52,8 +52,11 @@
   records: CellRecord[];
   /** Runs whose placement the batch records; started once it is stored. */
   starting: Run[];
-  /** By worker, the position of the last run end that the batch reflects. */
-  ends: Map<WorkerState, number>;
+  /**
+   * By worker, the position of the last run end that the batch reflects, and the
+   * lifetime in which the end was reported.
+   */
+  ends: Map<WorkerState, { position: number; lifetime: number }>;
   /** Jobs whose outcome the batch records; deleted when they have no runs. */
   outcomes: ReturnType<typeof addJob>[];
 }
@@ -364,10 +367,11 @@
     },
     load: () => planner.load(),
     takeBatch: () => {
-      const ends = new Map<WorkerState, number>();
+      const ends: RecordBatch["ends"] = new Map();
       for (const worker of state.workers.values()) {
-        if (worker.lastHandledEnd > worker.lastStoredEnd) {
-          ends.set(worker, worker.lastHandledEnd);
+        const { lastHandledEnd: position, lifetime } = worker;
+        if (position > worker.lastStoredEnd) {
+          ends.set(worker, { position, lifetime });
         }
       }
       const records: CellRecord[] = [];
@@ -401,12 +405,16 @@
       if (records.length > 0) return { records, starting, ends, outcomes };
       // These run ends changed no step, so they can be acknowledged without a
       // record.
-      for (const [worker, end] of ends) worker.lastStoredEnd = end;
+      for (const [worker, { position }] of ends) {
+        worker.lastStoredEnd = position;
+      }
       return undefined;
     },
     handleBatchStored: ({ starting, ends, outcomes }) => {
-      for (const [worker, end] of ends) {
-        worker.lastStoredEnd = Math.max(worker.lastStoredEnd, end);
+      for (const [worker, { position, lifetime }] of ends) {
+        // Positions start anew when a worker restarts.
+        if (worker.lifetime !== lifetime) continue;
+        worker.lastStoredEnd = Math.max(worker.lastStoredEnd, position);
       }
       for (const run of starting) {
         if (run.phase !== RunPhase.storing) continue;
