fix(cell): take no answer of an earlier lifetime for one of the next

What callers saw: possibly two runs of one task after its worker had crashed and restarted.

Cause: the answer to a command counted for the worker whatever process had given it. A stop that the earlier process had acknowledged, or a start that it had confirmed, made the next report without the run a proof that the run was over, while the restarted worker would still accept a start that was under way.

Change: the link compares the lifetime at sending with that at the answer. If it has changed, a stop is sent again and a confirmed start is uncertain. The tests close the links of failed tests, since an open one kept mocha running.

Evidence: both new tests fail on the code before ("started" in place of "uncertain"; the second stop is not sent within 2 s). 25 tests of the link pass.

--- a/packages/cell/__tests__/worker_link.test.ts
+++ b/packages/cell/__tests__/worker_link.test.ts
@@ -15,6 +15,7 @@
   type StartRefusal,
   type StartResult,
   type WorkerConnection,
+  type WorkerLink,
 } from "../src/mod.ts";
 
 const CONTEXT = { step: "worker.call", peer: "w" };
@@ -36,6 +37,14 @@
 const POLL_INTERVAL_MS: Milliseconds = 20;
 const TEST_TIMEOUT_MS: Milliseconds = 2_000;
 
+const openLinks = new Set<WorkerLink>();
+
+// An open link would keep the process of a failed test running.
+afterEach(() => {
+  for (const link of openLinks) link.close();
+  openLinks.clear();
+});
+
 /** Waits until a condition holds, or fails after the time of a test. */
 async function waitUntil(condition: () => boolean): Promise<void> {
   const clock = createSystemClock();
@@ -90,6 +99,7 @@
     onStartAnswer: (_run, answer, reason) => answers.push([answer, reason]),
     onStopAnswer: () => {},
   });
+  openLinks.add(link);
   await waitUntil(() => reports > 0);
   return {
     link,
@@ -328,3 +338,28 @@
   await waitUntil(() => replacements() > 0);
   link.close();
 });
+
+// The worker restarts while its answer is on the way.
+it("worker link: a start confirmed by an earlier lifetime is uncertain", async () => {
+  const { start, worker } = await openLink({
+    start: () => {
+      worker.lifetime += 1;
+      return Promise.resolve(STARTED);
+    },
+  });
+  expect(await start()).to.deep.equal([["uncertain", undefined]]);
+});
+
+it("worker link: a stop acknowledged by an earlier lifetime is repeated", async () => {
+  let stops = 0;
+  const { sendStop, link, worker } = await openLink({
+    stop: () => {
+      stops += 1;
+      if (stops === 1) worker.lifetime += 1;
+      return Promise.resolve(true);
+    },
+  });
+  sendStop();
+  await waitUntil(() => stops === 2);
+  link.close();
+});
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -241,6 +241,7 @@
         if (attempt > 1) break;
         return options.onStartAnswer(run, "refused", "not sent");
       }
+      const { lifetime } = worker;
       try {
         const result = await connection.start({
           term,
@@ -252,10 +253,12 @@
           ticket: ticketFor(run.step, worker, clock.now())?.text,
           timeoutMs: START_TIMEOUT_MS,
         });
-        if (result.kind === "started") {
+        // The confirmation of an earlier lifetime says nothing about this one.
+        if (worker.lifetime !== lifetime) mayBeDelivered = true;
+        else if (result.kind === "started") {
           return options.onStartAnswer(run, "started");
         }
-        reason = result.reason;
+        if (result.kind === "refused") reason = result.reason;
         if (mayBeDelivered || isClosed) break;
         const answer = reason === "unhealthy" ? "unhealthy" : "refused";
         return options.onStartAnswer(run, answer, reason);
@@ -310,6 +313,7 @@
     while (!isClosed && isLeading()) {
       if (run !== undefined && !worker.runs.has(run)) return;
       const recoveriesBefore = recoveries;
+      const { lifetime } = worker;
       try {
         const isAcknowledged = await connection.stop({
           term,
@@ -317,7 +321,11 @@
           number,
           timeoutMs: STOP_TIMEOUT_MS,
         });
-        if (isAcknowledged && !isClosed) return options.onStopAnswer(run);
+        // A worker that restarted meanwhile has forgotten the stop.
+        const isCurrent = worker.lifetime === lifetime;
+        if (isAcknowledged && isCurrent && !isClosed) {
+          return options.onStopAnswer(run);
+        }
       } catch (error) {
         if (!isFailureLogged) {
           log.warn(
