fix(platform): trust connect errors only from connecting

What callers saw: nothing yet; found while the refused connection was decided by test. "Certainly not delivered" now releases a run at once, so it has to be true.

Cause: an error counted as "not delivered" by its code alone, but an open connection can end with ECONNREFUSED, EHOSTUNREACH or ENETUNREACH after the request was sent.

Change: these codes count only from the system call `connect`, or in the AggregateError of all addresses of a name.

Evidence: on the code before, three of the five new tests failed (such an error after the server had read the request was "not delivered"); a port without listener and a reset kept connection were right before and are now.

--- /dev/null
+++ b/packages/platform/__tests__/http_client.test.ts
@@ -0,0 +1,81 @@
+import { subscribe, unsubscribe } from "node:diagnostics_channel";
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { expect } from "chai";
+import {
+  ErrorCode,
+  UnavailableError,
+  UncertainError,
+} from "@rattanhill/shared";
+import { createHttpClient } from "../src/mod.ts";
+
+/** Listens on a free port and passes each request, as it was read, on. */
+async function listen(onRequest: (socket: Socket) => void) {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.on("data", () => onRequest(socket));
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const client = createHttpClient({
+    address: `127.0.0.1:${port}`,
+    connections: 1,
+    errorCode: ErrorCode.workerUnreachable,
+  });
+  const call = (): Promise<unknown> =>
+    client.call({
+      method: "POST",
+      path: "/",
+      step: "test.call",
+      timeoutMs: 700,
+      body: "{}",
+    }).catch((error) => error);
+  const close = async () => {
+    server.close();
+    await client.close();
+  };
+  return { server, port, call, close };
+}
+
+it("http client: a call to a port without listener was not delivered", async () => {
+  const { server, call, close } = await listen(() => {});
+  server.close();
+  await once(server, "close");
+  expect(await call()).to.be.instanceOf(UnavailableError);
+  await close();
+});
+
+it("http client: a call on a kept connection that is reset is uncertain", async () => {
+  let requests = 0;
+  const { server, call, close } = await listen((socket) => {
+    requests += 1;
+    if (requests === 1) {
+      socket.write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+      return;
+    }
+    server.close();
+    socket.resetAndDestroy();
+  });
+  expect(await call()).to.have.property("status", 200);
+  expect(await call()).to.be.instanceOf(UncertainError);
+  expect(requests).to.equal(2);
+  await close();
+});
+
+for (const code of ["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH"]) {
+  it(`http client: ${code} after the request was sent is uncertain`, async () => {
+    let clientSocket: Socket | undefined;
+    const keepSocket = (message: unknown): void => {
+      clientSocket = (message as { socket: Socket }).socket;
+    };
+    subscribe("net.client.socket", keepSocket);
+    const { call, close } = await listen(() => {
+      const error = Object.assign(new Error(code), { code, syscall: "read" });
+      clientSocket!.destroy(error);
+    });
+    expect(await call()).to.be.instanceOf(UncertainError);
+    unsubscribe("net.client.socket", keepSocket);
+    await close();
+  });
+}
--- a/packages/platform/src/http_client.ts
+++ b/packages/platform/src/http_client.ts
@@ -143,14 +143,22 @@
 
 const CONNECT_TIMEOUT_MS: Milliseconds = 1_000;
 // Codes of failures to connect, after which no byte of the request was sent.
-const NOT_DELIVERED_CODES = new Set([
+// An open connection may end with the same codes.
+const NOT_CONNECTED_CODES = new Set([
   "ECONNREFUSED",
   "EHOSTUNREACH",
   "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
 function mayHaveBeenDelivered(cause: unknown): boolean {
-  const code = (cause as { code?: unknown })?.code;
-  return !(typeof code === "string" && NOT_DELIVERED_CODES.has(code));
+  const { code, syscall } = (cause ?? {}) as {
+    code?: unknown;
+    syscall?: unknown;
+  };
+  if (code === "UND_ERR_CONNECT_TIMEOUT") return false;
+  // Node.js throws one AggregateError for all addresses of a name, which has no
+  // system call of its own.
+  const isFromConnect = syscall === "connect" ||
+    cause instanceof AggregateError;
+  return !(isFromConnect && NOT_CONNECTED_CODES.has(code as string));
 }
