fix(cell): wait for the longest lease that a restarted worker can grant

What callers saw: possibly two runs of one task for up to 0.3 s, if a worker restarts unnoticed, starts a run and is then cut off.

Cause: the end of leases was computed from the worker's clock. A restarted worker's clock starts anew, so that it shortens such a lease to the longest one, 10 s by its clock, which is 10,204 ms by ours on the slowest clock; 9,898 ms were waited for, and 10,198 ms after a takeover.

Change: both waits cover the longest lease.

Evidence: the new test fails on the code before (9,919 ms, expected 10,204 at least).

--- a/packages/cell/__tests__/worker_link.test.ts
+++ b/packages/cell/__tests__/worker_link.test.ts
@@ -363,3 +363,14 @@
   await waitUntil(() => stops === 2);
   link.close();
 });
+
+// A restarted worker's clock starts anew, so it shortens a lease by its earlier
+// clock to the longest one.
+it("worker link: a lease by the clock of an earlier lifetime is waited for", async () => {
+  const longestLeaseMs = 10_000 / 0.98;
+  const openedAt = createSystemClock().now();
+  const { link, worker } = await openLink({});
+  await waitUntil(() => worker.leasesEndBy > 0);
+  link.close();
+  expect(worker.leasesEndBy - openedAt).to.be.at.least(longestLeaseMs);
+});
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -72,12 +72,14 @@
 // Lowest rate, relative to the lead's clock, at which a worker's clock is
 // assumed to run.
 const MINIMUM_CLOCK_RATE = 0.98;
+// Longest lease that a worker grants, by the lead's clock. A worker that has
+// restarted unnoticed shortens a lease by its earlier clock to this.
+const LONGEST_LEASE_MS: Milliseconds = Math.ceil(10_000 / MINIMUM_CLOCK_RATE);
 /**
  * Time after a takeover by which all leases granted by earlier leads have
  * expired, with a margin of 300 ms.
  */
-export const INHERITED_LEASE_MS: Milliseconds = WORKER_LEASE_MS /
-    MINIMUM_CLOCK_RATE + 300;
+export const INHERITED_LEASE_MS: Milliseconds = LONGEST_LEASE_MS + 300;
 // Time for which a worker may wait for a run to end before it answers a poll.
 // It is the longest wait that workers accept, because each poll costs the lead
 // processor time.
@@ -135,7 +137,11 @@
     );
     const latestEnd = clockReading.at +
       (leaseUntil - clockReading.clock) / MINIMUM_CLOCK_RATE;
-    worker.leasesEndBy = Math.max(worker.leasesEndBy, latestEnd);
+    worker.leasesEndBy = Math.max(
+      worker.leasesEndBy,
+      latestEnd,
+      now + LONGEST_LEASE_MS,
+    );
     return leaseUntil;
   };
 
