fix(cell): send stops again over a new link to a worker

What callers saw: possibly a cancelled task that ran on, and a task that never moved from a restarted worker.

Cause: a stop belonged to the link that it was sent over. It was dropped while the worker had no address (its entry had lapsed when a new lead took over), and ended with the link when the worker restarted at another address; nothing sent it again, while polls renewed the lease.

Change: a new link sends the stops of all runs that are to stop.

--- /dev/null
+++ b/packages/cell/__tests__/cell_lead.test.ts
@@ -0,0 +1,180 @@
+import { expect } from "chai";
+import {
+  createSystemClock,
+  ErrorCode,
+  pause,
+  silentLogger,
+  UncertainError,
+} from "@rattanhill/shared";
+import { createJobBook, type WorkerEntry } from "@rattanhill/scheduler";
+import {
+  createCellLead,
+  createMetrics,
+  type HoldAnswer,
+  type WorkerConnection,
+} from "../src/mod.ts";
+import { createMemoryStore } from "./memory_store.ts";
+
+const unanswered = new UncertainError(ErrorCode.workerUnreachable, "none", {
+  step: "worker.call",
+  peer: "w",
+});
+const ENTRY: WorkerEntry = {
+  id: "w",
+  lifetime: 1,
+  service: "planner",
+  address: "a1",
+  zone: "z",
+  labels: ["r"],
+  rack: "r",
+  capacity: { milliCores: 8_000, memoryMegabytes: 8_000, accelerators: 8 },
+  isDraining: false,
+  remainingMs: 0,
+};
+
+async function startLead({ isRestored = false } = {}) {
+  const clock = createSystemClock();
+  const { store } = createMemoryStore();
+  const book = createJobBook();
+  const calls: string[] = [];
+  let running: HoldAnswer["running"] = [];
+  /** Addresses at which a worker answers, with its lifetime. */
+  const answering = new Map([["a1", 1]]);
+  const connect = (_id: string, address: string): WorkerConnection => ({
+    hold: async ({ waitMs }) => {
+      await pause(Math.min(waitMs, 20) + 1);
+      const lifetime = answering.get(address);
+      if (lifetime === undefined) throw unanswered;
+      return { clock: clock.now(), lifetime, running, ended: [] };
+    },
+    start: async ({ task, number }) => {
+      if (!answering.has(address)) throw unanswered;
+      calls.push(`start ${number} ${address}`);
+      running = [{ task, number, checkpoint: "", percent: 0 }];
+      return { kind: "started", clock: clock.now() };
+    },
+    stop: async ({ number }) => {
+      if (!answering.has(address)) throw unanswered;
+      calls.push(`stop ${number} ${address}`);
+      running = [];
+      return true;
+    },
+    close: async () => {},
+  });
+  const lead = createCellLead({
+    store,
+    topic: "journal",
+    progressTopic: "progress",
+    term: 1,
+    book,
+    clock,
+    log: silentLogger,
+    connect,
+    isLeading: () => true,
+    waitForBook: async () => {},
+    listWorkers: async () => ({
+      entries: isRestored ? [] : [ENTRY],
+      left: new Set(),
+    }),
+    rules: () => ({
+      queues: new Map([["q", {
+        name: "q",
+        service: "planner",
+        priority: 1,
+        maximumAttempts: 3,
+        stretch: 2,
+        targetMs: 500,
+      }]]),
+      guarantees: new Map(),
+      deployment: { remoteFactor: 3, reclaimMs: 3000, stopMs: 500 },
+    }),
+    keepEndedMs: 60_000,
+    metrics: createMetrics(),
+  });
+  const spec = {
+    id: "j",
+    queue: "q",
+    account: "t",
+    payload: "",
+    service: "planner",
+    submittedAt: clock.wallTime(),
+    steps: [{
+      taskCount: 1,
+      milliCores: 1,
+      memoryMegabytes: 1,
+      accelerators: 1,
+      estimateMs: 60_000,
+      after: [],
+    }],
+  };
+  if (isRestored) {
+    const task = { job: "j", occurrence: 0, step: 0, index: 0 };
+    running = [{ task, number: 1, checkpoint: "", percent: 0 }];
+    book.apply({ kind: "submission", spec });
+    book.apply({
+      kind: "progress",
+      step: "j.0.0",
+      progress: {
+        highestRun: 1,
+        done: [],
+        runs: [[0, 1, "w", 1, ""]],
+        failures: [],
+        checkpoints: [],
+        crashes: [],
+      },
+    });
+    book.apply({ kind: "cancellation", job: "j" });
+  }
+  await lead.start();
+  if (!isRestored) lead.submitJob(spec);
+  const waitFor = async (call: string, ms: number) => {
+    for (let t = 0; t < ms && !calls.includes(call); t += 20) await pause(20);
+    return calls;
+  };
+  if (!isRestored) {
+    expect(await waitFor("start 1 a1", 2_000)).to.include("start 1 a1");
+  }
+  return {
+    lead,
+    calls,
+    answering,
+    waitFor,
+    loseRuns: () => running = [],
+  };
+}
+
+it("cell lead: a worker that restarts at another address gets the stop", async () => {
+  const { lead, answering, waitFor, loseRuns } = await startLead();
+  answering.clear();
+  loseRuns();
+  await pause(300);
+  answering.set("a2", 2);
+  lead.updateWorkers({
+    entries: [{ ...ENTRY, lifetime: 2, address: "a2" }],
+    left: new Set(),
+  });
+  const calls = await waitFor("start 2 a2", 14_000);
+  lead.close();
+  expect(calls).to.include("start 2 a2");
+});
+
+it("cell lead: a run that a lost stop was meant for is stopped once listed", async () => {
+  // The list has lapsed in an outage of the store when this lead takes over.
+  const { lead, waitFor } = await startLead({ isRestored: true });
+  lead.updateWorkers({ entries: [ENTRY], left: new Set() });
+  const calls = await waitFor("stop 1 a1", 5_000);
+  lead.close();
+  expect(calls).to.include("stop 1 a1");
+});
+
+it("cell lead: a worker that restarts at its address gets the stop", async () => {
+  const { lead, answering, waitFor, loseRuns } = await startLead();
+  answering.clear();
+  loseRuns();
+  await pause(300);
+  answering.set("a1", 2);
+  lead.updateWorkers({ entries: [{ ...ENTRY, lifetime: 2 }], left: new Set() });
+  const calls = await waitFor("start 2 a1", 5_000);
+  lead.close();
+  expect(calls).to.include("start 2 a1");
+});
--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -12,8 +12,10 @@
   type JobBook,
   type JobSpec,
   type Rules,
+  RunPhase,
   type Scheduler,
   type StoredJob,
+  taskNameOf,
   withProgress,
   type WorkerCommand,
   type WorkerListing,
@@ -163,6 +165,18 @@
       onStopAnswer: (run) => scheduler?.handleStopAnswer(run),
     });
     links.set(worker, { link, address: worker.address });
+    // Stops that the earlier link had not delivered are lost with it.
+    for (const run of worker.runs) {
+      if (run.phase !== RunPhase.stopping) continue;
+      const { number } = run;
+      link.sendCommand({
+        kind: "stop",
+        worker,
+        task: taskNameOf(run),
+        number,
+        run,
+      });
+    }
     return link;
   };
 
