fix(scheduler): fail a restored job whose attempts are used up

What callers saw: possibly one more start after the last allowed failure.

Cause: progress and outcome are stored in two topics. If the lead ends between the two appends, the next one restores a job with all failures and no outcome, and only looked at the limit when another run failed.

Change: a restored job whose stored failures reach the limit of its queue fails.

Evidence: the new test fails on the code before (a fourth start of three).

--- a/packages/scheduler/__tests__/takeover.test.ts
+++ b/packages/scheduler/__tests__/takeover.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import fc from "fast-check";
+import { createCell, job } from "./cell_fixture.ts";
 import {
   EVENT_KINDS,
   type InjectedFault,
@@ -90,3 +91,26 @@
   expect(simulate()).to.deep.equal([]);
   expect(simulate("startAfterLease")).not.to.deep.equal([]);
 });
+
+it("takeover: a job whose attempts are used up starts no further run", () => {
+  const cell = createCell({ workers: 4 });
+  cell.submit(job("a"));
+  for (let attempt = 1; attempt <= 2; attempt++) {
+    cell.settle();
+    cell.end("a", "failed");
+  }
+  cell.settle();
+  cell.end("a", "failed");
+  cell.clock.advance(1);
+  cell.pollWorkers();
+  const batch = cell.scheduler.takeBatch()!;
+  expect(batch.outcomes).to.have.length(1);
+  const next = createCell({ workers: 4 });
+  next.book.apply({ kind: "submission", spec: cell.book.find("a")!.spec });
+  for (const record of batch.records) {
+    if (record.kind === "progress") cell.book.apply(record);
+  }
+  next.scheduler.restore(cell.book.find("a")!, next.clock.now());
+  next.settle();
+  expect(next.runs("a")).to.deep.equal([]);
+});
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -6,9 +6,12 @@
   completeJobIfDone,
   createCellState,
   deleteJobIfFinished,
+  failJob,
   getOrCreateStep,
   isOver,
+  needsOf,
   releaseRun,
+  type Resources,
   type Run,
   RunPhase,
   setJobOutcome,
@@ -22,6 +25,7 @@
   recordAdvice,
 } from "./advice.ts";
 import { createCrashBlame } from "./crash_blame.ts";
+import { isEligible } from "./placement.ts";
 import type { StoredJob } from "./job_book.ts";
 import type { JobSpec, RunEnd, TaskName } from "./job_types.ts";
 import { type CellLoad, createPlanner } from "./planner.ts";
@@ -283,6 +287,12 @@
       }
       if (isCancelled) cancel(spec.id);
       completeJobIfDone(state, job);
+      const limit = planner.findQueueRules(spec.queue)?.maximumAttempts ??
+        Infinity;
+      const isSpent = [...job.steps.values()].some(({ failures }) =>
+        [...failures.values()].some((count) => count >= limit)
+      );
+      if (isSpent && !isOver(job)) failJob(state, job, stop);
     },
     removeProgress,
     submit: (spec) => {
