fix(scheduler): check the worker again once a placement is stored

What callers saw: possibly a start over a capacity that had shrunk, on a worker without the required label, or of single members of a gang.

Cause: between placing and the store's answer, which takes seconds while the store is slow, a worker may shrink, drain, or restart as another kind. Only its listing was checked before the start.

Change: the start is withdrawn unless the worker is listed, alive, not draining, fits the step's label and holds its runs within its capacity; a gang is withdrawn as a whole.

Evidence: the three new tests fail on the code before (a start is sent in each).

--- /dev/null
+++ b/packages/scheduler/__tests__/stored_placement.test.ts
@@ -0,0 +1,42 @@
+import { expect } from "chai";
+import { createCell, job, step } from "./cell_fixture.ts";
+
+it("stored placement: no start over a capacity that shrank meanwhile", () => {
+  const cell = createCell({ workers: 1 });
+  cell.submit(job("a", { steps: [step({ accelerators: 4 })] }));
+  cell.scheduler.plan();
+  const batch = cell.scheduler.takeBatch()!;
+  const { capacity } = cell.entries[0];
+  cell.entries[0] = {
+    ...cell.entries[0],
+    capacity: { ...capacity, accelerators: 3 },
+  };
+  cell.updateListing();
+  cell.scheduler.handleBatchStored(batch);
+  expect(cell.commands.map(({ kind }) => kind)).to.deep.equal([]);
+});
+
+it("stored placement: no start on a lifetime without the required label", () => {
+  const cell = createCell({ workers: 1 });
+  cell.submit(job("a", { steps: [step({ requiredLabel: "a" })] }));
+  cell.scheduler.plan();
+  const batch = cell.scheduler.takeBatch()!;
+  cell.entries[0] = { ...cell.entries[0], lifetime: 2, labels: ["b"] };
+  cell.fleet.get("w0")!.crash();
+  cell.updateListing();
+  cell.scheduler.handleBatchStored(batch);
+  cell.storeBatch();
+  expect(cell.commands.map(({ kind }) => kind)).to.deep.equal([]);
+});
+
+it("stored placement: no member of a gang starts if one cannot", () => {
+  const cell = createCell({ workers: 2 });
+  cell.submit(job("g", {
+    steps: [step({ taskCount: 2, accelerators: 8, isGang: true })],
+  }));
+  cell.scheduler.plan();
+  const batch = cell.scheduler.takeBatch()!;
+  cell.scheduler.recordReplacement(cell.scheduler.state.workers.get("w0")!);
+  cell.scheduler.handleBatchStored(batch);
+  expect(cell.commands.map(({ kind }) => kind)).to.deep.equal([]);
+});
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -428,8 +428,19 @@
       }
       for (const run of starting) {
         if (run.phase !== RunPhase.storing) continue;
-        const { isListed, hasEnded } = run.worker;
-        if (run.stopReason !== undefined || !isListed || hasEnded) {
+        if (!mayStart(run)) {
+          const { step } = run;
+          releaseRun(state, run);
+          for (const member of step.spec.isGang ? step.runs.values() : []) {
+            stop(member, "a member of the gang was not started");
+          }
+        }
+      }
+      for (const run of starting) {
+        if (run.phase !== RunPhase.storing || !run.worker.runs.has(run)) {
+          continue;
+        }
+        if (run.stopReason !== undefined) {
           releaseRun(state, run);
           continue;
         }
@@ -446,6 +457,22 @@
     },
   };
 
+  /**
+   * Returns whether a run whose placement is stored may be started. Its worker
+   * may have changed while the placement was being stored.
+   */
+  function mayStart({ stopReason, step, worker }: Run): boolean {
+    const { isListed, hasEnded, isDraining, used, capacity } = worker;
+    if (stopReason !== undefined || !isListed || hasEnded || isDraining) {
+      return false;
+    }
+    if (!isEligible(step, worker)) return false;
+    const needs = needsOf(step.spec);
+    return (Object.keys(needs) as (keyof Resources)[]).every((name) =>
+      needs[name] === 0 || used[name] <= capacity[name]
+    );
+  }
+
   function removeProgress(steps: Iterable<string>): void {
     for (const step of steps) state.removedSteps.add(step);
   }
