fix(scheduler): keep the crashes of a blamed task and of its fellow suspects

What callers saw: possibly a crashing task that is started six times.

Cause: a crash that a task was blamed for was struck off all records: off its own, so that a next lead that has not read the outcome starts from zero, and off those of its fellow suspects, one of which may have caused it.

Change: the blamed job keeps its crashes. For another suspect an explained crash counts no longer as a suspicion, but still towards the limit of four.

Evidence: both new tests fail on the code before (no crash stored with the progress; six starts of two tasks that crash workers together, five allowed).

--- a/packages/scheduler/__tests__/crash_blame.test.ts
+++ b/packages/scheduler/__tests__/crash_blame.test.ts
@@ -1,5 +1,15 @@
 import { expect } from "chai";
-import { decodeRecord } from "../src/mod.ts";
+import { silentLogger } from "@rattanhill/shared";
+import {
+  addJob,
+  createCellState,
+  createCrashBlame,
+  decodeRecord,
+  getOrCreateStep,
+  isOver,
+  type Run,
+  type WorkerState,
+} from "../src/mod.ts";
 import { createCell, job, step } from "./cell_fixture.ts";
 import { createFakeWorker } from "./fake_worker.ts";
 
@@ -185,3 +195,58 @@
   if (record?.kind !== "progress") throw new Error("expected progress");
   expect(record.progress.crashes).to.deep.equal([]);
 });
+
+it("crash blame: progress without the outcome still knows the crashes", () => {
+  const cell = createCellOnVms(4);
+  cell.submit(job("bad"));
+  for (let crash = 1; crash <= 2; crash++) {
+    cell.settle();
+    replaceWorker(cell, cell.runs("bad")[0].worker);
+    cell.clock.advance(1);
+  }
+  cell.pollWorkers();
+  cell.scheduler.plan();
+  const batch = cell.scheduler.takeBatch()!;
+  expect(batch.outcomes).to.have.length(1);
+  const [progress] = batch.records.flatMap((record) =>
+    record.kind === "progress" ? [record.progress] : []
+  );
+  expect(progress.crashes.flatMap(([, met]) => met)).to.have.length(2);
+});
+
+it("crash blame: a crashing task that another cleared is started 5 times at most", () => {
+  const state = createCellState();
+  let now = 0;
+  const blame = createCrashBlame({
+    state,
+    now: () => now,
+    stop: () => {},
+    log: silentLogger,
+  });
+  let workers = 0;
+  /** Crashes a worker of its own VM that was just told to start these jobs. */
+  const crash = (...names: string[]): void => {
+    now += 5_000;
+    workers += 1;
+    const worker = {
+      id: `w${workers}`,
+      vm: `m${workers}`,
+      reportedAt: now,
+    } as WorkerState;
+    const runs = names.map((name) => {
+      const step = getOrCreateStep(addJob(state, job(name), now), 0, 0);
+      return { step, index: 0, worker, lifetime: 1 } as Run;
+    });
+    blame.recordCrash(worker, runs);
+  };
+  // Both crash each worker that starts them.
+  for (let n = 0; n < 3; n++) crash("a", "b");
+  crash("a");
+  expect(isOver(state.jobs.get("a")!)).to.equal(true);
+  let starts = 3;
+  while (!isOver(state.jobs.get("b")!)) {
+    starts += 1;
+    crash("b", `x${starts}`);
+  }
+  expect(starts).to.be.at.most(5);
+});
--- a/packages/scheduler/src/crash_blame.ts
+++ b/packages/scheduler/src/crash_blame.ts
@@ -99,15 +99,19 @@
       ![...jobs].some((job) => earlier.jobs.has(job));
   };
 
-  /** Clears all tasks of a crash that one of them has been blamed for. */
+  /** Clears the other tasks of a crash that one of them has been blamed for. */
   const explainCrash = (key: string): void => {
     for (const [vm, crash] of vmCrashes) {
       if (crash.key === key) vmCrashes.delete(vm);
     }
     for (const step of stepsOf(state)) {
+      // The next lead may have to fail the job once more.
+      if (isOver(step.job)) continue;
       for (const { met, suspected } of step.crashes.values()) {
-        suspected.delete(key);
-        if (met.delete(key)) state.unsavedSteps.add(step);
+        // It still counts for other suspects, one of which may have caused it.
+        if (suspected.delete(key) || met.delete(key)) {
+          state.unsavedSteps.add(step);
+        }
       }
     }
   };
