fix(scheduler): do not return to a past lifetime of a worker

What callers saw: possibly a run that is stopped and placed again without need.

Cause: after such a restart the worker's entry still names the past lifetime until its next heartbeat, and each change of the list applied it as another restart.

Change: past lifetimes are remembered; entries and reports that name one are of the past.

Evidence: the new test fails on the code before (second run, expected the first).

--- a/packages/scheduler/__tests__/earlier_lifetime.test.ts
+++ b/packages/scheduler/__tests__/earlier_lifetime.test.ts
@@ -68,3 +68,22 @@
   cell.scheduler.handleBatchStored(batch);
   expect(cell.scheduler.state.workers.get("w0")!.lastStoredEnd).to.equal(0);
 });
+
+it("roster: an entry of a superseded lifetime does not bring it back", () => {
+  const cell = createCell({ workers: 1 });
+  cell.entries[0] = { ...cell.entries[0], lifetime: 5 };
+  cell.fleet.get("w0")!.lifetime = 5;
+  cell.updateListing();
+  cell.settle();
+  // Restarts under its id after its clock stepped back; its entry is renewed
+  // only later, while the entries of other workers change.
+  cell.fleet.get("w0")!.crash();
+  cell.fleet.get("w0")!.lifetime = 3;
+  cell.settle();
+  cell.submit(job("a"));
+  cell.settle();
+  expect(cell.runs("a").map(({ number }) => number)).to.deep.equal([1]);
+  cell.updateListing();
+  cell.settle();
+  expect(cell.runs("a").map(({ number }) => number)).to.deep.equal([1]);
+});
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -159,6 +159,8 @@
 
 /** A worker as the lead of its cell knows it. */
 export interface WorkerState extends WorkerEntry {
+  /** Its earlier lifetimes. */
+  pastLifetimes: Set<number>;
   /** Monotonic time at which its current lifetime was first read. */
   lifetimeReadAt: Milliseconds;
   /** Capacity that its runs occupy. */
--- a/packages/scheduler/src/worker_roster.ts
+++ b/packages/scheduler/src/worker_roster.ts
@@ -91,6 +91,7 @@
     const worker: WorkerState = {
       id,
       lifetime: 0,
+      pastLifetimes: new Set(),
       lifetimeReadAt: 0,
       service: "",
       address: "",
@@ -137,6 +138,7 @@
   const setLifetime = (worker: WorkerState, lifetime: number): void => {
     const isFirst = worker.lifetime === 0;
     if (!isFirst && !worker.hasEnded) reportCrash(worker, findLostRuns(worker));
+    if (!isFirst) worker.pastLifetimes.add(worker.lifetime);
     worker.lifetime = lifetime;
     worker.lifetimeReadAt = now();
     if (isFirst) return;
@@ -211,8 +213,8 @@
       if (lifetime === 0 || lifetime === worker.lifetime) return true;
       // The clock of a VM may step back, so a restarted worker may name an
       // earlier start.
-      const isLate = lifetime < worker.lifetime &&
-        askedAt <= worker.lifetimeReadAt;
+      const isLate = worker.pastLifetimes.has(lifetime) ||
+        lifetime < worker.lifetime && askedAt <= worker.lifetimeReadAt;
       if (!isLate) setLifetime(worker, lifetime);
       return !isLate;
     },
@@ -223,7 +225,10 @@
         const knownWorker = state.workers.get(entry.id);
         const worker = knownWorker ?? createWorker(entry.id);
         // The entry belongs to an earlier lifetime or does not give one.
-        if (entry.lifetime < worker.lifetime) continue;
+        if (
+          entry.lifetime < worker.lifetime ||
+          worker.pastLifetimes.has(entry.lifetime)
+        ) continue;
         if (!worker.isListed) {
           const { id, zone, vm, address, lifetime } = entry;
           log.info(
