fix(cell): ignore an answer from the address of an earlier lifetime

What callers saw: possibly a worker that gets no work any more.

Cause: a worker that restarts at another address is known by its entry before the old link is closed. An answer of another worker at the old address then ended the new lifetime for good.

Change: such an answer counts only if the lifetime is the one that was asked.

Evidence: the new test fails without the check (one replacement, expected none).

--- a/packages/cell/__tests__/worker_link.test.ts
+++ b/packages/cell/__tests__/worker_link.test.ts
@@ -374,3 +374,21 @@
   link.close();
   expect(worker.leasesEndBy - openedAt).to.be.at.least(longestLeaseMs);
 });
+
+it("worker link: an answer at the address of an earlier lifetime ends no other", async () => {
+  let polls = 0;
+  const { worker, replacements } = await openLink({
+    hold: async () => {
+      await pause(POLL_INTERVAL_MS);
+      polls += 1;
+      if (polls === 1) {
+        return { clock: 0, lifetime: 1, running: [], ended: [] };
+      }
+      if (polls === 2) worker.lifetime += 1;
+      return polls === 2 ? undefined : await new Promise(() => {});
+    },
+  });
+  await waitUntil(() => polls >= 2);
+  await pause(2 * POLL_INTERVAL_MS);
+  expect(replacements()).to.equal(0);
+});
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -151,6 +151,7 @@
    */
   const pollWorker = async (waitMs: Milliseconds): Promise<void> => {
     const askedAt = clock.now();
+    const { lifetime: askedLifetime } = worker;
     const answer = await connection.hold({
       term,
       // A worker that does not answer gets no renewal, so that its leases
@@ -162,7 +163,8 @@
     });
     if (isClosed) return;
     if (answer === undefined) {
-      options.onReplacement();
+      // A worker that restarted meanwhile may have another address.
+      if (worker.lifetime === askedLifetime) options.onReplacement();
       throw new Error("another worker answered at its address");
     }
     const { lifetime, running, ended } = answer;
