fix(scheduler): suspect only tasks that started a short time before a crash

What callers saw: possibly an innocent job that fails. Found by the reviewer: a task that has run for minutes, alone on its worker, was blamed for the second crash; and after a change of lead all runs of a worker that had drained and left were suspects.

Cause: without a run that no report had listed, all runs were suspects; crashes never aged; restored runs count as unreported.

Change: reported runs are suspects for 5 s only. A task that runs on for a minute is cleared of earlier crashes. A worker that has not answered this lead makes no task a suspect; its crash still counts towards the limit of four.

Evidence: the three new tests fail on the code before (twice "failed", expected "running"; one suspected crash, expected none).

--- a/packages/scheduler/__tests__/crash_blame.test.ts
+++ b/packages/scheduler/__tests__/crash_blame.test.ts
@@ -250,3 +250,43 @@
   }
   expect(starts).to.be.at.most(5);
 });
+
+for (const isLongRunning of [true, false]) {
+  it(`crash blame: two crashes fail no job that ran for minutes, long-running ${isLongRunning}`, () => {
+    const cell = createCellOnVms(4);
+    cell.submit(job("a", { steps: [step({ isLongRunning })] }));
+    for (let crash = 1; crash <= 2; crash++) {
+      for (let minute = 0; minute < 600; minute++) {
+        cell.clock.advance(900);
+        cell.pollWorkers();
+        for (
+          const run of cell.fleet.get(cell.runs("a")[0]?.worker ?? "")
+            ?.running.values() ?? []
+        ) {
+          run.percent = Math.min(99, run.percent + 0.1);
+        }
+        cell.scheduler.plan();
+        if (minute === 0) cell.settle();
+      }
+      replaceWorker(cell, cell.runs("a")[0].worker);
+      cell.clock.advance(1);
+    }
+    cell.settle();
+    expect(cell.book.stateOf("a")).to.equal("running");
+  });
+}
+
+it("crash blame: an end before the takeover makes no task suspect", () => {
+  const cell = createCellOnVms(1);
+  cell.submit(job("a"));
+  cell.settle();
+  // The worker drains, exits and is replaced while no lead is there.
+  const next = createCell({ workers: 0 });
+  next.entries.push({ ...cell.entries[0], id: "w9" });
+  next.fleet.set("w9", createFakeWorker("w9"));
+  next.updateListing();
+  next.scheduler.restore(cell.book.find("a")!, next.clock.now() + 10_300);
+  next.settle();
+  const restored = next.scheduler.state.jobs.get("a")!.steps.get("a.0.0")!;
+  expect(restored.crashes.get(0)?.suspected.size ?? 0).to.equal(0);
+});
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -56,8 +56,8 @@
   firstPercent?: { percent: number; at: Milliseconds };
   /** Newest checkpoint; empty if there is none. */
   checkpoint: string;
-  /** Whether a report of its worker has listed it. */
-  isReported: boolean;
+  /** Monotonic time at which a report of its worker first listed it. */
+  reportedSince?: Milliseconds;
 }
 
 /** A step of one occurrence of a job. */
--- a/packages/scheduler/src/crash_blame.ts
+++ b/packages/scheduler/src/crash_blame.ts
@@ -58,6 +58,8 @@
 // Number of crashes at which a task is given up even if others are suspected
 // of them, which bounds the workers that it can take down.
 const MAXIMUM_CRASHES = 4;
+// Time for which a reported run may still have crashed its worker by starting.
+const FRESH_RUN_MS: Milliseconds = 5_000;
 // Time for which a VM that crashed is used last. If it crashes again within
 // this time under other tasks, the VM itself is to blame.
 const UNSTABLE_VM_MS: Milliseconds = 30_000;
@@ -138,7 +140,7 @@
     recordCrash: (worker, runs) => {
       if (runs.length === 0) return;
       const key = crashKeyOf(worker, runs[0]);
-      const suspects = findSuspects(runs);
+      const suspects = findSuspects(worker, runs);
       const jobs = new Set(suspects.map(({ step }) => step.job));
       const isVmToBlame = isUnstable(worker, jobs);
       if (worker.vm !== undefined) {
@@ -197,11 +199,22 @@
 /**
  * Returns the runs that may have crashed their worker. A task that crashes its
  * worker does so when it starts, so these are the runs that no report has listed
- * yet; if there is none, all runs.
+ * yet; if there is none, those that were first listed a short time ago.
  */
-function findSuspects(runs: readonly Run[]): readonly Run[] {
-  const unreported = runs.filter(({ isReported }) => !isReported);
-  return unreported.length > 0 ? unreported : runs;
+function findSuspects(
+  { reportedAt }: WorkerState,
+  runs: readonly Run[],
+): readonly Run[] {
+  // A restored worker that has not answered this lead may have drained, and
+  // which of its runs were reported is not known.
+  if (reportedAt === 0) return [];
+  const unreported = runs.filter(({ reportedSince }) =>
+    reportedSince === undefined
+  );
+  if (unreported.length > 0) return unreported;
+  return runs.filter(({ reportedSince }) =>
+    reportedAt - reportedSince! < FRESH_RUN_MS
+  );
 }
 
 /**
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -291,7 +291,6 @@
         percent: 0,
         percentAt: placedAt,
         checkpoint: step.checkpoints.get(step.spec.isGang ? 0 : index) ?? "",
-        isReported: false,
       });
     }
     state.unsavedSteps.add(step);
--- a/packages/scheduler/src/run_ends.ts
+++ b/packages/scheduler/src/run_ends.ts
@@ -188,6 +188,9 @@
   failJob(options.state, job, options.stop);
 }
 
+// Time as a reported run after which its task is cleared of earlier crashes.
+const INNOCENT_RUN_MS: Milliseconds = 60_000;
+
 /**
  * Updates the phase, progress and checkpoint of a run that its worker reports.
  */
@@ -199,7 +202,11 @@
   if (run.phase === RunPhase.ordered) run.phase = RunPhase.running;
   run.absenceProvableFrom ??= now;
   run.uncertainSince = undefined;
-  run.isReported = true;
+  run.reportedSince ??= now;
+  // A task that runs on for long does not crash its worker by starting.
+  if (now - run.reportedSince > INNOCENT_RUN_MS) {
+    run.step.crashes.delete(run.index);
+  }
   if (reported.percent !== run.percent) {
     run.percent = reported.percent;
     run.percentAt = now;
--- a/packages/scheduler/src/worker_roster.ts
+++ b/packages/scheduler/src/worker_roster.ts
@@ -304,7 +304,6 @@
         percent: 0,
         percentAt: now(),
         checkpoint: "",
-        isReported: false,
       };
       addRun(run);
       if (lifetime === 0 || lifetime >= worker.lifetime) return;
