fix(scheduler): count a crash that becomes known after the leases

What callers saw: possibly a crashing task that is started without bound, if its workers stay away for longer than their leases.

Cause: a crash was counted against the runs that the worker still had when its successor answered; by then they had been released. Restored runs of several lifetimes were also counted as one crash.

Change: runs that are released with their leases are remembered for a minute, and counted as crashed when a successor answers or the worker has restarted; not if the worker itself answers again. Each lifetime of restored runs is one crash.

Evidence: both new tests fail on the code before (10 starts in 10 rounds, five allowed; one crash for two lifetimes).

--- a/packages/scheduler/__tests__/crash_blame.test.ts
+++ b/packages/scheduler/__tests__/crash_blame.test.ts
@@ -290,3 +290,54 @@
   const restored = next.scheduler.state.jobs.get("a")!.steps.get("a.0.0")!;
   expect(restored.crashes.get(0)?.suspected.size ?? 0).to.equal(0);
 });
+
+it("crash blame: a crash is counted though the successor answers after the leases", () => {
+  const cell = createCellOnVms(3);
+  cell.submit(job("bad"));
+  let starts = 0;
+  for (let round = 0; round < 10; round++) {
+    cell.settle();
+    const [run] = cell.runs("bad");
+    if (run === undefined) break;
+    starts = run.number;
+    const id = run.worker;
+    cell.fleet.delete(id);
+    cell.scheduler.recordNoAnswer(cell.scheduler.state.workers.get(id)!);
+    const index = cell.entries.findIndex((entry) => entry.id === id);
+    const [entry] = cell.entries.splice(index, 1);
+    cell.updateListing();
+    cell.clock.advance(11_000);
+    cell.scheduler.plan();
+    const lateId = `late-${round}`;
+    cell.entries.push({ ...entry, id: lateId });
+    cell.fleet.set(lateId, createFakeWorker(lateId));
+    cell.updateListing();
+  }
+  expect(starts).to.be.at.most(5);
+});
+
+it("crash blame: restored runs of two lifetimes are two crashes", () => {
+  const cell = createCellOnVms(1);
+  cell.submit(job("a"));
+  cell.submit(job("b"));
+  cell.settle();
+  const next = createCellOnVms(1);
+  next.entries[0] = { ...next.entries[0], lifetime: 3 };
+  next.fleet.get("w0")!.lifetime = 3;
+  next.updateListing();
+  for (const id of ["a", "b"]) {
+    const stored = cell.book.find(id)!;
+    if (id === "b") {
+      for (const record of stored.steps.values()) record.runs[0][3] = 2;
+    }
+    next.scheduler.restore(stored, next.clock.now() + 10_300);
+  }
+  next.scheduler.plan();
+  const of = (
+    id: string,
+  ) => [
+    ...next.scheduler.state.jobs.get(id)!.steps.get(`${id}.0.0`)!.crashes
+      .get(0)!.met,
+  ];
+  expect([of("a"), of("b")]).to.deep.equal([["w0/1"], ["w0/2"]]);
+});
--- a/packages/scheduler/src/worker_roster.ts
+++ b/packages/scheduler/src/worker_roster.ts
@@ -70,6 +70,18 @@
   log: Logger;
 }
 
+/** Runs that a silent worker lost when its leases expired. */
+interface ExpiredLoss {
+  worker: WorkerState;
+  lifetime: number;
+  lostRuns: Run[];
+  /** Monotonic time at which they were released. */
+  at: Milliseconds;
+}
+
+// Time for which the crash of a worker counts after its leases have expired.
+const LATE_CRASH_MS: Milliseconds = 60_000;
+
 const NO_RESOURCES: Resources = {
   milliCores: 0,
   memoryMegabytes: 0,
@@ -84,6 +96,8 @@
  */
 export function createWorkerRoster(options: WorkerRosterOptions): WorkerRoster {
   const { state, now, stop, onCrash, log } = options;
+  /** Runs whose leases expired before it was known whether they had crashed. */
+  let expiredLosses: ExpiredLoss[] = [];
   /** Restored runs whose worker had restarted before, by worker. */
   const restoredLosses = new Map<WorkerState, Run[]>();
 
@@ -202,10 +216,36 @@
     const { vm, isListed, silentSince, reportedAt } = worker;
     if (vm === undefined || worker.runs.size === 0) return false;
     if (isListed && silentSince === undefined) return false;
-    return [...state.workers.values()].some((other) =>
-      other !== worker && other.vm === vm &&
-      other.lastAnsweredPollAt > reportedAt
+    return isAnsweredOn(vm, worker.id, reportedAt);
+  };
+
+  /** Returns whether another worker on a VM answered a poll sent after a time. */
+  const isAnsweredOn = (
+    vm: string | undefined,
+    exceptId: string,
+    after: Milliseconds,
+  ): boolean =>
+    vm !== undefined &&
+    [...state.workers.values()].some((other) =>
+      other.id !== exceptId && other.vm === vm &&
+      other.lastAnsweredPollAt > after
     );
+
+  /**
+   * Reports a crash that became known after the leases had expired.
+   *
+   * @returns whether it is still unknown what became of the worker
+   */
+  const checkExpiredLoss = (loss: ExpiredLoss): boolean => {
+    const { worker, lifetime, lostRuns, at } = loss;
+    const current = state.workers.get(worker.id);
+    const hasRestarted = current !== undefined && current.lifetime !== lifetime;
+    if (hasRestarted || isAnsweredOn(worker.vm, worker.id, at)) {
+      reportCrash(worker, lostRuns);
+      return false;
+    }
+    const isAlive = current !== undefined && current.lastAnsweredPollAt > at;
+    return !isAlive && now() - at < LATE_CRASH_MS;
   };
 
   return {
@@ -310,8 +350,13 @@
       restoredLosses.set(worker, [...restoredLosses.get(worker) ?? [], run]);
     },
     releaseLostRuns: () => {
-      for (const [worker, runs] of restoredLosses) onCrash(worker, runs);
+      for (const [worker, runs] of restoredLosses) {
+        for (const lifetime of new Set(runs.map((run) => run.lifetime))) {
+          onCrash(worker, runs.filter((run) => run.lifetime === lifetime));
+        }
+      }
       restoredLosses.clear();
+      expiredLosses = expiredLosses.filter(checkExpiredLoss);
       for (const worker of [...state.workers.values()]) {
         if (hasSuccessor(worker)) {
           recordProcessEnd(worker, "another worker answers on its VM");
@@ -320,6 +365,11 @@
         if (hasDeparted) {
           releaseSentRuns(worker, "run lost: its worker drained and left");
         } else if (now() > worker.leasesEndBy) {
+          const lostRuns = findLostRuns(worker);
+          if (lostRuns.length > 0) {
+            const { lifetime } = worker;
+            expiredLosses.push({ worker, lifetime, lostRuns, at: now() });
+          }
           releaseSentRuns(
             worker,
             "run released: all leases on its worker have expired",
