--- a/packages/cell/__tests__/cell_lead.test.ts
+++ b/packages/cell/__tests__/cell_lead.test.ts
@@ -47,17 +47,17 @@
       if (lifetime === undefined) throw unanswered;
       return { clock: clock.now(), lifetime, running, ended: [] };
     },
-    start: async ({ task, number }) => {
-      if (!answering.has(address)) throw unanswered;
+    start: ({ task, number }) => {
+      if (!answering.has(address)) return Promise.reject(unanswered);
       calls.push(`start ${number} ${address}`);
       running = [{ task, number, checkpoint: "", percent: 0 }];
-      return { kind: "started", clock: clock.now() };
+      return Promise.resolve({ kind: "started", clock: clock.now() });
     },
-    stop: async ({ number }) => {
-      if (!answering.has(address)) throw unanswered;
+    stop: ({ number }) => {
+      if (!answering.has(address)) return Promise.reject(unanswered);
       calls.push(`stop ${number} ${address}`);
       running = [];
-      return true;
+      return Promise.resolve(true);
     },
     close: async () => {},
   });
@@ -72,10 +72,11 @@
     connect,
     isLeading: () => true,
     waitForBook: async () => {},
-    listWorkers: async () => ({
-      entries: isRestored ? [] : [ENTRY],
-      left: new Set(),
-    }),
+    listWorkers: () =>
+      Promise.resolve({
+        entries: isRestored ? [] : [ENTRY],
+        left: new Set(),
+      }),
     rules: () => ({
       queues: new Map([["q", {
         name: "q",
