fix(entry): a refused repetition of an unanswered run proves nothing

What callers saw: possibly "not run" for a request that ran.

Cause: a call to a worker is repeated until it is answered, and any refusal ended the series. If the first attempt at a run was carried out and its answer lost, a repetition that was refused (damaged payload, for instance) released the part.

Change: after an attempt that may have been delivered, a refusal is final only if the lease has ended; otherwise the call is repeated.

--- a/packages/entry/src/task_commands.ts
+++ b/packages/entry/src/task_commands.ts
@@ -7,6 +7,7 @@
   type Milliseconds,
   pause,
   RefusedError,
+  UnavailableError,
 } from "@rattanhill/shared";
 import {
   type ClaimedPart,
@@ -14,7 +15,7 @@
   type RequestEffect,
   type RequestMessage,
 } from "@rattanhill/core";
-import type { LeaseResponse } from "@rattanhill/protocol";
+import { type LeaseResponse, WorkerRefusal } from "@rattanhill/protocol";
 import type { WorkerClient } from "@rattanhill/platform";
 import type { OwnedRequest } from "./request_registry.ts";
 import type { EntryTiming } from "./settings.ts";
@@ -77,11 +78,18 @@
     timeoutMs: Milliseconds,
   ): Promise<LeaseResponse | RefusedError | undefined> => {
     const retryUntil = clock.now() + timeoutMs;
+    let isUnanswered = false;
     while (clock.now() < retryUntil) {
       try {
         return await operation();
       } catch (error) {
-        if (error instanceof RefusedError) return error;
+        if (error instanceof RefusedError) {
+          // An unanswered attempt may have been carried out before, unless the
+          // lease has ended.
+          const isFinal = !isUnanswered ||
+            error.reason === WorkerRefusal.lapsed;
+          if (isFinal) return error;
+        } else if (!(error instanceof UnavailableError)) isUnanswered = true;
         await pause(RETRY_INTERVAL_MS);
       }
     }
