--- a/packages/scheduler/__tests__/takeover.test.ts
+++ b/packages/scheduler/__tests__/takeover.test.ts
@@ -5,8 +5,8 @@
   EVENT_KINDS,
   type InjectedFault,
   type ModelEvent,
-  simulateTakeovers,
-} from "./takeover_model.ts";
+} from "./takeover_events.ts";
+import { simulateTakeovers } from "./takeover_model.ts";
 
 const SERIES_COUNT = 10_000;
 const SEED = 20_261_204;
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -9,6 +9,9 @@
 } from "./job_types.ts";
 import type { TaskCrashes } from "./crash_blame.ts";
 import type { StepRecord } from "./records.ts";
+import { addResources, type Resources } from "./resources.ts";
+
+export { addResources, type Resources } from "./resources.ts";
 
 /** Phase of a run, from its placement to its release. */
 export const RunPhase = {
@@ -129,13 +132,6 @@
   finishedOccurrences: Set<number>;
 }
 
-/** Amounts of resources of a worker or a task. */
-export interface Resources {
-  milliCores: number;
-  memoryMegabytes: number;
-  accelerators: number;
-}
-
 /** A worker as the platform lists it. */
 export interface WorkerEntry {
   id: string;
@@ -287,6 +283,19 @@
   return { job: job.spec.id, occurrence, step: index, index: run.index };
 }
 
+/** @returns the log fields that identify a run */
+export function describeRun(run: Run) {
+  const { step, index, number, worker, phase } = run;
+  return {
+    job: step.job.spec.id,
+    step: step.key,
+    task: index,
+    run: number,
+    worker: worker.id,
+    phase,
+  };
+}
+
 /** @returns whether all tasks of the step have ended successfully */
 export function isStepDone(step: StepState): boolean {
   return step.done.size >= step.spec.taskCount;
@@ -409,17 +418,3 @@
   job.outcome = outcome;
   state.unsavedOutcomes.add(job);
 }
-
-/**
- * Adds `factor` times an amount of resources to the target in place; a negative
- * factor subtracts.
- */
-export function addResources(
-  target: Resources,
-  amount: Resources,
-  factor = 1,
-): void {
-  target.milliCores += factor * amount.milliCores;
-  target.memoryMegabytes += factor * amount.memoryMegabytes;
-  target.accelerators += factor * amount.accelerators;
-}
--- a/packages/scheduler/src/mod.ts
+++ b/packages/scheduler/src/mod.ts
@@ -9,6 +9,7 @@
 export * from "./planner.ts";
 export * from "./planning_policy.ts";
 export * from "./preemption.ts";
+export * from "./record_batch.ts";
 export * from "./records.ts";
 export * from "./reservation.ts";
 export * from "./capacity_ledger.ts";
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -6,16 +6,14 @@
   completeJobIfDone,
   createCellState,
   deleteJobIfFinished,
+  describeRun,
   failJob,
   getOrCreateStep,
   isOver,
-  needsOf,
   releaseRun,
-  type Resources,
   type Run,
   RunPhase,
   setJobOutcome,
-  stepRecordOf,
   taskNameOf,
   type WorkerState,
 } from "./cell_state.ts";
@@ -25,12 +23,11 @@
   recordAdvice,
 } from "./advice.ts";
 import { createCrashBlame } from "./crash_blame.ts";
-import { isEligible } from "./placement.ts";
+import { mayStart, type RecordBatch, takeBatch } from "./record_batch.ts";
 import type { StoredJob } from "./job_book.ts";
 import type { JobSpec, RunEnd, TaskName } from "./job_types.ts";
 import { type CellLoad, createPlanner } from "./planner.ts";
 import type { PlanningPolicy } from "./planning_policy.ts";
-import type { CellRecord } from "./records.ts";
 import type { Rules } from "./rules.ts";
 import { applyReport, type WorkerReport } from "./run_ends.ts";
 import { createWorkerRoster, type WorkerListing } from "./worker_roster.ts";
@@ -48,23 +45,6 @@
     run?: Run;
   };
 
-/**
- * Records to store together, with the runs to start, the run ends to
- * acknowledge and the jobs to delete once they are stored.
- */
-export interface RecordBatch {
-  records: CellRecord[];
-  /** Runs whose placement the batch records; started once it is stored. */
-  starting: Run[];
-  /**
-   * By worker, the position of the last run end that the batch reflects, and the
-   * lifetime in which the end was reported.
-   */
-  ends: Map<WorkerState, { position: number; lifetime: number }>;
-  /** Jobs whose outcome the batch records; deleted when they have no runs. */
-  outcomes: ReturnType<typeof addJob>[];
-}
-
 /** Answer of a worker to a start command, after all attempts to send it. */
 export type StartAnswer =
   | "started"
@@ -376,50 +356,7 @@
       planner.plan();
     },
     load: () => planner.load(),
-    takeBatch: () => {
-      const ends: RecordBatch["ends"] = new Map();
-      for (const worker of state.workers.values()) {
-        const { lastHandledEnd: position, lifetime } = worker;
-        if (position > worker.lastStoredEnd) {
-          ends.set(worker, { position, lifetime });
-        }
-      }
-      const records: CellRecord[] = [];
-      const starting: Run[] = [];
-      for (const step of state.unsavedSteps) {
-        if (step.highestRun > 0 && !step.job.hasStarted) {
-          step.job.hasStarted = true;
-          records.push({ kind: "start", job: step.job.spec.id });
-        }
-        records.push({
-          kind: "progress",
-          step: step.key,
-          progress: stepRecordOf(step),
-        });
-        for (const run of step.runs.values()) {
-          if (run.phase === RunPhase.storing) starting.push(run);
-        }
-      }
-      const outcomes = [...state.unsavedOutcomes];
-      for (const job of outcomes) {
-        const { id } = job.spec;
-        const outcome = job.outcome!;
-        records.push({ kind: "outcome", job: id, outcome, at: wallTime() });
-      }
-      for (const step of state.removedSteps) {
-        records.push({ kind: "progressRemoval", step });
-      }
-      state.unsavedSteps.clear();
-      state.removedSteps.clear();
-      state.unsavedOutcomes.clear();
-      if (records.length > 0) return { records, starting, ends, outcomes };
-      // These run ends changed no step, so they can be acknowledged without a
-      // record.
-      for (const [worker, { position }] of ends) {
-        worker.lastStoredEnd = position;
-      }
-      return undefined;
-    },
+    takeBatch: () => takeBatch(state, wallTime()),
     handleBatchStored: ({ starting, ends, outcomes }) => {
       for (const [worker, { position, lifetime }] of ends) {
         // Positions start anew when a worker restarts.
@@ -457,22 +394,6 @@
     },
   };
 
-  /**
-   * Returns whether a run whose placement is stored may be started. Its worker
-   * may have changed while the placement was being stored.
-   */
-  function mayStart({ stopReason, step, worker }: Run): boolean {
-    const { isListed, hasEnded, isDraining, used, capacity } = worker;
-    if (stopReason !== undefined || !isListed || hasEnded || isDraining) {
-      return false;
-    }
-    if (!isEligible(step, worker)) return false;
-    const needs = needsOf(step.spec);
-    return (Object.keys(needs) as (keyof Resources)[]).every((name) =>
-      needs[name] === 0 || used[name] <= capacity[name]
-    );
-  }
-
   function removeProgress(steps: Iterable<string>): void {
     for (const step of steps) state.removedSteps.add(step);
   }
@@ -487,16 +408,3 @@
     setJobOutcome(state, job, "cancelled");
   }
 }
-
-/** @returns the log fields that identify a run */
-export function describeRun(run: Run) {
-  const { step, index, number, worker, phase } = run;
-  return {
-    job: step.job.spec.id,
-    step: step.key,
-    task: index,
-    run: number,
-    worker: worker.id,
-    phase,
-  };
-}
