fix(entry): only a run is repeated after a refusal of an unanswered attempt

Change: the call names which refusals prove that an unanswered attempt did not act; for all but run any does, as before.

--- a/packages/entry/src/task_commands.ts
+++ b/packages/entry/src/task_commands.ts
@@ -70,12 +70,17 @@
    * Retries an idempotent operation until the worker responds or refuses it.
    * After a time-out the client opens a new connection for the next retry.
    *
+   * @param isProof whether a refusal also ends the retries after an unanswered
+   * attempt, which may have been carried out
    * @returns the response or the refusal; `undefined` when the time limit is
    * over
    */
   const retryUntilResponse = async (
     operation: () => Promise<LeaseResponse>,
-    timeoutMs: Milliseconds,
+    { timeoutMs, isProof = () => true }: {
+      timeoutMs: Milliseconds;
+      isProof?(refusal: RefusedError): boolean;
+    },
   ): Promise<LeaseResponse | RefusedError | undefined> => {
     const retryUntil = clock.now() + timeoutMs;
     let isUnanswered = false;
@@ -84,11 +89,7 @@
         return await operation();
       } catch (error) {
         if (error instanceof RefusedError) {
-          // An unanswered attempt may have been carried out before, unless the
-          // lease has ended.
-          const isFinal = !isUnanswered ||
-            error.reason === WorkerRefusal.lapsed;
-          if (isFinal) return error;
+          if (!isUnanswered || isProof(error)) return error;
         } else if (!(error instanceof UnavailableError)) isUnanswered = true;
         await pause(RETRY_INTERVAL_MS);
       }
@@ -116,7 +117,7 @@
     const checkpoint = getCheckpoint(effect);
     const response = await retryUntilResponse(
       () => getClient(target).prepare(target.lease, payload, checkpoint),
-      timing.holdTtlMs,
+      { timeoutMs: timing.holdTtlMs },
     );
     const isReady = isLeaseResponse(response) &&
       response.boot === target.boot &&
@@ -138,7 +139,11 @@
     followLease(request, effect);
     const response = await retryUntilResponse(
       () => getClient(target).run(target.lease, payload, getCheckpoint(effect)),
-      getWorkerTimeout(request),
+      {
+        timeoutMs: getWorkerTimeout(request),
+        // The worker refuses it so only for a lease that never ran.
+        isProof: ({ reason }) => reason === WorkerRefusal.lapsed,
+      },
     );
     const messageKind = chooseRunMessageKind(response, target);
     if (messageKind === "part-lost" || messageKind === "part-released") {
@@ -180,7 +185,7 @@
     // its end then, so the lease is inspected once.
     const response = await retryUntilResponse(
       () => getClient(target).inspect(target.lease),
-      getWorkerTimeout(request),
+      { timeoutMs: getWorkerTimeout(request) },
     );
     if (!isLeaseResponse(response) || response.state === undefined) return;
     if (response.state === LeaseState.running) return;
@@ -197,7 +202,7 @@
     links.unfollow(target.lease);
     const response = await retryUntilResponse(
       () => getClient(target).stop(target.lease),
-      STOP_TIMEOUT_MS,
+      { timeoutMs: STOP_TIMEOUT_MS },
     );
     const isLeaseKnown = isLeaseResponse(response) &&
       response.boot === target.boot &&
