--- /dev/null
+++ b/packages/scheduler/src/placement_shape.ts
@@ -0,0 +1,28 @@
+import { needsOf } from "./cell_state.ts";
+import { Tier, type WaitingStep } from "./step_ranking.ts";
+
+/**
+ * Computes the shape of a step: a key that is equal for steps that fit on the
+ * same workers. When a step could not be placed in full, the pass skips later
+ * steps of its shape.
+ *
+ * @returns the shape; undefined for a step with a guarantee or with constraints
+ * that the key does not cover
+ */
+export function placementShapeOf(
+  { step, rank }: WaitingStep,
+): string | undefined {
+  const { spec } = step;
+  const isSpecial = spec.isGang || spec.dataRack !== undefined ||
+    spec.maximumPerWorker !== undefined || step.avoidedWorkers.size > 0 ||
+    rank.tier === Tier.guaranteed;
+  if (isSpecial) return undefined;
+  const { milliCores, memoryMegabytes, accelerators } = needsOf(spec);
+  return [
+    milliCores,
+    memoryMegabytes,
+    accelerators,
+    spec.requiredLabel,
+    step.job.spec.service,
+  ].join("/");
+}
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -4,7 +4,6 @@
 import {
   addRun,
   type CellState,
-  needsOf,
   type Resources,
   type Run,
   RunPhase,
@@ -15,6 +14,7 @@
 import { createDurationEstimator } from "./durations.ts";
 import { Tier, type WaitingStep } from "./step_ranking.ts";
 import { type Assignment, type PlacementView, placeStep } from "./placement.ts";
+import { placementShapeOf } from "./placement_shape.ts";
 import { PLANNING_POLICY, type PlanningPolicy } from "./planning_policy.ts";
 import { chooseVictims, lostWorkOf, workOf } from "./preemption.ts";
 import { findEarliestReservation } from "./reservation.ts";
@@ -401,27 +401,3 @@
     },
   };
 }
-
-/**
- * Computes the shape of a step: a key that is equal for steps that fit on the
- * same workers. When a step could not be placed in full, the pass skips later
- * steps of its shape.
- *
- * @returns the shape; undefined for a step with a guarantee or with constraints
- * that the key does not cover
- */
-function placementShapeOf({ step, rank }: WaitingStep): string | undefined {
-  const { spec } = step;
-  const isSpecial = spec.isGang || spec.dataRack !== undefined ||
-    spec.maximumPerWorker !== undefined || step.avoidedWorkers.size > 0 ||
-    rank.tier === Tier.guaranteed;
-  if (isSpecial) return undefined;
-  const { milliCores, memoryMegabytes, accelerators } = needsOf(spec);
-  return [
-    milliCores,
-    memoryMegabytes,
-    accelerators,
-    spec.requiredLabel,
-    step.job.spec.service,
-  ].join("/");
-}
