fix(scheduler): explain a crash once, however many blamed tasks share it

Cause: the crashes of blamed tasks were explained task by task. The first time a crash is cleared from the suspicion of a neighbour and still counts as met; two tasks of the blamed job that shared it explained it twice, and the second time it no longer counted at all. A neighbour that crashes its workers as well lost its count.

Change: the crashes of all blamed tasks are collected before they are explained.

Measured: the test failed before with 6 crashes of the neighbour, expected 4.

Conclusion: the limit of four crashes holds beside a job with several crashing tasks.

--- a/packages/scheduler/__tests__/crash_blame.test.ts
+++ b/packages/scheduler/__tests__/crash_blame.test.ts
@@ -251,6 +251,51 @@
   expect(starts).to.be.at.most(5);
 });
 
+/** Creates the crash records of a cell whose workers were just told to start. */
+function createCrashes() {
+  const state = createCellState();
+  let now = 0;
+  let workers = 0;
+  const blame = createCrashBlame({
+    state,
+    now: () => now,
+    stop: () => {},
+    log: silentLogger,
+  });
+  return {
+    isOver: (id: string) => isOver(state.jobs.get(id)!),
+    /** Crashes a worker of its own VM that was just told to start these tasks. */
+    crash: (...tasks: [job: string, index: number][]): void => {
+      now += 5_000;
+      workers += 1;
+      const worker = {
+        id: `w${workers}`,
+        vm: `m${workers}`,
+        reportedAt: now,
+      } as WorkerState;
+      const runs = tasks.map(([id, index]) => {
+        const step = getOrCreateStep(addJob(state, job(id), now), 0, 0);
+        return { step, index, worker, lifetime: 1 } as Run;
+      });
+      blame.recordCrash(worker, runs);
+    },
+  };
+}
+
+// Two tasks of the blamed job share crashes with the other one.
+it("crash blame: a crash that two tasks of a job explain counts for its neighbour", () => {
+  const { crash, isOver } = createCrashes();
+  for (let n = 0; n < 3; n++) crash(["a", 0], ["a", 1], ["b", 0]);
+  crash(["a", 0], ["a", 1]);
+  expect(isOver("a")).to.equal(true);
+  let crashes = 3;
+  while (!isOver("b")) {
+    crashes += 1;
+    crash(["b", 0], [`x${crashes}`, 0]);
+  }
+  expect(crashes).to.equal(4);
+});
+
 for (const isLongRunning of [true, false]) {
   it(`crash blame: two crashes fail no job that ran for minutes, long-running ${isLongRunning}`, () => {
     const cell = createCellOnVms(4);
--- a/packages/scheduler/src/crash_blame.ts
+++ b/packages/scheduler/src/crash_blame.ts
@@ -167,11 +167,11 @@
         const hasMetTooMany = crashesOf(run).met.size >= MAXIMUM_CRASHES;
         if (hasMetTooMany || blamed.includes(run)) giveUp(run);
       }
-      for (const run of blamed) {
-        for (const explained of [...crashesOf(run).suspected]) {
-          explainCrash(explained);
-        }
-      }
+      // Two tasks of a job may share a crash, which is explained once.
+      const explained = new Set(
+        blamed.flatMap((run) => [...crashesOf(run).suspected]),
+      );
+      explained.forEach(explainCrash);
     },
     beginPass: () => {
       suspectedSteps = new Set([...stepsOf(state)].filter(isSuspected));
