fix(scheduler): stop the rest of a gang that lost a member

Cause: a member that was released without an end, as its worker crashed or was replaced, its leases expired or a report did not list it, left the other members running. The gang is placed again only when all of them are released, and runs of an incomplete gang never count as stuck, so it waited until the workers ended them by themselves (`alone`); a new lead inherited the wait.

Change: each planning pass stops the remaining runs of an incomplete gang. Long-running gangs are left to their workers, as before.

What workers do with such members on their own was not measured.

--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -30,6 +30,7 @@
 import type { PlanningPolicy } from "./planning_policy.ts";
 import type { Rules } from "./rules.ts";
 import { applyReport, type WorkerReport } from "./run_ends.ts";
+import { findIncompleteGangs } from "./stuck_runs.ts";
 import { createWorkerRoster, type WorkerListing } from "./worker_roster.ts";
 
 /** A command to a worker. */
@@ -353,6 +354,9 @@
     handleAdvice: (question, answer) => recordAdvice(question, answer, now()),
     plan: () => {
       roster.releaseLostRuns();
+      for (const run of findIncompleteGangs(state)) {
+        stop(run, "a member of the gang was lost");
+      }
       planner.plan();
     },
     load: () => planner.load(),
--- a/packages/scheduler/src/stuck_runs.ts
+++ b/packages/scheduler/src/stuck_runs.ts
@@ -1,5 +1,10 @@
 import type { Milliseconds } from "@rattanhill/shared";
-import { type CellState, type Run, RunPhase } from "./cell_state.ts";
+import {
+  type CellState,
+  isStepDone,
+  type Run,
+  RunPhase,
+} from "./cell_state.ts";
 
 /**
  * Finds runs without progress although their worker answers. Members of a gang
@@ -31,6 +36,26 @@
   return stuck;
 }
 
+/**
+ * Finds the remaining runs of gangs of which a member was released, as when its
+ * worker crashed. A gang is placed as a whole, so they wait for it in vain.
+ *
+ * @param state the cell
+ * @returns the runs to stop
+ */
+export function findIncompleteGangs(state: CellState): Run[] {
+  const remaining: Run[] = [];
+  for (const job of state.jobs.values()) {
+    for (const step of job.steps.values()) {
+      const { spec, runs } = step;
+      if (!spec.isGang || spec.isLongRunning) continue;
+      if (runs.size === spec.taskCount || isStepDone(step)) continue;
+      remaining.push(...runs.values());
+    }
+  }
+  return remaining;
+}
+
 // Minimum time without progress after which a run counts as stuck. If a worker
 // is 8 times slower than usual, and the wrong rack makes the task 3 times
 // slower, one percent of a 10 s task takes 2.4 s.
