fix(cell): a late renewal does not revive an expired lease

Cause: a lease that has expired is given up at the next check, up to 100 ms later. A renewal that was answered in between made it valid again for the same term. Meanwhile stops were no longer repeated, stored batches were not confirmed to the scheduler and starts were not sent, and nothing sends them again: their runs keep their phase, and with it their capacity, for the rest of the term.

Change: the answer to a renewal ends a lease that expired before it; the process then campaigns for the next term.

Measured: the test failed before with [false, true] for the lease before and after the answer, expected [false, false].

Conclusion: within a term the lease is held without a gap.

--- a/packages/cell/__tests__/lead_lease.test.ts
+++ b/packages/cell/__tests__/lead_lease.test.ts
@@ -96,3 +96,45 @@
   expect(first.lease.isHeld()).to.equal(false);
   close();
 }).timeout(TIMEOUT_MS);
+
+// Commands and batches that met the expired lease were dropped, so the term must
+// not go on after it.
+it("lead lease: a late renewal does not revive an expired lease", async () => {
+  const memory = createMemoryStore();
+  const clock = createSystemClock();
+  let skippedMs = 0;
+  let isSlow = false;
+  let answer: (() => void) | undefined;
+  const lease = createLeadLease({
+    store: {
+      ...memory.store,
+      append: async (...call) => {
+        const result = await memory.store.append(...call);
+        if (isSlow) await new Promise<void>((resolve) => answer = resolve);
+        return result;
+      },
+    },
+    topic: "lead",
+    node: "a",
+    incarnation: "1",
+    clock: { ...clock, now: () => clock.now() + skippedMs },
+    log: silentLogger,
+    random: () => 0,
+    electionPriority: 1,
+    onGained: () => {},
+    onLost: () => {},
+    mayLead: () => true,
+  });
+  await pause(300);
+  isSlow = true;
+  while (answer === undefined) await pause(5);
+  // The renewal was sent 400 ms after the first append; the lease ends between
+  // two checks, just before the answer.
+  skippedMs = LEAD_LEASE_MS - 150 - 380;
+  const heldBefore = lease.isHeld();
+  answer();
+  await new Promise(setImmediate);
+  const heldAfter = lease.isHeld();
+  lease.close();
+  expect([heldBefore, heldAfter]).to.deep.equal([false, false]);
+}).timeout(TIMEOUT_MS);
--- a/packages/cell/src/lead_lease.ts
+++ b/packages/cell/src/lead_lease.ts
@@ -268,6 +268,8 @@
       renewal,
       isReleased: false,
     });
+    // Work that met the expired lease was dropped, so the term cannot go on.
+    if (held !== undefined && !isHeld()) loseLead("lease expired");
     if (isStored && held?.term === term) held = { term, ...sentAt };
   };
 
