fix(scheduler): store that a task is cleared of earlier crashes

Cause: a task that had run for a minute was cleared in memory only. The next lead restored its old crashes, so one more crash could fail a job that had run since.

Change: clearing a task marks its step as unsaved.

Measured: the test failed before with the stored crashes [[0, ["w0/1"], ["w0/1"]]], expected none.

--- a/packages/scheduler/__tests__/crash_blame.test.ts
+++ b/packages/scheduler/__tests__/crash_blame.test.ts
@@ -386,3 +386,19 @@
   ];
   expect([of("a"), of("b")]).to.deep.equal([["w0/1"], ["w0/2"]]);
 });
+
+it("crash blame: the next lead knows that a task was cleared", () => {
+  const cell = createCellOnVms(1);
+  cell.submit(job("a", { steps: [step({ isLongRunning: true })] }));
+  cell.settle();
+  cell.fleet.get("w0")!.crash();
+  cell.settle();
+  const stored = () => cell.book.find("a")!.steps.get("a.0.0")!.crashes;
+  expect(stored()).to.have.length(1);
+  for (let second = 0; second <= 61; second++) {
+    cell.clock.advance(1_000);
+    cell.pollWorkers();
+  }
+  cell.storeBatch();
+  expect(stored()).to.deep.equal([]);
+});
--- a/packages/scheduler/src/run_ends.ts
+++ b/packages/scheduler/src/run_ends.ts
@@ -73,7 +73,7 @@
   report: WorkerReport,
   options: ApplyReportOptions,
 ): void {
-  const { state, now } = options;
+  const { state } = options;
   const knownRuns = new Map(
     [...worker.runs].map((run) => [runKeyOf(run), run]),
   );
@@ -95,7 +95,7 @@
       continue;
     }
     reportedRuns.add(run);
-    updateRunningRun(run, reported, now);
+    updateRunningRun(run, reported, options);
   }
   for (const run of [...worker.runs]) {
     if (reportedRuns.has(run)) continue;
@@ -197,16 +197,17 @@
 function updateRunningRun(
   run: Run,
   reported: ReportedRun,
-  now: Milliseconds,
+  { state, now }: ApplyReportOptions,
 ): void {
   if (run.phase === RunPhase.ordered) run.phase = RunPhase.running;
   run.absenceProvableFrom ??= now;
   run.uncertainSince = undefined;
   run.reportedSince ??= now;
   // A task that runs on for long does not crash its worker by starting.
-  if (now - run.reportedSince > INNOCENT_RUN_MS) {
-    run.step.crashes.delete(run.index);
-  }
+  if (
+    now - run.reportedSince > INNOCENT_RUN_MS &&
+    run.step.crashes.delete(run.index)
+  ) state.unsavedSteps.add(run.step);
   if (reported.percent !== run.percent) {
     run.percent = reported.percent;
     run.percentAt = now;
