fix(scheduler): a late crash stores no progress of a job that has ended

Cause: a crash that becomes known up to a minute after the leases marked the steps of its tasks as unsaved, also of jobs whose progress had been deleted since. The record was written again and stayed until the next change of lead.

Change: only steps of jobs that the scheduler still has are marked.

Measured: the test failed before with one progress record, expected none.

Conclusion: deleted progress stays deleted.

--- a/packages/scheduler/__tests__/crash_blame.test.ts
+++ b/packages/scheduler/__tests__/crash_blame.test.ts
@@ -402,3 +402,24 @@
   cell.storeBatch();
   expect(stored()).to.deep.equal([]);
 });
+
+it("crash blame: a late crash stores no progress of a job that has ended", () => {
+  const cell = createCellOnVms(2);
+  cell.submit(job("a"));
+  cell.settle();
+  const [{ worker }] = cell.runs("a");
+  const [entry] = cell.entries.filter(({ id }) => id === worker);
+  cell.fleet.delete(worker);
+  cell.scheduler.recordNoAnswer(cell.scheduler.state.workers.get(worker)!);
+  cell.clock.advance(11_000);
+  cell.settle();
+  cell.end("a", "done");
+  cell.settle();
+  expect(cell.book.stateOf("a")).to.equal("completed");
+  cell.records.splice(0);
+  cell.entries.push({ ...entry, id: "late" });
+  cell.fleet.set("late", createFakeWorker("late"));
+  cell.updateListing();
+  cell.settle();
+  expect(cell.records).to.deep.equal([]);
+});
--- a/packages/scheduler/src/crash_blame.ts
+++ b/packages/scheduler/src/crash_blame.ts
@@ -148,7 +148,11 @@
       }
       for (const run of runs) {
         crashesOf(run).met.add(key);
-        state.unsavedSteps.add(run.step);
+        // The progress of a job that has ended meanwhile is deleted.
+        const { job } = run.step;
+        if (state.jobs.get(job.spec.id) === job) {
+          state.unsavedSteps.add(run.step);
+        }
       }
       const blamed = isVmToBlame ? [] : findBlamed(suspects, key);
       log.warn(
