fix(scheduler): start nothing on a worker that fell silent while it was stored

Cause: nothing is placed on a worker that does not answer, but a placement that was being stored when the worker fell silent was started all the same. If the worker had crashed, the start was counted as a suspected crash of a task that it never ran; behind a cut, the task waited for the leases.

Change: the check before a start also rejects silent workers; the task is placed again.

Measured: the test failed before with one start command, expected none.

Conclusion: the rule for placing holds until the start is sent.

--- a/packages/scheduler/__tests__/stored_placement.test.ts
+++ b/packages/scheduler/__tests__/stored_placement.test.ts
@@ -40,3 +40,13 @@
   cell.scheduler.handleBatchStored(batch);
   expect(cell.commands.map(({ kind }) => kind)).to.deep.equal([]);
 });
+
+it("stored placement: no start on a worker that fell silent meanwhile", () => {
+  const cell = createCell({ workers: 1 });
+  cell.submit(job("a"));
+  cell.scheduler.plan();
+  const batch = cell.scheduler.takeBatch()!;
+  cell.scheduler.recordNoAnswer(cell.scheduler.state.workers.get("w0")!);
+  cell.scheduler.handleBatchStored(batch);
+  expect(cell.commands.map(({ kind }) => kind)).to.deep.equal([]);
+});
--- a/packages/scheduler/src/record_batch.ts
+++ b/packages/scheduler/src/record_batch.ts
@@ -90,11 +90,14 @@
  * may have changed while the placement was being stored.
  */
 export function mayStart({ stopReason, step, worker }: Run): boolean {
-  const { isListed, hasEnded, isDraining, used, capacity } = worker;
+  const { isListed, hasEnded, isDraining, silentSince } = worker;
   if (stopReason !== undefined || !isListed || hasEnded || isDraining) {
     return false;
   }
+  // If it has crashed, a start that never reached it would be suspected.
+  if (silentSince !== undefined) return false;
   if (!isEligible(step, worker)) return false;
+  const { used, capacity } = worker;
   const needs = needsOf(step.spec);
   return (Object.keys(needs) as (keyof Resources)[]).every((name) =>
     needs[name] === 0 || used[name] <= capacity[name]
