fix(scheduler): place nothing on a restarted worker before its entry is renewed

Cause: a report names the next lifetime of a worker before the list does. The labels, the rack and the capacity were still those of the lifetime before, though the next one may be of another kind. A task could start on a worker without the label that it requires, or over its capacity.

Change: a worker remembers which lifetime its entry names; unless that is the current one, nothing is placed on it, and no stored placement is started.

Tests: the fixture renews the entries of restarted workers one round later, as workers do. The test of a superseded entry placed its run before the renewal, which is now ruled out; it applies the earlier entry after the renewal instead, and expects the same single run.

The delay that this adds after a restart was not measured.

Conclusion: a placement relies on what the current lifetime says of itself.

--- a/packages/scheduler/__tests__/cell_fixture.ts
+++ b/packages/scheduler/__tests__/cell_fixture.ts
@@ -165,12 +165,23 @@
       answer === "started" ? "started" : "refused",
     );
   };
+  /** Renews the entries of workers that have restarted under their id. */
+  const renewEntries = () => {
+    entries.forEach((entry, index) => {
+      const lifetime = fleet.get(entry.id)?.lifetime ?? entry.lifetime;
+      if (lifetime === entry.lifetime) return;
+      entries[index] = { ...entry, lifetime };
+      updateListing();
+    });
+  };
   /**
    * Polls, plans, stores and executes commands for 10 rounds, after which
-   * nothing changes any more.
+   * nothing changes any more. Restarted workers renew their entries after the
+   * first round.
    */
   const settle = () => {
     for (let round = 0; round < 10; round++) {
+      if (round === 1) renewEntries();
       clock.advance(1);
       pollWorkers();
       scheduler.plan();
--- a/packages/scheduler/__tests__/earlier_lifetime.test.ts
+++ b/packages/scheduler/__tests__/earlier_lifetime.test.ts
@@ -75,14 +75,15 @@
   cell.fleet.get("w0")!.lifetime = 5;
   cell.updateListing();
   cell.settle();
-  // Restarts under its id after its clock stepped back; its entry is renewed
-  // only later, while the entries of other workers change.
+  // Restarts under its id after its clock stepped back; a list that was read
+  // late still has its earlier entry.
   cell.fleet.get("w0")!.crash();
   cell.fleet.get("w0")!.lifetime = 3;
   cell.settle();
   cell.submit(job("a"));
   cell.settle();
   expect(cell.runs("a").map(({ number }) => number)).to.deep.equal([1]);
+  cell.entries[0] = { ...cell.entries[0], lifetime: 5 };
   cell.updateListing();
   cell.settle();
   expect(cell.runs("a").map(({ number }) => number)).to.deep.equal([1]);
--- a/packages/scheduler/__tests__/stored_placement.test.ts
+++ b/packages/scheduler/__tests__/stored_placement.test.ts
@@ -50,3 +50,25 @@
   cell.scheduler.handleBatchStored(batch);
   expect(cell.commands.map(({ kind }) => kind)).to.deep.equal([]);
 });
+
+// Its next lifetime may be of another kind, even at the same address.
+it("placement: nothing starts on a restarted worker before its entry is renewed", () => {
+  const cell = createCell({ workers: 1 });
+  cell.submit(job("a", { steps: [step({ requiredLabel: "a" })] }));
+  cell.scheduler.plan();
+  const batch = cell.scheduler.takeBatch()!;
+  cell.fleet.get("w0")!.crash();
+  cell.clock.advance(1);
+  cell.pollWorkers();
+  cell.scheduler.handleBatchStored(batch);
+  for (let round = 0; round < 3; round++) {
+    cell.pollWorkers();
+    cell.scheduler.plan();
+    cell.storeBatch();
+  }
+  expect(cell.commands.map(({ kind }) => kind)).to.deep.equal([]);
+  cell.entries[0] = { ...cell.entries[0], lifetime: 2, labels: ["b"] };
+  cell.updateListing();
+  cell.settle();
+  expect(cell.fleet.get("w0")!.started).to.deep.equal([]);
+});
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -159,6 +159,11 @@
   pastLifetimes: Set<number>;
   /** Monotonic time at which its current lifetime was first read. */
   lifetimeReadAt: Milliseconds;
+  /**
+   * Lifetime that its entry in the list names, 0 for none. The address, labels
+   * and capacity are those of that lifetime.
+   */
+  listedLifetime: number;
   /** Capacity that its runs occupy. */
   used: Resources;
   runs: Set<Run>;
@@ -318,6 +323,16 @@
   };
 }
 
+/**
+ * @returns whether the labels and the capacity of a worker are those of its
+ * current lifetime, which may be of a different kind than the one before
+ */
+export function isEntryCurrent(
+  { listedLifetime, lifetime }: WorkerState,
+): boolean {
+  return listedLifetime === 0 || listedLifetime === lifetime;
+}
+
 /** Adds a run to its worker and step, and occupies its capacity. */
 export function addRun(run: Run): void {
   const { worker, step } = run;
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -4,6 +4,7 @@
 import {
   addRun,
   type CellState,
+  isEntryCurrent,
   type Resources,
   type Run,
   RunPhase,
@@ -100,8 +101,9 @@
 
   /** Returns whether a worker may get new runs now. */
   const isOpen = (worker: WorkerState): boolean =>
-    worker.isListed && !worker.hasEnded && worker.hasAnswered &&
-    worker.silentSince === undefined && !worker.isDraining &&
+    worker.isListed && isEntryCurrent(worker) && !worker.hasEnded &&
+    worker.hasAnswered && worker.silentSince === undefined &&
+    !worker.isDraining &&
     worker.noPlacementBefore <= now();
   const penaltyOf = (step: StepState, worker: WorkerState): number =>
     (quarantine.isEligible(worker.id, now()) ? 0 : FAILURE_PENALTY) +
--- a/packages/scheduler/src/record_batch.ts
+++ b/packages/scheduler/src/record_batch.ts
@@ -2,6 +2,7 @@
 import {
   type ActiveJob,
   type CellState,
+  isEntryCurrent,
   needsOf,
   type Resources,
   type Run,
@@ -95,7 +96,7 @@
     return false;
   }
   // If it has crashed, a start that never reached it would be suspected.
-  if (silentSince !== undefined) return false;
+  if (silentSince !== undefined || !isEntryCurrent(worker)) return false;
   if (!isEligible(step, worker)) return false;
   const { used, capacity } = worker;
   const needs = needsOf(step.spec);
--- a/packages/scheduler/src/worker_roster.ts
+++ b/packages/scheduler/src/worker_roster.ts
@@ -107,6 +107,7 @@
       lifetime: 0,
       pastLifetimes: new Set(),
       lifetimeReadAt: 0,
+      listedLifetime: 0,
       service: "",
       address: "",
       zone: "",
@@ -303,6 +304,7 @@
           capacity,
           isDraining,
           remainingMs,
+          listedLifetime: entry.lifetime,
           isListed: true,
           hasLeft: false,
         });
