fix(cell): closing a link is no silence of its worker

Cause: a link that is closed, as its worker has another address now, breaks off the poll in progress; this counted as a poll that the worker did not answer. Until the first answer at the new address the worker counted as silent: it got no placements, and a draining worker that had left could have its runs released.

Change: a failure after the link was closed is ignored, as answers are.

Measured: the test failed before with 1 poll without an answer, expected 0.

Conclusion: only the current address can show that a worker is silent.

--- a/packages/cell/__tests__/worker_link.test.ts
+++ b/packages/cell/__tests__/worker_link.test.ts
@@ -74,6 +74,7 @@
   let isLeading = true;
   let reports = 0;
   let replacements = 0;
+  let silences = 0;
   const link = createWorkerLink({
     worker,
     connection: {
@@ -94,7 +95,7 @@
     },
     isLeading: () => isLeading,
     onReport: () => reports += 1,
-    onNoAnswer: () => {},
+    onNoAnswer: () => silences += 1,
     onReplacement: () => replacements += 1,
     onStartAnswer: (_run, answer, reason) => answers.push([answer, reason]),
     onStopAnswer: () => {},
@@ -107,6 +108,7 @@
     worker,
     warnings,
     replacements: () => replacements,
+    silences: () => silences,
     loseLead: () => isLeading = false,
     sendStop: () => {
       const task = { job: "job", occurrence: 0, step: 0, index: 0 };
@@ -392,3 +394,30 @@
   await pause(2 * POLL_INTERVAL_MS);
   expect(replacements()).to.equal(0);
 });
+
+it("worker link: closing a link is no silence of its worker", async () => {
+  let polls = 0;
+  let breakOff: (() => void) | undefined;
+  const { link, silences } = await openLink({
+    hold: () => {
+      polls += 1;
+      if (polls < 3) {
+        return Promise.resolve({
+          clock: 0,
+          lifetime: 1,
+          running: [],
+          ended: [],
+        });
+      }
+      return new Promise((_, reject) => breakOff = () => reject(unanswered));
+    },
+    close: () => {
+      breakOff?.();
+      return Promise.resolve();
+    },
+  });
+  await waitUntil(() => breakOff !== undefined);
+  link.close();
+  await pause(POLL_INTERVAL_MS);
+  expect(silences()).to.equal(0);
+});
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -218,6 +218,9 @@
           await waitForEndsStored();
         }
       } catch (error) {
+        // Closing the connection ends the poll; that is no silence of the
+        // worker, which may answer at another address.
+        if (isClosed) return;
         failures += 1;
         options.onNoAnswer();
         if (failures === 1) {
