fix(placer): a gang job is preempted as a whole or not at all

Cause: the lead stopped the parts of a gang job one by one, each as soon as its own checkpoint was saved. Traced hits: stops reached the workers up to 40 ms apart and parts ended in between; a worker that answered the checkpoint with "ended" had no influence on the stops of the others; a gang job of which the inventory knew only three of four parts, as one had ended, was preempted; a part whose stop came late ran 335 ms alone; and parts were stopped while run messages to the others were on their way, so that only some started.

Change: workers get two operations. `pause` saves the checkpoint and pauses the task for at most a given time, `continue` ends the pause. A paused task does not end. The lead pauses all parts, and stops them only if every worker confirmed; if a part has ended or a worker does not respond, all go on. The pause takes the place of the checkpoint, so there is no further call. The placer takes a gang job as victim only while all of its parts run; if some are not known, as they have ended, the rest get 2 s to end, so that a guarantee can still be reclaimed.

Weighed and not taken: stopping one part first and the others after its response; the others can still end while the response travels.

Conclusion: closes the race for preemptions, except for stops that arrive after the pause of 2 s, and for parts that end more than 2 s apart.

--- a/packages/core/__tests__/placer.test.ts
+++ b/packages/core/__tests__/placer.test.ts
@@ -5,6 +5,7 @@
   createQuarantine,
   createRunTimeEstimator,
   type HoldPlan,
+  LeaseState,
   parseRules,
 } from "../src/mod.ts";
 import { createZone, DEFAULT_SPEC } from "./zone_fixture.ts";
@@ -60,6 +61,31 @@
   expect(zone.placed.has("claim")).to.equal(true);
 });
 
+it("placer: a gang job of which a part has ended is left to end, but not for long", () => {
+  const zone = createZone({ racks: 1, workersPerRack: 3, rules: [GUARANTEE] });
+  zone.submit({ id: "gang", shape: gang(3) });
+  zone.setPartState("gang", 0, LeaseState.ended);
+  zone.submit({ id: "claim", account: "routes", shape: gang(2) });
+  zone.advance(500);
+  zone.advance(500);
+  expect(zone.preempted).to.deep.equal([]);
+  zone.advance(500);
+  zone.advance(500);
+  expect(zone.preempted).to.deep.equal(["gang", "gang"]);
+});
+
+it("placer: a gang job is not preempted while its parts start", () => {
+  const zone = createZone({ racks: 1, workersPerRack: 2, rules: [GUARANTEE] });
+  zone.submit({ id: "gang", shape: gang(2) });
+  zone.setPartState("gang", 1, LeaseState.ready);
+  zone.submit({ id: "claim", account: "routes", shape: singlePart(4) });
+  zone.advance(1);
+  expect(zone.preempted).to.deep.equal([]);
+  zone.setPartState("gang", 1, LeaseState.running);
+  zone.advance(1);
+  expect(zone.preempted).to.deep.equal(["gang", "gang"]);
+});
+
 it("placer: non-preemptible work stays off another account's share", () => {
   const zone = createZone({ racks: 1, workersPerRack: 3, rules: [GUARANTEE] });
   const nonPreemptible = { preemptible: false, repeatable: false };
--- a/packages/core/__tests__/zone_fixture.ts
+++ b/packages/core/__tests__/zone_fixture.ts
@@ -33,6 +33,8 @@
   submit(spec: Partial<RequestSpec> & { id: string }): void;
   /** Ends all tasks of a request, then runs a pass. */
   end(id: string, hasFailed?: boolean): void;
+  /** Sets the state of one part of a request; an ended part is removed. */
+  setPartState(id: string, part: number, state: LeaseState): void;
   /** Advances the clock by a number of milliseconds, then runs a pass. */
   advance(durationMs: number): void;
 }
@@ -154,6 +156,20 @@
       removeLeases(({ request }) => request === id);
       decide();
     },
+    setPartState: (id, part, state) => {
+      for (const [worker, { leases }] of reports) {
+        const isPart = (lease: LeaseReport) =>
+          lease.request === id && lease.part === part;
+        if (!leases.some(isPart)) continue;
+        const changed = leases.map((lease) =>
+          isPart(lease) ? { ...lease, state } : lease
+        );
+        reportLeases(
+          worker,
+          changed.filter((lease) => lease.state !== LeaseState.ended),
+        );
+      }
+    },
     advance: (durationMs) => {
       now += durationMs;
       decide();
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -22,6 +22,7 @@
 export * from "./rules.ts";
 export * from "./run_times.ts";
 export * from "./shape.ts";
+export * from "./stoppable_gangs.ts";
 export * from "./zone_capacity.ts";
 export * from "./zone_choice.ts";
 export * from "./zone_summary.ts";
--- a/packages/core/src/placer.ts
+++ b/packages/core/src/placer.ts
@@ -34,6 +34,7 @@
 import { NO_RULES } from "./rules.ts";
 import { createRunTimeEstimator, type DeclaredTask } from "./run_times.ts";
 import { type RequestSpec, totalAccelerators } from "./shape.ts";
+import { createStoppableGangs } from "./stoppable_gangs.ts";
 import { createZoneCapacity } from "./zone_capacity.ts";
 
 /**
@@ -97,6 +98,7 @@
   const quarantine = createQuarantine();
   const owners = new Map<string, string>();
   const reclaims = createPendingReclaims();
+  const stoppableGangs = createStoppableGangs();
   const reservations = new Map<string, Reservation>();
   // Highest capacity observed; workers that were removed still count, so that
   // their loss does not make large requests look as if they never fit.
@@ -391,6 +393,7 @@
         return isUnlimited ? Infinity : borrowedBy(account);
       },
       leasesOf: inventory.leasesOf,
+      mayStopGang: (leases) => stoppableGangs.mayStop(leases, now),
     });
     if (plan === undefined) return;
     const kept = new Map<string, number>();
@@ -473,6 +476,7 @@
       isVictim: (lease) => lease.preemptible && lease.priority <= priority,
       reclaimableFrom: borrowedBy,
       leasesOf: inventory.leasesOf,
+      mayStopGang: (leases) => stoppableGangs.mayStop(leases, now),
     });
     if (plan === undefined || plan.victims.length === 0) return;
     reclaims.set(request.spec.id, {
--- a/packages/core/src/placer_types.ts
+++ b/packages/core/src/placer_types.ts
@@ -53,7 +53,10 @@
    * `confirmHolds`; when one is refused, it calls `requeueRefused`.
    */
   hold(plan: HoldPlan): void;
-  /** Checkpoints running tasks and stops them. */
+  /**
+   * Checkpoints running tasks and stops them. The parts of a gang job are
+   * stopped only if none of them has ended.
+   */
   preempt(leases: readonly LeaseView[]): void;
   /** Notifies the owner of a request that the request will not be placed. */
   refuse(id: string, attempt: number, refusal: PlaceRefusal): void;
--- a/packages/core/src/reclaim.ts
+++ b/packages/core/src/reclaim.ts
@@ -31,6 +31,11 @@
   reclaimableFrom(account: string): number;
   /** @returns all leases of a request, to preempt gang jobs as a whole */
   leasesOf(request: string): readonly LeaseView[];
+  /**
+   * @returns whether a gang job may be preempted, given its known leases of one
+   *   attempt
+   */
+  mayStopGang(leases: readonly LeaseView[]): boolean;
 }
 
 // Surcharge for each preempted accelerator, so that plans which preempt fewer
@@ -138,15 +143,20 @@
 
 /**
  * Adds a lease to the victims, for a gang job with all other leases of the job.
- * Returns `undefined` when the plan would take more accelerators from the
- * account than are reclaimable.
+ * Returns `undefined` when the gang job may not be stopped, or the plan would
+ * take more accelerators from the account than are reclaimable.
  */
 function addVictims(
   lease: LeaseView,
   draft: PartialPlan,
   options: ReclaimOptions,
 ): PartialPlan | undefined {
-  const members = lease.parts > 1 ? options.leasesOf(lease.request) : [lease];
+  const isGang = lease.parts > 1;
+  const members = isGang ? options.leasesOf(lease.request) : [lease];
+  const attemptMembers = members.filter(({ attempt }) =>
+    attempt === lease.attempt
+  );
+  if (isGang && !options.mayStopGang(attemptMembers)) return undefined;
   const accelerators = members.reduce(
     (sum, member) => sum + member.accelerators,
     0,
--- a/packages/entry/src/placer_host.ts
+++ b/packages/entry/src/placer_host.ts
@@ -11,7 +11,6 @@
   createPlacer,
   EndReason,
   type HoldPlan,
-  type LeaseView,
   type Placer,
   type PlacerDecision,
   type PlaceRefusal,
@@ -19,6 +18,7 @@
 } from "@rattanhill/core";
 import type { PlaceReply } from "@rattanhill/protocol";
 import type { ActorSystem } from "./actors.ts";
+import { createPreemption } from "./preemption.ts";
 import type { EntryTiming } from "./settings.ts";
 import type { WorkerLinks } from "./worker_links.ts";
 
@@ -111,11 +111,17 @@
     resolveWaiter(id, attempt, { parts: [], reason, retryAfterMs });
   };
 
+  const preemption = createPreemption({
+    clock,
+    pauseMs: timing.holdTtlMs,
+    links: options.links,
+    workers: () => placer.workers(),
+  });
   const placer = createPlacer({
     zone,
     host: {
       hold: (plan) => void obtainHolds(plan),
-      preempt: (leases) => leases.forEach((lease) => void preemptLease(lease)),
+      preempt: (leases) => preemption.preempt(leases),
       refuse: refuseWaiter,
       reportDecision: options.logDecision,
       createLeaseName: createIdentifier,
@@ -123,25 +129,6 @@
     },
   });
 
-  /**
-   * Saves a checkpoint and then stops the lease. The worker reports the stop to
-   * the owner of the request.
-   */
-  const preemptLease = async ({ worker, lease }: LeaseView): Promise<void> => {
-    const workerView = placer.workers().find(({ name }) => name === worker);
-    if (workerView === undefined) return;
-    const client = options.links().getClient(worker, workerView.address);
-    try {
-      await client.checkpoint(lease);
-    } catch {
-      // The lease is stopped even without a new checkpoint, although the work
-      // since the last one is lost: the reclaim of a guarantee must not wait
-      // for a worker that does not respond.
-    }
-    // If the stop fails, nothing is freed, and the placer plans again.
-    await client.stop(lease).catch(() => {});
-  };
-
   const obtainHolds = async (plan: HoldPlan): Promise<void> => {
     const firstHoldSentAt = clock.now();
     const grantByPart = new Map<number, { boot: string; sequence: number }>();
--- a/packages/platform/src/worker_client.ts
+++ b/packages/platform/src/worker_client.ts
@@ -69,6 +69,15 @@
    * stop.
    */
   checkpoint(lease: string): Promise<LeaseResponse>;
+  /**
+   * Saves a checkpoint of a running task and pauses the task, which then does
+   * not end by itself until it is continued or `ttlMs` have passed.
+   *
+   * @returns the state of the lease; only a running task was paused
+   */
+  pause(lease: string, ttlMs: Milliseconds): Promise<LeaseResponse>;
+  /** Continues a paused task. */
+  continue(lease: string): Promise<LeaseResponse>;
   /** Transfers a lease from one owner to another, by their identifiers. */
   changeOwner(lease: string, from: string, to: string): Promise<LeaseResponse>;
   /**
@@ -194,6 +203,20 @@
         path: `/leases/${lease}/checkpoint`,
         step: "worker.checkpoint",
       }),
+    pause: (lease, ttlMs) =>
+      sendCommand({
+        method: "POST",
+        path: `/leases/${lease}/pause`,
+        step: "worker.pause",
+        body: JSON.stringify({ ttlMs }),
+        headers: JSON_HEADERS,
+      }),
+    continue: (lease) =>
+      sendCommand({
+        method: "POST",
+        path: `/leases/${lease}/continue`,
+        step: "worker.continue",
+      }),
     changeOwner: (lease, from, to) =>
       sendCommand({
         method: "POST",
--- a/packages/protocol/src/worker_interface.ts
+++ b/packages/protocol/src/worker_interface.ts
@@ -62,6 +62,12 @@
 /** Request to hold capacity for one part of a request. */
 export type HoldRequest = z.infer<typeof holdRequestSchema>;
 
+/** Schema of the body of `POST /leases/LEASE/pause`. */
+export const pauseRequestSchema = z.object({
+  /** Longest time of the pause, by the worker's clock. */
+  ttlMs: z.number().positive(),
+});
+
 /** Schema of the response to every operation on a lease. */
 export const leaseResponseSchema = z.object({
   /** Identifier of the worker's process start. */
--- a/packages/standins/__tests__/lease_table.test.ts
+++ b/packages/standins/__tests__/lease_table.test.ts
@@ -96,3 +96,46 @@
   table.tick(TASK_MS);
   expect(table.find("a")?.state).to.equal("ended");
 });
+
+it("lease table: a paused task does not end before it continues", () => {
+  const table = createTable();
+  table.hold(lease("a"), 100, 0);
+  table.run("a", {}, 0);
+  table.pause("a", 2_000, 900);
+  table.tick(TASK_MS + 500);
+  expect(table.find("a")?.state).to.equal("running");
+  table.continue("a", TASK_MS + 500);
+  table.tick(TASK_MS + 599);
+  expect(table.find("a")?.state).to.equal("running");
+  table.tick(TASK_MS + 600);
+  expect(table.find("a")?.state).to.equal("ended");
+});
+
+it("lease table: a task that was paused and stopped resumes from the pause", () => {
+  const table = createTable();
+  table.hold(lease("a"), 100, 0);
+  table.run("a", {}, 0);
+  table.pause("a", 2_000, 700);
+  const { state, checkpoint } = table.stop("a", 1_200).answer;
+  expect(state).to.equal("stopped");
+  expect(checkpoint).to.equal("700");
+});
+
+it("lease table: a pause without a decision ends by itself", () => {
+  const table = createTable();
+  table.hold(lease("a"), 100, 0);
+  table.run("a", {}, 0);
+  table.pause("a", 2_000, 900);
+  expect(table.nextDueAt()).to.equal(2_900);
+  table.tick(2_999);
+  expect(table.find("a")?.state).to.equal("running");
+  table.tick(3_000);
+  expect(table.find("a")?.state).to.equal("ended");
+});
+
+it("lease table: a task that has ended is not paused", () => {
+  const table = createTable();
+  table.hold(lease("a"), 100, 0);
+  table.run("a", {}, 0);
+  expect(table.pause("a", 2_000, TASK_MS).answer.state).to.equal("ended");
+});
--- a/packages/standins/src/lease_table.ts
+++ b/packages/standins/src/lease_table.ts
@@ -9,6 +9,15 @@
   type LeaseResponse,
   WorkerRefusal,
 } from "@rattanhill/protocol";
+import {
+  checkpointOf,
+  continueRow,
+  createHeldRow,
+  dueAtOf,
+  type LeaseRow,
+  pauseRow,
+  runningMsOf,
+} from "./lease_row.ts";
 
 /** Simulated behaviour of a task's program. */
 export interface TaskPlan {
@@ -44,27 +53,6 @@
   onChange(): void;
 }
 
-/** One lease of the table. */
-export interface LeaseRow {
-  descriptor: LeaseDescriptor;
-  state: LeaseState;
-  /** Expiry of the hold, or of the last renewal of a running task. */
-  expiresAt: Milliseconds;
-  /** Absent until the task starts. */
-  startedAt?: Milliseconds;
-  /** Time at which the task finishes unless it is stopped first. */
-  endsAt: Milliseconds;
-  /** Time of the newest checkpoint, or of the task's start without one. */
-  checkpointAt: Milliseconds;
-  endedAt: Milliseconds;
-  /** Sequence number of the change that ended the lease. */
-  endedSequence: number;
-  payload?: string;
-  /** Progress restored from a checkpoint at the start of the task. */
-  progressMs: Milliseconds;
-  failure?: string;
-}
-
 /** Content of a call that prepares or starts a task. */
 export interface DeliveredTask {
   payload?: string;
@@ -100,6 +88,14 @@
   inspect(lease: string, now: Milliseconds): LeaseResult;
   /** Records a checkpoint of a running task. */
   checkpoint(lease: string, now: Milliseconds): LeaseResult;
+  /**
+   * Records a checkpoint of a running task, and pauses it until it is stopped
+   * or continued or `ttlMs` have passed; no effect on other leases. A paused
+   * task does not end by itself.
+   */
+  pause(lease: string, ttlMs: Milliseconds, now: Milliseconds): LeaseResult;
+  /** Continues a paused task; no effect on other leases. */
+  continue(lease: string, now: Milliseconds): LeaseResult;
   /** Transfers a lease to another owner if it still belongs to `from`. */
   changeOwner(lease: string, from: string, to: string): LeaseResult;
   /** Renews those of the given leases that run a task and belong to `owner`. */
@@ -207,7 +203,11 @@
     } else endLease(row, LeaseState.released, now);
   };
   const tickRow = (row: LeaseRow, now: Milliseconds) => {
-    const isRunning = row.state === LeaseState.running;
+    if (row.pause !== undefined && row.pause.until <= now) {
+      continueRow(row, now);
+    }
+    const isRunning = row.state === LeaseState.running &&
+      row.pause === undefined;
     // Both times may have passed while the process was frozen. The earlier one
     // decides how the lease ends.
     if (isRunning && row.endsAt <= now && row.endsAt <= row.expiresAt) {
@@ -302,7 +302,28 @@
     checkpoint: (lease, now) => {
       const row = liveRows.get(lease);
       if (row === undefined) return unknownLeaseResult();
-      row.checkpointAt = now;
+      row.checkpointAt = row.pause?.since ?? now;
+      return acceptedResult(row);
+    },
+    pause: (lease, ttlMs, now) => {
+      tick(now);
+      const row = find(lease);
+      if (row === undefined) return unknownLeaseResult();
+      if (row.state === LeaseState.running) {
+        if (row.pause === undefined) row.checkpointAt = now;
+        pauseRow(row, now + ttlMs, now);
+        options.onChange();
+      }
+      return acceptedResult(row);
+    },
+    continue: (lease, now) => {
+      tick(now);
+      const row = find(lease);
+      if (row === undefined) return unknownLeaseResult();
+      if (row.state === LeaseState.running) {
+        continueRow(row, now);
+        options.onChange();
+      }
       return acceptedResult(row);
     },
     changeOwner: (lease, from, to) => {
@@ -329,10 +350,7 @@
     nextDueAt: () => {
       let dueAt: Milliseconds | undefined;
       for (const row of liveRows.values()) {
-        const rowDueAt = row.state === LeaseState.running
-          ? Math.min(row.endsAt, row.expiresAt)
-          : row.expiresAt;
-        dueAt = Math.min(dueAt ?? Infinity, rowDueAt);
+        dueAt = Math.min(dueAt ?? Infinity, dueAtOf(row));
       }
       return dueAt;
     },
@@ -376,32 +394,3 @@
     isBusy: () => liveRows.size > 0,
   };
 }
-
-function createHeldRow(
-  descriptor: LeaseDescriptor,
-  expiresAt: Milliseconds,
-): LeaseRow {
-  return {
-    descriptor,
-    state: LeaseState.held,
-    expiresAt,
-    endsAt: 0,
-    checkpointAt: 0,
-    endedAt: 0,
-    endedSequence: 0,
-    progressMs: 0,
-  };
-}
-
-/**
- * Formats the progress at the newest checkpoint, in milliseconds. A task
- * without a checkpoint of its own reports the progress that it resumed from.
- */
-function checkpointOf(row: LeaseRow): string | undefined {
-  if (row.startedAt === undefined) return undefined;
-  return String(row.progressMs + row.checkpointAt - row.startedAt);
-}
-
-function runningMsOf(row: LeaseRow, now: Milliseconds): Milliseconds {
-  return row.startedAt === undefined ? 0 : now - row.startedAt;
-}
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -2,6 +2,7 @@
 export * from "./http_service.ts";
 export * from "./caller.ts";
 export * from "./launcher.ts";
+export * from "./lease_row.ts";
 export * from "./lease_table.ts";
 export * from "./platform_standin.ts";
 export * from "./random.ts";
--- a/packages/standins/src/worker_standin.ts
+++ b/packages/standins/src/worker_standin.ts
@@ -12,6 +12,7 @@
   contentDigest,
   holdRequestSchema,
   LEASE_HEADER,
+  pauseRequestSchema,
   sha256Hex,
   type WatchRequest,
   watchRequestSchema,
@@ -27,9 +28,9 @@
   createLeaseTable,
   type DeliveredTask,
   type JournalEvent,
-  type LeaseRow,
   type TaskPlan,
 } from "./lease_table.ts";
+import type { LeaseRow } from "./lease_row.ts";
 
 /** Maximum number of open connections to a worker. */
 export const MAXIMUM_CONNECTIONS = 64;
@@ -150,6 +151,8 @@
     if (action === "checkpoint") {
       return toResponse(table.checkpoint(lease, now));
     }
+    if (action === "pause") return pauseTask(lease, body, now);
+    if (action === "continue") return toResponse(table.continue(lease, now));
     if (action === "owner") {
       const { from, to } = JSON.parse(body.toString());
       return toResponse(table.changeOwner(lease, from, to));
@@ -189,6 +192,17 @@
     return toResponse(table.hold(descriptor, ttlMs, now));
   };
 
+  const pauseTask = (
+    lease: string,
+    body: Buffer,
+    now: Milliseconds,
+  ): ServiceResponse => {
+    const parsed = pauseRequestSchema.safeParse(JSON.parse(body.toString()));
+    return parsed.success
+      ? toResponse(table.pause(lease, parsed.data.ttlMs, now))
+      : { status: 400, body: composeRefusal(parsed.error.message) };
+  };
+
   const prepare = (lease: string, task: DeliveredTask, now: Milliseconds) => {
     if ((faults.refusePrepare ?? 0) > 0) {
       faults.refusePrepare! -= 1;
