fix(entry): a cancelled or overdue gang job stops as a whole or ends

Cause: at a cancellation or at the deadline the owner sent a stop to each part for itself, as the lead did at a preemption.

Change: before the stops the owner pauses all parts of a gang job that was started as a whole. If one has ended, all go on, and each part is stopped only once it has ended, or after 2 s. Where a part was lost, stopped or refused, the others are stopped at once as before. A caller that cancels waits for one more call to the workers, and for at most 2 s more if a part has ended.

Left are an owner that is killed between its run messages, and stops that arrive after the pause of 2 s.

--- a/packages/entry/src/task_commands.ts
+++ b/packages/entry/src/task_commands.ts
@@ -17,6 +17,7 @@
 } from "@rattanhill/core";
 import { type LeaseResponse, WorkerRefusal } from "@rattanhill/protocol";
 import type { WorkerClient } from "@rattanhill/platform";
+import { createGangStops } from "./gang_stops.ts";
 import type { OwnedRequest } from "./request_registry.ts";
 import type { EntryTiming } from "./settings.ts";
 import type { LeaseEnd, WorkerLinks } from "./worker_links.ts";
@@ -65,6 +66,7 @@
   options: TaskCommandsOptions,
 ): TaskCommands {
   const { timing, clock, log, links } = options;
+  const gangStops = createGangStops(options);
 
   /**
    * Retries an idempotent operation until the worker responds or refuses it.
@@ -200,6 +202,7 @@
   ): Promise<void> => {
     const { attempt, part, target } = effect;
     links.unfollow(target.lease);
+    await gangStops.waitUntilStoppable(request, target);
     const response = await retryUntilResponse(
       () => getClient(target).stop(target.lease),
       { timeoutMs: STOP_TIMEOUT_MS },
