fix(entry): a timed-out call ends no other calls to the peer

Cause: a call that timed out (a lookup after 300 ms, a heartbeat after 800 ms) closed the connection to the peer and cancelled every call on it. On a busy machine one late lookup so cancelled all placements that waited at the lead; each was placed again 50 ms later, with new lookups, of which some were late again. Of four refusals that said unknown in place of not run, three had a lookup cancelled this way, 110 to 395 ms after it was sent.

Change: after a time-out later calls use a new connection, and the calls in progress stay on the old one, which is closed after its last call. Silence of the old one is found by its keepalive pings, within 1 s; a peer that is marked as dead still ends all calls. The connections have a file of their own, peer_connections.ts.

Conclusion: a late answer no longer ends other calls.

--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -1,22 +1,11 @@
-import {
-  type CallOptions,
-  type ClientOptions,
-  credentials,
-  Metadata,
-  Server,
-  ServerCredentials,
-  type ServiceError,
-  status,
-} from "@grpc/grpc-js";
+import { Metadata, Server, ServerCredentials } from "@grpc/grpc-js";
 import {
   type Clock,
   describeError,
-  ErrorCode,
   type EventLog,
   Events,
   type Milliseconds,
   UnavailableError,
-  UncertainError,
 } from "@rattanhill/shared";
 import type { EntryInfo, Membership, ZoneSummary } from "@rattanhill/core";
 import {
@@ -27,6 +16,10 @@
   type PeerHandlers,
   PeerService,
 } from "@rattanhill/protocol";
+import {
+  createPeerConnections,
+  type PeerConnections,
+} from "./peer_connections.ts";
 import type { RequestHandlers } from "./peer_handlers.ts";
 import type { EntryTiming } from "./settings.ts";
 
@@ -41,21 +34,8 @@
    * @returns the port that the server was bound to
    */
   start(): Promise<number>;
-  /**
-   * Calls an entry.
-   *
-   * @param address address of the entry
-   * @param invoke makes the call with the given client
-   * @param options name of the operation in errors, and its time limit
-   * @throws UnavailableError when the entry could not be reached
-   * @throws UncertainError when the call failed in any other way, so that the
-   * entry may have carried it out
-   */
-  call<Reply>(
-    address: string,
-    invoke: PeerInvocation<Reply>,
-    options: { step: string; timeoutMs: Milliseconds },
-  ): Promise<Reply>;
+  /** Calls an entry. See {@link PeerConnections.call}. */
+  call: PeerConnections["call"];
   /** Adds addresses to which heartbeats are sent. */
   addAddresses(addresses: Iterable<string>): void;
   /** Removes unresponsive addresses that the platform does not list. */
@@ -70,13 +50,6 @@
   stop(): Promise<void>;
 }
 
-/** Makes one unary call with the given client. */
-export type PeerInvocation<Reply> = (
-  client: PeerClient,
-  options: CallOptions,
-  callback: (error: ServiceError | null, reply?: Reply) => void,
-) => { cancel(): void };
-
 /** Options of {@link createPeers}. */
 export interface PeersOptions {
   host: string;
@@ -111,70 +84,17 @@
 export function createPeers(options: PeersOptions): Peers {
   const { timing, clock, log, membership } = options;
   const server = new Server();
-  const clients = new Map<string, PeerClient>();
+  const connections = createPeerConnections(options.translate);
   const addresses = new Set<string>(options.seeds);
   const failureCounts = new Map<string, number>();
   const zoneByAddress = new Map<string, string>();
   const summaries = new Map<string, ZoneSummary>();
   const timers = new Map<string, NodeJS.Timeout>();
   const heartbeatReceivedAt = new Map<string, Milliseconds>();
-  const openCalls = new Map<string, Set<() => void>>();
   let expiryTimer: NodeJS.Timeout | undefined;
   let lastExpiryAt = clock.now();
   let isStopped = false;
 
-  const getClient = (address: string): PeerClient => {
-    let client = clients.get(address);
-    if (client === undefined) {
-      const target = options.translate[address] ?? address;
-      client = new PeerService(
-        target,
-        credentials.createInsecure(),
-        CLIENT_OPTIONS,
-      );
-      clients.set(address, client);
-    }
-    return client;
-  };
-
-  /**
-   * Closes the connection to an address and cancels all calls on it. The next
-   * call opens a new connection.
-   */
-  const dropConnection = (address: string): void => {
-    const client = clients.get(address);
-    clients.delete(address);
-    const cancelCalls = openCalls.get(address) ?? [];
-    openCalls.delete(address);
-    for (const cancel of cancelCalls) cancel();
-    client?.close();
-  };
-
-  const call: Peers["call"] = (address, invoke, { step, timeoutMs }) =>
-    new Promise((resolve, reject) => {
-      const deadline = Date.now() + timeoutMs;
-      const cancel = () => pendingCall.cancel();
-      const pendingCall = invoke(
-        getClient(address),
-        { deadline },
-        (error, reply) => {
-          openCalls.get(address)?.delete(cancel);
-          if (error === null && reply !== undefined) return resolve(reply);
-          const isTimeout = error?.code === status.DEADLINE_EXCEEDED;
-          if (isTimeout) dropConnection(address);
-          const context = { step, peer: address, cause: error };
-          const text = error?.details ?? "no reply";
-          reject(
-            error?.code === status.UNAVAILABLE
-              ? new UnavailableError(ErrorCode.peerUnreachable, text, context)
-              : new UncertainError(ErrorCode.peerUnreachable, text, context),
-          );
-        },
-      );
-      const cancelCalls = openCalls.get(address) ?? new Set();
-      openCalls.set(address, cancelCalls.add(cancel));
-    });
-
   /**
    * Cancels all calls to a peer that was marked as dead, so that the code that
    * made them can turn to other entries before the time limit is over.
@@ -182,7 +102,7 @@
   const handlePeerLost = (peer: EntryInfo, error?: unknown): void => {
     const errorText = error === undefined ? undefined : describeError(error);
     log(Events.peerLost, { peer: peer.id, error: errorText });
-    dropConnection(peer.address);
+    connections.drop(peer.address);
   };
 
   const handleHeartbeat = (message: HeartbeatMessage__Output): void => {
@@ -202,7 +122,7 @@
   const sendHeartbeat = async (address: string): Promise<void> => {
     try {
       const timeoutMs = timing.suspicionMs / 2;
-      const message = await call<HeartbeatMessage__Output>(
+      const message = await connections.call<HeartbeatMessage__Output>(
         address,
         (client, callOptions, callback) =>
           client.Heartbeat(
@@ -302,7 +222,7 @@
       addAddresses([...addresses]);
       return port;
     },
-    call,
+    call: connections.call,
     addAddresses,
     pruneAddresses: (listed) => {
       for (const [address, count] of failureCounts) {
@@ -313,7 +233,7 @@
         timers.delete(address);
         addresses.delete(address);
         failureCounts.delete(address);
-        dropConnection(address);
+        connections.drop(address);
       }
     },
     canReachAll: () => {
@@ -344,7 +264,7 @@
           resolve();
         });
       });
-      for (const client of clients.values()) client.close();
+      connections.close();
     },
   };
 }
@@ -360,15 +280,3 @@
 // The heartbeat interval of unresponsive addresses is longer by this factor.
 const SLOWDOWN_FACTOR = 5;
 const SERVER_STOP_TIMEOUT_MS: Milliseconds = 500;
-const CLIENT_OPTIONS: ClientOptions = {
-  "grpc.enable_retries": 0,
-  "grpc.initial_reconnect_backoff_ms": 100,
-  "grpc.min_reconnect_backoff_ms": 100,
-  "grpc.max_reconnect_backoff_ms": 500,
-  // Keepalive pings detect a silent connection during calls with a long wait.
-  "grpc.keepalive_time_ms": 500,
-  "grpc.keepalive_timeout_ms": 500,
-  // Without its own pool, the client created after a dropped connection would
-  // share the connection of the client before it.
-  "grpc.use_local_subchannel_pool": 1,
-};
