fix(entry): a lookup sees the requests that arrived before it

Cause: an entry answers a lookup from its registry at once. After a pause it may read the lookup before a request that a caller sent earlier on another connection, say that it does not have the key, and then run it, while the asking entry tells the caller that the request did not run.

Change: before an entry says that it does not have a request, it gives its event loop three turns, in which a new connection is accepted, its request read and the request admitted.

--- a/packages/entry/src/peer_handlers.ts
+++ b/packages/entry/src/peer_handlers.ts
@@ -1,3 +1,4 @@
+import { setImmediate } from "node:timers/promises";
 import { type ServiceError, status } from "@grpc/grpc-js";
 import { describeError, type Milliseconds } from "@rattanhill/shared";
 import type { ConfigState, EndReason } from "@rattanhill/core";
@@ -24,6 +25,9 @@
 
 const MAXIMUM_FIND_WAIT_MS: Milliseconds = 10_000;
 const CANCEL_WAIT_MS: Milliseconds = 5_000;
+// Turns of the event loop in which a new connection is accepted, its request is
+// read, and the request is admitted.
+const PENDING_READ_TURNS = 3;
 
 /**
  * Creates the handlers of the calls that one entry receives from its peers.
@@ -50,11 +54,15 @@
       const { id, attempt } = request;
       callback(null, { wasWaiting: placerHost.withdraw(id, attempt) });
     },
-    Find: ({ request }, callback) => {
+    Find: async ({ request }, callback) => {
       const { account, key, id, waitMs } = request;
-      const ownedRequest = id === ""
-        ? registry.findByKey(account, key)
-        : registry.find(id);
+      const findOwned = () =>
+        id === "" ? registry.findByKey(account, key) : registry.find(id);
+      let ownedRequest = findOwned();
+      if (ownedRequest === undefined) {
+        await readPendingRequests();
+        ownedRequest = findOwned();
+      }
       if (ownedRequest === undefined || ownedRequest.spec.account !== account) {
         return callback(null, { found: false });
       }
@@ -87,6 +95,15 @@
   };
 }
 
+/**
+ * Waits until the requests have been admitted that callers sent before now, and
+ * that this process, if it was paused, has not read yet. The reply that a
+ * request is not here lets another entry say that it did not run.
+ */
+async function readPendingRequests(): Promise<void> {
+  for (let turn = 0; turn < PENDING_READ_TURNS; turn++) await setImmediate();
+}
+
 function createFindReply({ spec, state, result }: OwnedRequest): FindReply {
   return {
     found: true,
