fix(entry): a lookup before a refusal is asked twice

Cause: while the log does not answer, a refusal says not run only if every other entry answered a lookup within 300 ms; one late answer made it unknown.

Change: a lookup that failed is asked a second time, on the new connection that follows a time-out. A key that any entry has, and an entry that answers neither call, still make the refusal unknown.

Conclusion: a single late answer no longer matters; processes that get no processor time for longer still make refusals unknown.

--- a/packages/entry/src/peer_lookup.ts
+++ b/packages/entry/src/peer_lookup.ts
@@ -100,11 +100,18 @@
   const liveAddresses = () =>
     membership.alivePeers().map(({ address }) => address);
 
+  /**
+   * Asks a second time if the first call fails: after a call that timed out,
+   * the next one uses a new connection.
+   */
+  const findWithRetry: PeerLookup["find"] = (address, query) =>
+    find(address, query).catch(() => find(address, query));
+
   const isUnknownToLivePeers = async (
     query: RequestQuery,
   ): Promise<boolean> => {
     const replies = await Promise.allSettled(
-      liveAddresses().map((address) => find(address, query)),
+      liveAddresses().map((address) => findWithRetry(address, query)),
     );
     return replies.every((reply) =>
       reply.status === "fulfilled" && !reply.value.found
