fix(entry): a refusal is not run only if all entries answer

Cause: a repeatable request whose key another entry has was called not run when that entry was alive but did not answer the lookup in time: the lookup that failed counted as "not found", the request was admitted a second time, and its refusal proved nothing about the first.

Change: before a refusal of a repeatable request with a key says not run, all other entries are asked once more; one that has the key, or that does not answer, makes it unknown. A key that another entry certainly did not run counts as not run, so that a caller's second refusal stays not run.

--- a/packages/entry/__tests__/peer_lookup.test.ts
+++ b/packages/entry/__tests__/peer_lookup.test.ts
@@ -5,7 +5,7 @@
 import type { Peers } from "../src/peers.ts";
 
 /** Replies of one peer to successive lookups; an error is a failed call. */
-type Replies = ({ found: boolean } | Error)[];
+type Replies = ({ found: boolean; outcome?: string } | Error)[];
 
 /** Creates a lookup at live peers that give these replies. */
 function createLookup(...repliesOfPeers: Replies[]) {
@@ -60,3 +60,8 @@
   const lookup = createLookup([LATE, FOUND], [NOT_FOUND]);
   expect(await lookup.isKeyUnknownToAllPeers("notun", "key")).to.equal(false);
 });
+
+it("peer lookup: a key that did not run at its owner may be called unknown", async () => {
+  const lookup = createLookup([{ ...FOUND, outcome: "not-run" }], [NOT_FOUND]);
+  expect(await lookup.isKeyUnknownToAllPeers("notun", "key")).to.equal(true);
+});
--- a/packages/entry/src/peer_lookup.ts
+++ b/packages/entry/src/peer_lookup.ts
@@ -1,6 +1,6 @@
 import { Metadata } from "@grpc/grpc-js";
 import type { Milliseconds } from "@rattanhill/shared";
-import type { Membership } from "@rattanhill/core";
+import { type Membership, Outcome } from "@rattanhill/core";
 import type { FindReply__Output } from "@rattanhill/protocol";
 import type { LogFollower } from "./log_follower.ts";
 import type { Peers } from "./peers.ts";
@@ -46,8 +46,8 @@
    */
   isRequestUnknownEverywhere(account: string, id: string): Promise<boolean>;
   /**
-   * @returns whether no other entry has a request with the key; `false` also
-   * when an entry does not reply
+   * @returns whether no other entry has a request with the key that may have
+   * run; `false` also when an entry does not reply
    */
   isKeyUnknownToAllPeers(account: string, key: string): Promise<boolean>;
   /**
@@ -107,14 +107,15 @@
   const findWithRetry: PeerLookup["find"] = (address, query) =>
     find(address, query).catch(() => find(address, query));
 
-  const isUnknownToLivePeers = async (
+  const hasNoneAtLivePeers = async (
     query: RequestQuery,
+    isMeant: (reply: FindReply__Output) => boolean,
   ): Promise<boolean> => {
     const replies = await Promise.allSettled(
       liveAddresses().map((address) => findWithRetry(address, query)),
     );
     return replies.every((reply) =>
-      reply.status === "fulfilled" && !reply.value.found
+      reply.status === "fulfilled" && !isMeant(reply.value)
     );
   };
 
@@ -128,11 +129,15 @@
       if (!peers.canReachAll() || !await follower.readToEnd()) return false;
       const ledgerEntry = follower.ledger.findRequest(id);
       if (ledgerEntry?.account === account) return false;
-      return await isUnknownToLivePeers({ account, id, waitMs: 0 });
+      const query = { account, id, waitMs: 0 };
+      return await hasNoneAtLivePeers(query, ({ found }) => found);
     },
     isKeyUnknownToAllPeers: async (account, key) =>
       peers.canReachAll() &&
-      await isUnknownToLivePeers({ account, key, waitMs: 0 }),
+      await hasNoneAtLivePeers(
+        { account, key, waitMs: 0 },
+        ({ found, outcome }) => found && outcome !== Outcome.notRun,
+      ),
     explainAtPeers: async (id) => {
       const reply = await findFirst(
         liveAddresses().map((address) => explain(address, id)),
--- a/packages/entry/src/request_service.ts
+++ b/packages/entry/src/request_service.ts
@@ -130,7 +130,7 @@
   mayHaveLostOwner(key: string): boolean;
   /**
    * @returns whether every other entry replied and none has a request with the
-   * key
+   * key that may have run
    */
   isKeyUnknownToAllPeers(account: string, key: string): Promise<boolean>;
   /** Counts a submission that joined an earlier request. */
@@ -180,31 +180,36 @@
     try {
       const view = await admitOrJoin(submission, spec);
       if (view.result?.outcome === Outcome.notRun) {
-        requireKnownOwner(submission, spec, view.result);
+        await requireKnownOwner(submission, spec, view.result);
       }
       return view;
     } catch (error) {
-      if (isTemporaryRefusal(error)) requireKnownOwner(submission, spec, error);
+      if (isTemporaryRefusal(error)) {
+        await requireKnownOwner(submission, spec, error);
+      }
       throw error;
     }
   };
 
   /**
-   * Replaces a refusal that says `not-run` when an entry that no longer
-   * responds may have run the request. Only the registries of entries know the
-   * keys of repeatable requests; the log has those of all others.
+   * Replaces a refusal that says `not-run` when another entry, which has ended
+   * or does not respond, may have run the request. Only the registries of
+   * entries know the keys of repeatable requests; the log has those of all
+   * others.
    *
    * @throws RequestProblem with the outcome `unknown`
    */
-  const requireKnownOwner = (
+  const requireKnownOwner = async (
     { key }: Submission,
     spec: RequestSpec,
     refusal: { reason?: string; retryAfterMs?: Milliseconds },
-  ): void => {
+  ): Promise<void> => {
     if (key === undefined || !spec.repeatable || spec.isJob) return;
     if (refusal.reason === EndReason.neverFits) return;
-    if (!options.mayHaveLostOwner(key)) return;
-    const text = "an entry that no longer responds may have run the request";
+    const hasNoOtherOwner = !options.mayHaveLostOwner(key) &&
+      await options.isKeyUnknownToAllPeers(spec.account, key);
+    if (hasNoOtherOwner) return;
+    const text = "another entry may have run the request";
     // A request that was cancelled must not be sent again.
     if (refusal.reason === EndReason.cancelled) {
       throw new RequestProblem(504, text, { outcome: Outcome.unknown });
