docs(scheduler): say what may change with a restart

Cause: two comments on restarted workers said 'of another kind', which does not tell a reader what differs. Change: they name labels and capacity.

--- a/packages/scheduler/__tests__/stored_placement.test.ts
+++ b/packages/scheduler/__tests__/stored_placement.test.ts
@@ -51,7 +51,7 @@
   expect(cell.commands.map(({ kind }) => kind)).to.deep.equal([]);
 });
 
-// Its next lifetime may be of another kind, even at the same address.
+// A restarted worker may have other labels and another capacity.
 it("placement: nothing starts on a restarted worker before its entry is renewed", () => {
   const cell = createCell({ workers: 1 });
   cell.submit(job("a", { steps: [step({ requiredLabel: "a" })] }));
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -325,7 +325,7 @@
 
 /**
  * @returns whether the labels and the capacity of a worker are those of its
- * current lifetime, which may be of a different kind than the one before
+ * current lifetime, since they may change with a restart
  */
 export function isEntryCurrent(
   { listedLifetime, lifetime }: WorkerState,
