feat(scheduler): log run ends of unknown runs, unconfirmed batches and attempt limits

Cause: the log could not tell the hypotheses of the incident apart. A reported end of a run that the lead does not know left no line, nor did a batch that was not confirmed, nor the limit that a placement was made under. Change: a line and a counter by end (run.unknown.*), a line and a counter for batches (batch.unconfirmed), failed attempts and their limit in 'tasks placed'. No decision changes.

--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -243,7 +243,15 @@
         const batch = scheduler.takeBatch();
         for (const { link } of links.values()) link.notifyEndsStored();
         if (batch === undefined) return;
-        if (!await journal.append(batch.records) || !isLeading()) return;
+        if (!await journal.append(batch.records) || !isLeading()) {
+          const { records: { length: records }, ends: { size: ends } } = batch;
+          metrics.incrementCounter("batch.unconfirmed");
+          log.warn(
+            { term, records, workersWithEnds: ends },
+            "batch not confirmed: this process no longer leads",
+          );
+          return;
+        }
         for (const { placedAt, step } of batch.starting) {
           metrics.recordDuration("stored.start", clock.now() - placedAt);
           if (step.highestRun === 1) {
@@ -350,6 +358,8 @@
         wallTime: clock.wallTime,
         sendCommand,
         askAdvice: (question) => void requestAdvice(question),
+        onUnknownRunEnd: (end) =>
+          metrics.incrementCounter(`run.unknown.${end}`),
         log,
       });
       scheduler.setRules(options.rules());
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -307,6 +307,8 @@
         accelerators: step.spec.accelerators,
         milliCores: step.spec.milliCores,
         workers,
+        failedAttempts: Math.max(0, ...step.failures.values()),
+        attemptLimit: rules.queues.get(step.job.spec.queue)?.maximumAttempts,
         waitedMs: Math.round(placedAt - step.job.waitingSince),
       },
       "tasks placed",
--- a/packages/scheduler/src/run_ends.ts
+++ b/packages/scheduler/src/run_ends.ts
@@ -55,6 +55,8 @@
   onRunEnd(run: Run, end: RunEnd): void;
   /** Stops a run on its worker. */
   stop(run: Run, reason: string): void;
+  /** Called for each reported end of a run that this lead does not know. */
+  onUnknownRunEnd(worker: WorkerState, reported: ReportedEnd): void;
   /** Stops a reported run that this lead does not know or has not started. */
   stopUnknown(worker: WorkerState, reported: ReportedRun): void;
   log: Logger;
@@ -83,7 +85,10 @@
     if (reported.position <= worker.lastHandledEnd) continue;
     worker.lastHandledEnd = reported.position;
     const run = knownRuns.get(reportedKeyOf(reported));
-    if (run === undefined) continue;
+    if (run === undefined) {
+      options.onUnknownRunEnd(worker, reported);
+      continue;
+    }
     reportedRuns.add(run);
     knownRuns.delete(runKeyOf(run));
     recordRunEnd(run, reported, options);
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -25,7 +25,12 @@
 import { createCrashBlame } from "./crash_blame.ts";
 import { mayStart, type RecordBatch, takeBatch } from "./record_batch.ts";
 import type { StoredJob } from "./job_book.ts";
-import type { JobSpec, RunEnd, TaskName } from "./job_types.ts";
+import {
+  type JobSpec,
+  type RunEnd,
+  stepKey,
+  type TaskName,
+} from "./job_types.ts";
 import { type CellLoad, createPlanner } from "./planner.ts";
 import type { PlanningPolicy } from "./planning_policy.ts";
 import type { Rules } from "./rules.ts";
@@ -138,6 +143,8 @@
   sendCommand(command: WorkerCommand): void;
   /** Asks the policy of a queue which workers may run a step. */
   askAdvice?(question: AdviceQuestion): void;
+  /** Called for each reported end of a run that this scheduler does not know. */
+  onUnknownRunEnd?(end: RunEnd): void;
   /** Planning parameters that override the defaults. */
   policy?: Partial<PlanningPolicy>;
   log: Logger;
@@ -305,6 +312,23 @@
         attemptLimitOf: (queue) =>
           planner.findQueueRules(queue)?.maximumAttempts ?? Infinity,
         onRunEnd: handleRunEnd,
+        onUnknownRunEnd: (target, { task, number, end, position }) => {
+          const { job, occurrence, step, index } = task;
+          log.warn(
+            {
+              job,
+              step: stepKey(job, occurrence, step),
+              task: index,
+              run: number,
+              worker: target.id,
+              end,
+              position,
+              isJobKnown: state.jobs.has(job),
+            },
+            "end of an unknown run ignored",
+          );
+          options.onUnknownRunEnd?.(end);
+        },
         stop,
         stopUnknown: (target, { task, number }) => {
           log.warn(
