fix(scheduler): a gang that failed once counts once across a change of lead

Callers could see a job failed with fewer attempts than allowed: the number of the last counted run of a gang was not stored, so a second failed member of the same run counted again under the next lead. Cause: failures were stored as counts, which cannot tell a new end from one that is reported again. Change: the numbers of the failed runs are stored, and a run counts once however often its end is reported. Counts stay in the record for earlier versions, and records of these are still read.

--- a/packages/cell/__tests__/cell_journal.test.ts
+++ b/packages/cell/__tests__/cell_journal.test.ts
@@ -12,7 +12,7 @@
     highestRun: 1,
     done: [],
     runs: [],
-    failures: [],
+    failedRuns: [],
     checkpoints: [],
     crashes: [],
   },
--- a/packages/cell/__tests__/cell_lead.test.ts
+++ b/packages/cell/__tests__/cell_lead.test.ts
@@ -119,7 +119,7 @@
         highestRun: 1,
         done: [],
         runs: [[0, 1, "w", 1, ""]],
-        failures: [],
+        failedRuns: [],
         checkpoints: [],
         crashes: [],
       },
--- a/packages/scheduler/__tests__/job_book.test.ts
+++ b/packages/scheduler/__tests__/job_book.test.ts
@@ -17,7 +17,7 @@
       highestRun: 2,
       done: [0],
       runs: [[1, 2, "w", 7]],
-      failures: [[1, 1]],
+      failedRuns: [[1, [3]]],
       checkpoints: [[1, "c"]],
       crashes: [[1, ["w/7", "v/3"], ["w/7"]]],
     },
--- a/packages/scheduler/__tests__/scheduler.test.ts
+++ b/packages/scheduler/__tests__/scheduler.test.ts
@@ -91,7 +91,7 @@
   }
   cell.settle();
   const gangStep = [...cell.scheduler.state.jobs.get("a")!.steps.values()][0];
-  expect(gangStep.failures.get(0)).to.equal(1);
+  expect(gangStep.failedRuns.get(0)?.size).to.equal(1);
   expect(cell.runs("a").map(({ number }) => number)).to.deep.equal([2, 2, 2]);
 });
 
--- a/packages/scheduler/__tests__/stored_progress.test.ts
+++ b/packages/scheduler/__tests__/stored_progress.test.ts
@@ -12,7 +12,7 @@
   highestRun,
   done: [],
   runs: [],
-  failures: [],
+  failedRuns: [],
   checkpoints: [],
   crashes: [],
 });
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -77,19 +77,14 @@
   done: Set<number>;
   /** Current run of each task, by task index. */
   runs: Map<number, Run>;
-  /** Failed attempts by task index; a gang counts as its task 0. */
-  failures: Map<number, number>;
+  /** Numbers of the failed runs by task index; a gang counts as its task 0. */
+  failedRuns: Map<number, Set<number>>;
   /** Newest checkpoint by task index; a gang keeps one as its task 0. */
   checkpoints: Map<number, string>;
   /** Crashes of workers by the index of a task that they ran. */
   crashes: Map<number, TaskCrashes>;
   /** Workers on which a run of the step failed or made no progress. */
   avoidedWorkers: Set<string>;
-  /**
-   * Run number of the last counted failure. The members of a gang share a run
-   * number, so that a failed gang is counted once.
-   */
-  lastCountedRun: number;
   /**
    * Advice of the policy of the job's queue; undefined until the policy is
    * first asked.
@@ -271,11 +266,10 @@
       highestRun: 0,
       done: new Set(),
       runs: new Map(),
-      failures: new Map(),
+      failedRuns: new Map(),
       checkpoints: new Map(),
       crashes: new Map(),
       avoidedWorkers: new Set(),
-      lastCountedRun: 0,
     };
     job.steps.set(key, step);
   }
@@ -380,7 +374,7 @@
       run.lifetime,
       run.worker.vm ?? "",
     ]),
-    failures: [...step.failures],
+    failedRuns: [...step.failedRuns].map(([index, runs]) => [index, [...runs]]),
     checkpoints: [...step.checkpoints],
     crashes: [...step.crashes].map(([index, { met, suspected }]) => [
       index,
--- a/packages/scheduler/src/mod.ts
+++ b/packages/scheduler/src/mod.ts
@@ -2,6 +2,7 @@
 export * from "./cell_state.ts";
 export * from "./crash_blame.ts";
 export * from "./durations.ts";
+export * from "./failed_attempts.ts";
 export * from "./job_book.ts";
 export * from "./job_types.ts";
 export * from "./step_ranking.ts";
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -13,6 +13,7 @@
 } from "./cell_state.ts";
 import type { CrashBlame } from "./crash_blame.ts";
 import { createDurationEstimator } from "./durations.ts";
+import { failedAttemptsOf } from "./failed_attempts.ts";
 import { Tier, type WaitingStep } from "./step_ranking.ts";
 import { type Assignment, type PlacementView, placeStep } from "./placement.ts";
 import { placementShapeOf } from "./placement_shape.ts";
@@ -307,7 +308,7 @@
         accelerators: step.spec.accelerators,
         milliCores: step.spec.milliCores,
         workers,
-        failedAttempts: Math.max(0, ...step.failures.values()),
+        failedAttempts: failedAttemptsOf(step),
         attemptLimit: rules.queues.get(step.job.spec.queue)?.maximumAttempts,
         waitedMs: Math.round(placedAt - step.job.waitingSince),
       },
--- a/packages/scheduler/src/records.ts
+++ b/packages/scheduler/src/records.ts
@@ -18,8 +18,8 @@
     lifetime: number,
     vm?: string,
   ][];
-  /** Failed attempts of each task; a gang counts as its task 0. */
-  failures: [index: number, count: number][];
+  /** Numbers of the failed runs of each task; a gang counts as its task 0. */
+  failedRuns: [index: number, runs: number[]][];
   /** Newest checkpoint of each task; a gang keeps one as its task 0. */
   checkpoints: [index: number, checkpoint: string][];
   /**
@@ -84,9 +84,19 @@
     case "progressRemoval":
       return [{ key: KEY_PREFIX.progress + record.step }];
     case "progress": {
-      const { highestRun, done, runs, failures, checkpoints, crashes } =
+      const { highestRun, done, runs, failedRuns, checkpoints, crashes } =
         record.progress;
-      const value = [highestRun, done, runs, failures, checkpoints, crashes];
+      // Earlier versions read the number of failed runs.
+      const failures = failedRuns.map(([index, { length }]) => [index, length]);
+      const value = [
+        highestRun,
+        done,
+        runs,
+        failures,
+        checkpoints,
+        crashes,
+        failedRuns,
+      ];
       return [{
         key: KEY_PREFIX.progress + record.step,
         value: JSON.stringify(value),
@@ -135,8 +145,15 @@
       return value === undefined ? undefined : { kind: "start", job: name };
     case KEY_PREFIX.progress: {
       if (value === undefined) return undefined;
-      const [highestRun, done, runs, failures, checkpoints, crashes] = JSON
-        .parse(value);
+      const [
+        highestRun,
+        done,
+        runs,
+        failures,
+        checkpoints,
+        crashes,
+        failedRuns,
+      ] = JSON.parse(value);
       return {
         kind: "progress",
         step: name,
@@ -144,9 +161,9 @@
           highestRun,
           done,
           runs,
-          failures,
+          // Records of earlier versions lack the last two.
+          failedRuns: failedRuns ?? failures.map(toFailedRuns),
           checkpoints,
-          // Records of earlier versions have none.
           crashes: crashes ?? [],
         },
       };
@@ -160,3 +177,13 @@
       return undefined;
   }
 }
+
+/**
+ * Returns failed runs for the count of an earlier version, which did not store
+ * their numbers. The numbers are those of no run.
+ */
+function toFailedRuns(
+  [index, count]: [index: number, count: number],
+): [index: number, runs: number[]] {
+  return [index, Array.from({ length: count }, (_, position) => -position)];
+}
--- a/packages/scheduler/src/run_ends.ts
+++ b/packages/scheduler/src/run_ends.ts
@@ -10,6 +10,11 @@
   RunPhase,
   type WorkerState,
 } from "./cell_state.ts";
+import {
+  countFailedRun,
+  failedAttemptsOf,
+  isOutOfAttempts,
+} from "./failed_attempts.ts";
 import type { RunEnd, TaskName } from "./job_types.ts";
 
 /** A run that a worker reports as running. */
@@ -180,12 +185,9 @@
   const { job, spec } = step;
   step.avoidedWorkers.add(worker.id);
   if (spec.isLongRunning) return;
-  if (spec.isGang && step.lastCountedRun === run.number) return;
-  step.lastCountedRun = run.number;
-  const task = spec.isGang ? 0 : run.index;
-  const failures = (step.failures.get(task) ?? 0) + 1;
-  step.failures.set(task, failures);
-  if (failures < options.attemptLimitOf(job.spec.queue) || isOver(job)) return;
+  if (!countFailedRun(step, run.index, run.number) || isOver(job)) return;
+  if (!isOutOfAttempts(job, options.attemptLimitOf(job.spec.queue))) return;
+  const failures = failedAttemptsOf(step);
   options.log.info(
     { job: job.spec.id, step: step.key, task: run.index, failures },
     "job failed: attempt limit of its queue reached",
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -24,6 +24,7 @@
 } from "./advice.ts";
 import { createCrashBlame } from "./crash_blame.ts";
 import { mayStart, type RecordBatch, takeBatch } from "./record_batch.ts";
+import { isOutOfAttempts } from "./failed_attempts.ts";
 import type { StoredJob } from "./job_book.ts";
 import {
   type JobSpec,
@@ -257,7 +258,9 @@
         const step = getOrCreateStep(job, occurrence, index);
         step.highestRun = record.highestRun;
         step.done = new Set(record.done);
-        step.failures = new Map(record.failures);
+        step.failedRuns = new Map(
+          record.failedRuns.map(([task, runs]) => [task, new Set(runs)]),
+        );
         step.checkpoints = new Map(record.checkpoints);
         for (const [task, met, suspected] of record.crashes) {
           step.crashes.set(task, {
@@ -277,10 +280,9 @@
       completeJobIfDone(state, job);
       const limit = planner.findQueueRules(spec.queue)?.maximumAttempts ??
         Infinity;
-      const isSpent = [...job.steps.values()].some(({ failures }) =>
-        [...failures.values()].some((count) => count >= limit)
-      );
-      if (isSpent && !isOver(job)) failJob(state, job, stop);
+      if (isOutOfAttempts(job, limit) && !isOver(job)) {
+        failJob(state, job, stop);
+      }
     },
     removeProgress,
     submit: (spec) => {
