fix(scheduler): ends of runs that were released earlier count

What callers saw: a task was started again although it had failed as often as its queue allows (BUDGET), beside two runs of it at once (TWICE). Cause: a reported end counted only if the lead still knew the run; any other was acknowledged, so the worker forgot it, and counted nowhere. Whatever releases a run too early so loses its failure, or its success. Change: the end of an unknown run is matched to its task by name. A failure counts once by its run number, a success completes the task and stops its present run; tasks that are done cannot fail any more.

--- a/packages/scheduler/src/failed_attempts.ts
+++ b/packages/scheduler/src/failed_attempts.ts
@@ -26,9 +26,11 @@
   return Math.max(0, ...[...failedRuns.values()].map(({ size }) => size));
 }
 
-/** @returns whether a task of the job has failed as often as it may */
+/** @returns whether an unfinished task of the job has failed as often as it may */
 export function isOutOfAttempts(job: ActiveJob, limit: number): boolean {
-  return [...job.steps.values()].some((step) =>
-    failedAttemptsOf(step) >= limit
+  return [...job.steps.values()].some(({ failedRuns, done }) =>
+    [...failedRuns].some(([index, runs]) =>
+      runs.size >= limit && !done.has(index)
+    )
   );
 }
--- a/packages/scheduler/src/run_ends.ts
+++ b/packages/scheduler/src/run_ends.ts
@@ -15,7 +15,7 @@
   failedAttemptsOf,
   isOutOfAttempts,
 } from "./failed_attempts.ts";
-import type { RunEnd, TaskName } from "./job_types.ts";
+import { type RunEnd, stepKey, type TaskName } from "./job_types.ts";
 
 /** A run that a worker reports as running. */
 export interface ReportedRun {
@@ -91,7 +91,7 @@
     worker.lastHandledEnd = reported.position;
     const run = knownRuns.get(reportedKeyOf(reported));
     if (run === undefined) {
-      options.onUnknownRunEnd(worker, reported);
+      recordUnknownRunEnd(worker, reported, options);
       continue;
     }
     reportedRuns.add(run);
@@ -159,19 +159,52 @@
   }
 }
 
+/**
+ * Records the end of a run that was released before, or that an earlier lead
+ * has recorded. Its success or failure counts all the same.
+ *
+ * @param worker the worker that reported the end
+ * @param reported how the run ended
+ * @param options state and callbacks
+ */
+function recordUnknownRunEnd(
+  worker: WorkerState,
+  reported: ReportedEnd,
+  options: ApplyReportOptions,
+): void {
+  options.onUnknownRunEnd(worker, reported);
+  const { task: { job, occurrence, step: stepIndex, index }, number, end } =
+    reported;
+  const step = options.state.jobs.get(job)?.steps.get(
+    stepKey(job, occurrence, stepIndex),
+  );
+  if (step === undefined || index >= step.spec.taskCount) return;
+  if (end === "failed") recordFailure({ step, index, number, worker }, options);
+  if (end !== "done" || step.spec.isLongRunning) return;
+  recordSuccess({ step, index }, options);
+  for (const run of [...step.runs.values()]) {
+    if (step.done.has(run.index)) options.stop(run, "its task is done");
+  }
+}
+
 /**
  * Marks the task of a run as done. One successful member completes a whole
  * gang; tasks of long-running steps are never done.
  */
-function recordSuccess(run: Run, options: ApplyReportOptions): void {
-  const { step } = run;
+function recordSuccess(
+  { step, index }: Pick<Run, "step" | "index">,
+  options: ApplyReportOptions,
+): void {
   const { spec, job } = step;
   if (spec.isLongRunning) return;
   if (spec.isGang) {
-    for (let index = 0; index < spec.taskCount; index++) step.done.add(index);
+    for (let member = 0; member < spec.taskCount; member++) {
+      step.done.add(member);
+    }
   } else {
-    step.done.add(run.index);
+    step.done.add(index);
   }
+  options.state.unsavedSteps.add(step);
   if (isStepDone(step)) completeJobIfDone(options.state, job);
 }
 
@@ -180,16 +213,23 @@
  * and fails the job when the attempt limit is reached. A failed gang counts
  * once; failures of long-running steps are not counted.
  */
-function recordFailure(run: Run, options: ApplyReportOptions): void {
-  const { step, worker } = run;
+function recordFailure(
+  { step, index, number, worker }: Pick<
+    Run,
+    "step" | "index" | "number" | "worker"
+  >,
+  options: ApplyReportOptions,
+): void {
   const { job, spec } = step;
   step.avoidedWorkers.add(worker.id);
-  if (spec.isLongRunning) return;
-  if (!countFailedRun(step, run.index, run.number) || isOver(job)) return;
+  if (spec.isLongRunning || step.done.has(index)) return;
+  if (!countFailedRun(step, index, number)) return;
+  options.state.unsavedSteps.add(step);
+  if (isOver(job)) return;
   if (!isOutOfAttempts(job, options.attemptLimitOf(job.spec.queue))) return;
   const failures = failedAttemptsOf(step);
   options.log.info(
-    { job: job.spec.id, step: step.key, task: run.index, failures },
+    { job: job.spec.id, step: step.key, task: index, failures },
     "job failed: attempt limit of its queue reached",
   );
   failJob(options.state, job, options.stop);
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -327,7 +327,7 @@
               position,
               isJobKnown: state.jobs.has(job),
             },
-            "end of an unknown run ignored",
+            "end of an unknown run",
           );
           options.onUnknownRunEnd?.(end);
         },
