fix(scheduler): the attempt limit holds without its queue and for new rules

A lead that never saw the queue had none, and no other moment compared failures with the limit. 'job failed: attempt limit' names limit and failures. Both tests fail on (4 starts of 3, 3 starts of 2).

--- a/packages/cell/src/job_service.ts
+++ b/packages/cell/src/job_service.ts
@@ -200,6 +200,7 @@
       queue: queue.name,
       account,
       service: queue.service,
+      maximumAttempts: queue.maximumAttempts,
       submittedAt: clock.wallTime(),
       ...job,
     };
--- a/packages/scheduler/__tests__/cell_fixture.ts
+++ b/packages/scheduler/__tests__/cell_fixture.ts
@@ -5,6 +5,7 @@
   createScheduler,
   type JobSpec,
   type QueueRules,
+  type Rules,
   type RunEnd,
   type StepSpec,
   taskNameOf,
@@ -52,7 +53,8 @@
   };
 }
 
-const RULES = {
+/** Rules of the cell unless a test changes them. */
+export const RULES: Rules = {
   queues: new Map([
     ["urgent", queueRules("urgent", 0)],
     ["normal", queueRules("normal", 1)],
@@ -72,11 +74,15 @@
  * Creates a scheduler with fake workers on a manual clock. The workers execute
  * commands at once.
  *
- * @param options number of workers; each rack has 2
+ * @param options number of workers, of which each rack has 2, and changes of the
+ * rules
  * @returns the scheduler, its workers, the kinds of records, the questions and
  * the commands that it produced, and functions to operate the cell
  */
-export function createCell({ workers = 2 }: { workers?: number } = {}) {
+export function createCell(
+  { workers = 2, rules = {} }: { workers?: number; rules?: Partial<Rules> } =
+    {},
+) {
   const clock = createManualClock(100_000);
   const fleet = new Map<string, FakeWorker>();
   const entries: WorkerEntry[] = [];
@@ -108,7 +114,7 @@
     askAdvice: (question) => questions.push(question),
     log: silentLogger,
   });
-  scheduler.setRules(RULES);
+  scheduler.setRules({ ...RULES, ...rules });
 
   const updateListing = (left: string[] = []) =>
     scheduler.updateWorkers({ entries, left: new Set(left) });
--- a/packages/scheduler/__tests__/failed_attempts.test.ts
+++ b/packages/scheduler/__tests__/failed_attempts.test.ts
@@ -1,11 +1,16 @@
 import { expect } from "chai";
-import { createCell, job, step } from "./cell_fixture.ts";
+import type { Rules } from "../src/mod.ts";
+import { createCell, job, queueRules, RULES, step } from "./cell_fixture.ts";
 
 type Cell = ReturnType<typeof createCell>;
 
 /** Returns the scheduler of the next lead, on the same workers and store. */
-function takeOver(cell: Cell, workers: number): Cell {
-  const next = createCell({ workers });
+function takeOver(
+  cell: Cell,
+  workers: number,
+  rules: Partial<Rules> = {},
+): Cell {
+  const next = createCell({ workers, rules });
   for (const [id, worker] of cell.fleet) next.fleet.set(id, worker);
   for (const stored of cell.book.jobs()) {
     next.book.apply({ kind: "submission", spec: stored.spec });
@@ -127,3 +132,32 @@
   expect(cell.book.stateOf("a")).to.equal("running");
   expect(cell.runs("a").map(({ task }) => task.step)).to.deep.equal([1]);
 });
+
+it("attempts: a job keeps its limit when its queue is gone from the configuration", () => {
+  const cell = createCell({ workers: 12 });
+  cell.submit(job("a", { maximumAttempts: 3 }));
+  for (let attempt = 1; attempt <= 2; attempt++) {
+    cell.settle();
+    cell.end("a", "failed");
+  }
+  cell.settle();
+  const next = takeOver(cell, 12, { queues: new Map() });
+  next.settle();
+  next.end("a", "failed");
+  next.settle();
+  expect([next.book.stateOf("a"), startsOf(next)]).to.deep.equal(["failed", 3]);
+});
+
+it("attempts: a lower limit holds for the next start of a task", () => {
+  const cell = createCell({ workers: 12 });
+  cell.submit(job("a"));
+  for (let attempt = 1; attempt <= 2; attempt++) {
+    cell.settle();
+    cell.end("a", "failed");
+  }
+  cell.pollWorkers();
+  const normal = { ...queueRules("normal", 1), maximumAttempts: 2 };
+  cell.scheduler.setRules({ ...RULES, queues: new Map([["normal", normal]]) });
+  cell.settle();
+  expect([cell.book.stateOf("a"), startsOf(cell)]).to.deep.equal(["failed", 2]);
+});
--- a/packages/scheduler/src/job_types.ts
+++ b/packages/scheduler/src/job_types.ts
@@ -62,6 +62,11 @@
    * Service of the queue at submission; used when the queue has been removed.
    */
   service: string;
+  /**
+   * Attempt limit of the queue at submission; used when the queue has been
+   * removed. Jobs that earlier versions stored have none.
+   */
+  maximumAttempts?: number;
 }
 
 /** How a job ended. */
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -21,7 +21,8 @@
 import { chooseVictims, lostWorkOf, workOf } from "./preemption.ts";
 import { findEarliestReservation } from "./reservation.ts";
 import { createCapacityLedger } from "./capacity_ledger.ts";
-import { NO_RULES, type QueueRules, type Rules, rulesOf } from "./rules.ts";
+import type { JobSpec } from "./job_types.ts";
+import { NO_RULES, type Rules, rulesOf } from "./rules.ts";
 import { findStuckRuns } from "./stuck_runs.ts";
 import { collectWaitingSteps } from "./waiting_work.ts";
 
@@ -29,8 +30,8 @@
 export interface Planner {
   /** Replaces the rules that the operators configured. */
   setRules(rules: Rules): void;
-  /** @returns the rules of a queue; undefined when it was never configured */
-  findQueueRules(queue: string): QueueRules | undefined;
+  /** @returns the number of failed attempts of a task at which a job fails */
+  attemptLimitOf(spec: JobSpec): number;
   /** @returns the factor by which a run is slowed by its placement */
   slowdownOf(run: Run): number;
   /**
@@ -309,7 +310,7 @@
         milliCores: step.spec.milliCores,
         workers,
         failedAttempts: failedAttemptsOf(step),
-        attemptLimit: rules.queues.get(step.job.spec.queue)?.maximumAttempts,
+        attemptLimit: rulesOf(rules, step.job.spec).maximumAttempts,
         waitedMs: Math.round(placedAt - step.job.waitingSince),
       },
       "tasks placed",
@@ -339,7 +340,7 @@
     setRules: (next) => {
       rules = { ...next, queues: new Map([...rules.queues, ...next.queues]) };
     },
-    findQueueRules: (queue) => rules.queues.get(queue),
+    attemptLimitOf: (spec) => rulesOf(rules, spec).maximumAttempts,
     slowdownOf: durations.slowdownFactor,
     load: () => {
       const listedWorkers = [...state.workers.values()].filter(({ isListed }) =>
--- a/packages/scheduler/src/rules.ts
+++ b/packages/scheduler/src/rules.ts
@@ -52,14 +52,15 @@
 };
 
 /**
- * @returns the rules of a job's queue; permissive defaults for an unknown queue
+ * @returns the rules of a job's queue; for an unknown queue, those that the job
+ * was submitted with, and permissive defaults
  */
 export function rulesOf(rules: Rules, spec: JobSpec): QueueRules {
   return rules.queues.get(spec.queue) ?? {
     name: spec.queue,
     service: spec.service,
     priority: 1,
-    maximumAttempts: Infinity,
+    maximumAttempts: spec.maximumAttempts ?? Infinity,
     stretch: 1,
     targetMs: 0,
   };
--- a/packages/scheduler/src/run_ends.ts
+++ b/packages/scheduler/src/run_ends.ts
@@ -1,20 +1,15 @@
 import type { Logger, Milliseconds } from "@rattanhill/shared";
 import {
+  type ActiveJob,
   type CellState,
   completeJobIfDone,
-  failJob,
-  isOver,
   isStepDone,
   releaseRun,
   type Run,
   RunPhase,
   type WorkerState,
 } from "./cell_state.ts";
-import {
-  countFailedRun,
-  failedAttemptsOf,
-  isOutOfAttempts,
-} from "./failed_attempts.ts";
+import { countFailedRun } from "./failed_attempts.ts";
 import { type RunEnd, stepKey, type TaskName } from "./job_types.ts";
 
 /** A run that a worker reports as running. */
@@ -54,8 +49,8 @@
 export interface ApplyReportOptions {
   state: CellState;
   now: Milliseconds;
-  /** @returns the number of failed attempts of a task at which its job fails */
-  attemptLimitOf(queue: string): number;
+  /** Fails a job if one of its tasks has failed as often as it may. */
+  checkAttempts(job: ActiveJob): void;
   /** Called for each reported end of a known run. */
   onRunEnd(run: Run, end: RunEnd): void;
   /** Stops a run on its worker. */
@@ -210,8 +205,8 @@
 
 /**
  * Excludes the worker from further runs of the step, counts the failed attempt,
- * and fails the job when the attempt limit is reached. A failed gang counts
- * once; failures of long-running steps are not counted.
+ * and fails the job when the attempt limit is reached. Failures of long-running
+ * steps are not counted.
  */
 function recordFailure(
   { step, index, number, worker }: Pick<
@@ -225,14 +220,7 @@
   if (spec.isLongRunning || step.done.has(index)) return;
   if (!countFailedRun(step, index, number)) return;
   options.state.unsavedSteps.add(step);
-  if (isOver(job)) return;
-  if (!isOutOfAttempts(job, options.attemptLimitOf(job.spec.queue))) return;
-  const failures = failedAttemptsOf(step);
-  options.log.info(
-    { job: job.spec.id, step: step.key, task: index, failures },
-    "job failed: attempt limit of its queue reached",
-  );
-  failJob(options.state, job, options.stop);
+  options.checkAttempts(job);
 }
 
 // Time as a reported run after which its task is cleared of earlier crashes.
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -1,6 +1,7 @@
 import type { Logger, Milliseconds } from "@rattanhill/shared";
 import { createQuarantine, createRunTimeEstimator } from "@rattanhill/core";
 import {
+  type ActiveJob,
   addJob,
   type CellState,
   completeJobIfDone,
@@ -24,7 +25,7 @@
 } from "./advice.ts";
 import { createCrashBlame } from "./crash_blame.ts";
 import { mayStart, type RecordBatch, takeBatch } from "./record_batch.ts";
-import { isOutOfAttempts } from "./failed_attempts.ts";
+import { failedAttemptsOf, isOutOfAttempts } from "./failed_attempts.ts";
 import type { StoredJob } from "./job_book.ts";
 import {
   type JobSpec,
@@ -203,6 +204,18 @@
     sendCommand({ kind: "stop", worker, task: taskNameOf(run), number, run });
   }
 
+  /** Fails a job if one of its tasks has failed as often as its queue allows. */
+  function checkAttempts(job: ActiveJob): void {
+    const attemptLimit = planner.attemptLimitOf(job.spec);
+    if (isOver(job) || !isOutOfAttempts(job, attemptLimit)) return;
+    const failedAttempts = [...job.steps.values()].map(failedAttemptsOf);
+    log.info(
+      { job: job.spec.id, failedAttempts, attemptLimit },
+      "job failed: attempt limit of its queue reached",
+    );
+    failJob(state, job, stop);
+  }
+
   /**
    * Logs the end of a run, records its duration for later estimates and updates
    * the quarantine.
@@ -242,7 +255,10 @@
 
   return {
     state,
-    setRules: (rules) => planner.setRules(rules),
+    setRules: (rules) => {
+      planner.setRules(rules);
+      for (const job of state.jobs.values()) checkAttempts(job);
+    },
     restore: (storedJob, leasesEndBy) => {
       const { spec, steps, isCancelled, outcome } = storedJob;
       const waitingSince = now() - Math.max(0, wallTime() - spec.submittedAt);
@@ -278,11 +294,7 @@
       }
       if (isCancelled) cancel(spec.id);
       completeJobIfDone(state, job);
-      const limit = planner.findQueueRules(spec.queue)?.maximumAttempts ??
-        Infinity;
-      if (isOutOfAttempts(job, limit) && !isOver(job)) {
-        failJob(state, job, stop);
-      }
+      checkAttempts(job);
     },
     removeProgress,
     submit: (spec) => {
@@ -311,8 +323,7 @@
       applyReport(worker, report, {
         state,
         now: now(),
-        attemptLimitOf: (queue) =>
-          planner.findQueueRules(queue)?.maximumAttempts ?? Infinity,
+        checkAttempts,
         onRunEnd: handleRunEnd,
         onUnknownRunEnd: (target, { task, number, end, position }) => {
           const { job, occurrence, step, index } = task;
