fix(scheduler): changes of a batch stay unsaved until it is confirmed

Cause: a batch took its changes out of the state before it was stored. If the lead went on after a batch that was not stored, the next look found nothing to store and acknowledged the run ends of the lost one. Only the writer, by never going on, prevented that; an exception while writing would not have. Change: the scheduler keeps the last batch until it is confirmed; the next one replaces it and holds its changes as well. A late confirmation of a replaced batch does nothing. An outcome is unsaved, and its job's progress is kept, until the outcome is confirmed. The three tests fail on (end acknowledged; start and progress never stored; progress deleted first).

--- a/packages/scheduler/__tests__/stored_progress.test.ts
+++ b/packages/scheduler/__tests__/stored_progress.test.ts
@@ -107,3 +107,47 @@
     { kind: "progressRemoval", step: "b.0.0" },
   ]);
 });
+
+it("stored progress: a batch that is not confirmed acknowledges no run end", () => {
+  const cell = createCell({ workers: 1 });
+  cell.submit(job("a"));
+  cell.settle();
+  cell.end("a", "failed");
+  cell.pollWorkers();
+  cell.scheduler.takeBatch();
+  const batch = cell.scheduler.takeBatch();
+  const worker = cell.scheduler.state.workers.get("w0")!;
+  expect([worker.lastHandledEnd, worker.lastStoredEnd]).to.deep.equal([1, 0]);
+  const progress = batch?.records.find(({ kind }) => kind === "progress");
+  expect(progress).to.deep.include({ kind: "progress", step: "a.0.0" });
+  cell.scheduler.handleBatchStored(batch!);
+  expect(worker.lastStoredEnd).to.equal(1);
+});
+
+it("stored progress: a batch that is not confirmed starts its runs once", () => {
+  const cell = createCell({ workers: 1 });
+  cell.submit(job("a"));
+  cell.scheduler.plan();
+  const lost = cell.scheduler.takeBatch()!;
+  cell.scheduler.plan();
+  cell.storeBatch();
+  cell.scheduler.handleBatchStored(lost);
+  expect(cell.records).to.deep.equal(["start", "progress"]);
+  expect(cell.commands.map(({ kind }) => kind)).to.deep.equal(["start"]);
+});
+
+it("stored progress: it is kept until its job's outcome is confirmed", () => {
+  const cell = createCell({ workers: 1 });
+  cell.submit(job("a"));
+  cell.settle();
+  cell.scheduler.cancel("a");
+  cell.scheduler.takeBatch();
+  cell.end("a", "stopped");
+  cell.pollWorkers();
+  cell.records.splice(0);
+  cell.storeBatch();
+  expect(cell.records).to.deep.equal(["progress", "outcome"]);
+  cell.records.splice(0);
+  cell.storeBatch();
+  expect(cell.records).to.deep.equal(["progressRemoval"]);
+});
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -118,7 +118,7 @@
   /** Monotonic time of its submission, from which its wait is measured. */
   waitingSince: Milliseconds;
   isCancelled: boolean;
-  /** Whether the record of its first start is stored or being stored. */
+  /** Whether the record of its first start is stored. */
   hasStarted: boolean;
   outcome?: JobOutcome;
   /** Steps by step key, created on first use. */
@@ -206,7 +206,7 @@
   unsavedSteps: Set<StepState>;
   /** Keys of steps whose stored record is to be deleted. */
   removedSteps: Set<string>;
-  /** Jobs whose outcome is not stored yet. */
+  /** Jobs whose outcome is not confirmed to be stored. */
   unsavedOutcomes: Set<ActiveJob>;
 }
 
--- a/packages/scheduler/src/record_batch.ts
+++ b/packages/scheduler/src/record_batch.ts
@@ -8,6 +8,7 @@
   type Run,
   RunPhase,
   stepRecordOf,
+  type StepState,
   type WorkerState,
 } from "./cell_state.ts";
 import { isEligible } from "./placement.ts";
@@ -28,6 +29,12 @@
   ends: Map<WorkerState, { position: number; lifetime: number }>;
   /** Jobs whose outcome the batch records; deleted when they have no runs. */
   outcomes: ActiveJob[];
+  /** Jobs whose first start the batch records. */
+  startedJobs: Set<ActiveJob>;
+  /** Steps whose progress the batch records. */
+  steps: StepState[];
+  /** Keys of the steps whose progress the batch deletes. */
+  removedSteps: string[];
 }
 
 /**
@@ -51,10 +58,12 @@
   }
   const records: CellRecord[] = [];
   const starting: Run[] = [];
+  const startedJobs = new Set<ActiveJob>();
   for (const step of state.unsavedSteps) {
-    if (step.highestRun > 0 && !step.job.hasStarted) {
-      step.job.hasStarted = true;
-      records.push({ kind: "start", job: step.job.spec.id });
+    const { job, highestRun } = step;
+    if (highestRun > 0 && !job.hasStarted && !startedJobs.has(job)) {
+      startedJobs.add(job);
+      records.push({ kind: "start", job: job.spec.id });
     }
     records.push({
       kind: "progress",
@@ -71,13 +80,24 @@
     const outcome = job.outcome!;
     records.push({ kind: "outcome", job: id, outcome, at: wallTime });
   }
-  for (const step of state.removedSteps) {
+  const steps = [...state.unsavedSteps];
+  const removedSteps = [...state.removedSteps];
+  for (const step of removedSteps) {
     records.push({ kind: "progressRemoval", step });
   }
   state.unsavedSteps.clear();
   state.removedSteps.clear();
-  state.unsavedOutcomes.clear();
-  if (records.length > 0) return { records, starting, ends, outcomes };
+  if (records.length > 0) {
+    return {
+      records,
+      starting,
+      ends,
+      outcomes,
+      startedJobs,
+      steps,
+      removedSteps,
+    };
+  }
   // These run ends changed no step, so they can be acknowledged without a
   // record.
   for (const [worker, { position }] of ends) {
@@ -86,6 +106,21 @@
   return undefined;
 }
 
+/**
+ * Marks the changes of a batch as unsaved again, since it is not known to be
+ * stored.
+ */
+export function returnBatch(
+  state: CellState,
+  { steps, removedSteps }: RecordBatch,
+): void {
+  for (const step of steps) {
+    const { job } = step;
+    if (state.jobs.get(job.spec.id) === job) state.unsavedSteps.add(step);
+  }
+  for (const step of removedSteps) state.removedSteps.add(step);
+}
+
 /**
  * @returns whether a run whose placement is stored may be started. Its worker
  * may have changed while the placement was being stored.
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -24,7 +24,12 @@
   recordAdvice,
 } from "./advice.ts";
 import { createCrashBlame } from "./crash_blame.ts";
-import { mayStart, type RecordBatch, takeBatch } from "./record_batch.ts";
+import {
+  mayStart,
+  type RecordBatch,
+  returnBatch,
+  takeBatch,
+} from "./record_batch.ts";
 import { failedAttemptsOf, isOutOfAttempts } from "./failed_attempts.ts";
 import type { StoredJob } from "./job_book.ts";
 import {
@@ -124,8 +129,9 @@
    */
   plan(): void;
   /**
-   * @returns the changes since the last batch; undefined when there is nothing
-   * to store
+   * @returns the changes since the last confirmed batch; undefined when there is
+   * nothing to store. A batch that is not confirmed by then counts as not
+   * stored, and this one replaces it.
    */
   takeBatch(): RecordBatch | undefined;
   /** @returns the load of the cell; see {@link CellLoad} */
@@ -168,6 +174,8 @@
 export function createScheduler(options: SchedulerOptions): Scheduler {
   const { now, wallTime, sendCommand, log } = options;
   const state = createCellState();
+  /** The last batch, until it is confirmed to be stored. */
+  let unconfirmedBatch: RecordBatch | undefined;
   const quarantine = createQuarantine();
   const runTimes = createRunTimeEstimator();
   const crashBlame = createCrashBlame({ state, now, stop, log });
@@ -397,8 +405,18 @@
       planner.plan();
     },
     load: () => planner.load(),
-    takeBatch: () => takeBatch(state, wallTime()),
-    handleBatchStored: ({ starting, ends, outcomes }) => {
+    takeBatch: () => {
+      if (unconfirmedBatch !== undefined) returnBatch(state, unconfirmedBatch);
+      unconfirmedBatch = takeBatch(state, wallTime());
+      return unconfirmedBatch;
+    },
+    handleBatchStored: (batch) => {
+      // Its changes are part of a later batch.
+      if (batch !== unconfirmedBatch) return;
+      unconfirmedBatch = undefined;
+      const { starting, ends, outcomes, startedJobs } = batch;
+      for (const job of startedJobs) job.hasStarted = true;
+      for (const job of outcomes) state.unsavedOutcomes.delete(job);
       for (const [worker, { position, lifetime }] of ends) {
         // Positions start anew when a worker restarts.
         if (worker.lifetime !== lifetime) continue;
