test(scheduler): the takeover model counts failed runs and loses batches

The model checked that no task runs twice, but failed runs were counted by nothing in it, and no batch was ever lost by a lead that went on; so it could not have shown this incident. Change: an independent count of failed runs with a limit of 2, a lost batch as an event, and the fault of (a refusal is taken for the answer to a start that timed out) as an injected fault.

--- a/packages/scheduler/__tests__/fake_worker.ts
+++ b/packages/scheduler/__tests__/fake_worker.ts
@@ -1,4 +1,10 @@
-import type { ReportedEnd, ReportedRun, RunEnd, TaskName } from "../src/mod.ts";
+import type {
+  ReportedEnd,
+  ReportedRun,
+  RunEnd,
+  TaskName,
+  WorkerEntry,
+} from "../src/mod.ts";
 
 /** A run on a fake worker. */
 interface WorkerRun {
@@ -51,8 +57,12 @@
   ): { running: ReportedRun[]; ended: ReportedEnd[] } | undefined;
   /** Ends a run without a stop command. */
   end(task: TaskName, runEnd: RunEnd, checkpoint?: string): void;
-  /** Ends all runs if the lease has expired. */
-  expire(now: number): void;
+  /**
+   * Ends all runs if the lease has expired.
+   *
+   * @returns whether it has
+   */
+  expire(now: number): boolean;
   /** Restarts with a higher lifetime and without runs, ends and token. */
   crash(): void;
 }
@@ -131,8 +141,9 @@
       if (run !== undefined) endRun(run, runEnd, checkpoint);
     },
     expire: (now) => {
-      if (now < leaseUntil) return;
+      if (now < leaseUntil) return false;
       for (const run of [...worker.running.values()]) endRun(run, "lapsed");
+      return true;
     },
     crash: () => {
       worker.lifetime += 1;
@@ -146,3 +157,25 @@
   };
   return worker;
 }
+
+/** @returns an id for the next worker on the VM of a worker */
+export function successorIdOf(id: string): string {
+  return `${id}+`;
+}
+
+/** @returns the entry of a worker in the platform's list */
+export function entryOf({ id, lifetime }: FakeWorker): WorkerEntry {
+  return {
+    id,
+    lifetime,
+    vm: id.replaceAll("+", ""),
+    service: "planner",
+    address: id,
+    zone: "z",
+    labels: ["a", "r"],
+    rack: "r",
+    capacity: { milliCores: 4_000, memoryMegabytes: 4_000, accelerators: 4 },
+    isDraining: false,
+    remainingMs: 0,
+  };
+}
--- a/packages/scheduler/__tests__/takeover.test.ts
+++ b/packages/scheduler/__tests__/takeover.test.ts
@@ -21,19 +21,39 @@
 );
 
 function checkTakeovers(fault?: InjectedFault) {
+  return checkEvents((series) => simulateTakeovers(series, fault));
+}
+
+/** Checks that no series of events leads to violations. */
+function checkEvents(
+  findViolations: (series: ModelEvent[]) => string[],
+  seriesOf = events,
+) {
   return fc.check(
-    fc.property(
-      events,
-      (series) => simulateTakeovers(series, fault).length === 0,
-    ),
+    fc.property(seriesOf, (series) => findViolations(series).length === 0),
     { numRuns: SERIES_COUNT, seed: SEED, endOnFailure: true },
   );
 }
 
-// Guards against a task that runs on two workers, or runs again after its end
-// was stored. Both can happen around a change of lead or a restart of a worker,
+// A start that is not answered and carried out late, and two runs that fail.
+const FAILING_ROUND = [
+  ...["poll", "poll", "poll", "plan", "store", "timeOut", "plan", "store"],
+  ...["deliver", "deliver", "failed", "failed", "poll", "poll", "store"],
+] as ModelEvent["kind"][];
+
+const failingEvents: fc.Arbitrary<ModelEvent[]> = fc.array(
+  fc.tuple(
+    ...FAILING_ROUND.map((kind) =>
+      fc.record({ kind: fc.constant(kind), pick: fc.nat({ max: 1_000 }) })
+    ),
+  ),
+  { minLength: 4, maxLength: 10, size: "max" },
+).map((rounds) => rounds.flat());
+
+// Guards against a task that runs on two workers, runs again after its end was
+// stored, or fails more often than it may. All can happen around a change of lead or a restart of a worker,
 // when calls, answers and store writes of an earlier lead arrive late.
-it("takeover: no task runs twice in any interleaving", () => {
+it("takeover: no task runs twice, or too often, in any interleaving", () => {
   const result = checkTakeovers();
   expect(result.counterexample, JSON.stringify(result.counterexample)).to.equal(
     null,
@@ -45,6 +65,7 @@
     "startBeforeStored",
     "acknowledgeBeforeStored",
     "takeoverWithoutWait",
+    "refusalAfterTimeout",
   ] as const
 ) {
   it(`takeover: the model detects the injected fault ${fault}`, () => {
@@ -52,6 +73,19 @@
   }).timeout(TIMEOUT_MS);
 }
 
+// With the fault, a run may start or fail unnoticed before the next one starts.
+it("takeover: no task starts after failed ends that were reported", () => {
+  const result = checkEvents(
+    (series) =>
+      simulateTakeovers(series, "refusalAfterTimeout", 6)
+        .filter((violation) => violation.endsWith(" that were known")),
+    failingEvents,
+  );
+  expect(result.counterexample, JSON.stringify(result.counterexample)).to.equal(
+    null,
+  );
+}).timeout(TIMEOUT_MS);
+
 /**
  * Returns events in which a lead loses its lease while its batch is being
  * stored, a successor takes over, and the confirmation of the store reaches the
--- a/packages/scheduler/__tests__/takeover_events.ts
+++ b/packages/scheduler/__tests__/takeover_events.ts
@@ -16,6 +16,8 @@
   "storeUnconfirmed",
   /** Only the progress records of the lead's batch are stored, or the others. */
   "storePart",
+  /** The lead takes a batch that is never stored, and goes on. */
+  "loseBatch",
   /** A call reaches its worker and is answered. */
   "deliver",
   /** A call times out at the lead and stays in flight. */
@@ -52,4 +54,6 @@
   /** A new lead does not wait for the leases that earlier leads granted. */
   | "takeoverWithoutWait"
   /** A lead sends start commands after its own lease has expired. */
-  | "startAfterLease";
+  | "startAfterLease"
+  /** A refusal is taken for the answer to a start command that timed out. */
+  | "refusalAfterTimeout";
--- a/packages/scheduler/__tests__/takeover_model.ts
+++ b/packages/scheduler/__tests__/takeover_model.ts
@@ -13,9 +13,16 @@
   type WorkerListing,
   type WorkerState,
 } from "../src/mod.ts";
+import { createAttemptCheck } from "./attempt_check.ts";
 import { job, queueRules, step } from "./cell_fixture.ts";
 import type { InjectedFault, ModelEvent } from "./takeover_events.ts";
-import { createFakeWorker, type FakeWorker, taskKeyOf } from "./fake_worker.ts";
+import {
+  createFakeWorker,
+  entryOf,
+  type FakeWorker,
+  successorIdOf,
+  taskKeyOf,
+} from "./fake_worker.ts";
 
 /** A lead of the cell, current or earlier. */
 interface Lead {
@@ -35,8 +42,11 @@
   command: WorkerCommand;
   leaseUntil: number;
   hasTimedOut: boolean;
+  /** Whether its task was known to be out of attempts when it was sent. */
+  isOutOfAttempts: boolean;
 }
 
+const MAXIMUM_ATTEMPTS = 2;
 const LEAD_LEASE_MS = 2_000;
 const WORKER_LEASE_MS = 9_700;
 // Time after a takeover by which all leases that earlier leads granted to
@@ -44,23 +54,30 @@
 const INHERITED_LEASE_MS = 10_300;
 
 /**
- * Simulates a series of events on successive leads, a store and two workers.
+ * Simulates a series of events on successive leads, a store and some workers.
  *
  * @param events the events, in order
  * @param fault the fault to inject, if any
- * @returns violations: tasks that ran on two workers at once, or that started
- * again after their end was stored or acknowledged
+ * @param workerCount number of workers at the start
+ * @returns violations: tasks that ran on two workers at once, that started
+ * again after their end was stored or acknowledged, or that started after as
+ * many failed runs as they may have
  */
 export function simulateTakeovers(
   events: readonly ModelEvent[],
   fault?: InjectedFault,
+  workerCount = 2,
 ): string[] {
   const clock = createManualClock(100_000);
   const violations: string[] = [];
+  const attempts = createAttemptCheck(MAXIMUM_ATTEMPTS);
   const stored = new Map<string, string>();
   let storeTerm = 0;
   const workers = new Map<string, FakeWorker>();
-  for (const id of ["w0", "w1"]) workers.set(id, createFakeWorker(id));
+  for (let index = 0; index < workerCount; index++) {
+    const id = `w${index}`;
+    workers.set(id, createFakeWorker(id));
+  }
   /** Crashed workers that the platform still lists. */
   let staleWorkers: FakeWorker[] = [];
   /**
@@ -88,7 +105,10 @@
       log: silentLogger,
     });
     scheduler.setRules({
-      queues: new Map([["normal", queueRules("normal", 1)]]),
+      queues: new Map([["normal", {
+        ...queueRules("normal", 1),
+        maximumAttempts: MAXIMUM_ATTEMPTS,
+      }]]),
       guarantees: new Map(),
       deployment: { remoteFactor: 3, reclaimMs: 3_000, stopMs: 500 },
     });
@@ -126,16 +146,28 @@
         : command.worker;
       const leaseUntil = clock.now() + WORKER_LEASE_MS;
       if (command.kind === "start") extendLease(worker, leaseUntil);
-      calls.push({ lead, command, leaseUntil, hasTimedOut: false });
+      calls.push(createCall(lead, command, { leaseUntil, hasTimedOut: false }));
     }
   };
 
+  const createCall = (
+    caller: Lead,
+    command: WorkerCommand,
+    options: Pick<Call, "leaseUntil" | "hasTimedOut">,
+  ): Call => {
+    const isOutOfAttempts = command.kind === "start" &&
+      attempts.isOutOfAttempts(taskKeyOf(taskNameOf(command.run)));
+    return { lead: caller, command, ...options, isOutOfAttempts };
+  };
+
   const extendLease = (worker: WorkerState, until: number): void => {
     worker.leasesEndBy = Math.max(worker.leasesEndBy, until + 300);
   };
 
   /** Executes a call on its worker. */
-  const executeCall = ({ lead: caller, command, leaseUntil }: Call) => {
+  const executeCall = (
+    { lead: caller, command, leaseUntil, isOutOfAttempts }: Call,
+  ) => {
     if (command.kind === "stop") {
       const worker = workers.get(command.worker.id);
       return worker?.stop(caller.term, command.task, command.number) ?? false;
@@ -157,7 +189,10 @@
       leaseUntil,
       clock.now(),
     );
-    if (worker.started.length > before) checkStart(taskKey, worker);
+    if (worker.started.length > before) {
+      attempts.recordStart(taskKey, isOutOfAttempts);
+      checkStart(taskKey, worker);
+    }
     return answer;
   };
 
@@ -206,6 +241,7 @@
       clock.now(),
     );
     if (report === undefined) return;
+    attempts.recordAcknowledgement(worker, acknowledged);
     for (const { task, end } of acknowledgedEnds) {
       if (end === "done") doneTasks.add(taskKeyOf(task));
     }
@@ -266,7 +302,9 @@
     earlier.scheduler.handleBatchStored(earlier.batch);
     const leaseUntil = clock.now() + WORKER_LEASE_MS;
     for (const command of earlier.commands.splice(0)) {
-      calls.push({ lead: earlier, command, leaseUntil, hasTimedOut: true });
+      calls.push(
+        createCall(earlier, command, { leaseUntil, hasTimedOut: true }),
+      );
     }
   };
 
@@ -288,6 +326,11 @@
         return storeBatch(false);
       case "storePart":
         return storePart(pick % 2 === 0);
+      case "loseBatch":
+        if (!isLeading(lead)) return;
+        lead.scheduler.takeBatch();
+        lead.batch = undefined;
+        return;
       case "deliver":
         if (call === undefined) return;
         calls = calls.filter((other) => other !== call);
@@ -308,12 +351,18 @@
       case "done":
       case "failed": {
         const run = pickFrom([...worker.running.values()], pick);
-        if (run !== undefined) worker.end(run.task, kind);
+        if (run === undefined) return;
+        worker.end(run.task, kind);
+        if (kind === "failed") {
+          attempts.recordFailure(worker, worker.ends.at(-1)!);
+        }
         return;
       }
       case "advance":
         clock.advance(100 + (pick % 40) * 100);
-        for (const each of workers.values()) each.expire(clock.now());
+        for (const each of workers.values()) {
+          if (each.expire(clock.now())) attempts.recordLapse(each);
+        }
         return;
       case "takeover":
         if (isLeading(lead)) {
@@ -336,12 +385,14 @@
             worker.id
         );
         worker.crash();
+        attempts.recordLapse(worker);
         return;
       case "replace": {
         if (pick % 4 !== 0) return;
         const next = createFakeWorker(successorIdOf(worker.id));
         // The clock of a VM may step back between two workers.
         next.lifetime = worker.lifetime + (pick % 3) - 1;
+        attempts.recordLapse(worker);
         workers.delete(worker.id);
         workers.set(next.id, next);
         staleWorkers.push(worker);
@@ -359,7 +410,10 @@
     if (call.lead !== lead || !isLeading(lead)) return;
     const { command } = call;
     if (command.kind === "start") {
-      lead.scheduler.handleStartAnswer(command.run, "uncertain");
+      lead.scheduler.handleStartAnswer(
+        command.run,
+        fault === "refusalAfterTimeout" ? "refused" : "uncertain",
+      );
     } else lead.commands.push(command);
     sendCommands();
   };
@@ -377,26 +431,5 @@
       }
     }
   }
-  return violations;
-}
-
-/** Returns an id for the next worker on the VM of a worker. */
-function successorIdOf(id: string): string {
-  return `${id}+`;
-}
-
-function entryOf({ id, lifetime }: FakeWorker) {
-  return {
-    id,
-    lifetime,
-    vm: id.replaceAll("+", ""),
-    service: "planner",
-    address: id,
-    zone: "z",
-    labels: ["a", "r"],
-    rack: "r",
-    capacity: { milliCores: 4_000, memoryMegabytes: 4_000, accelerators: 4 },
-    isDraining: false,
-    remainingMs: 0,
-  };
+  return [...violations, ...attempts.violations()];
 }
