fix(scheduler): a report that is cut off at 500 ends proves no absence

What callers would see: a task runs twice, and its failed run is not counted (TWICE, BUDGET), after a worker reported 500 ends or more at once. Cause: a run that a report lists neither as running nor as ended counted as gone, but a worker reports at most 500 ends at a time, and the end of the run may be among the later ones. Change: the adapter tells whether more ends follow; such a report releases and stops no missing run. Its ends are handled, stored and acknowledged as usual, and the next report decides. The scheduler test fails without the check (0 runs kept of 1).

--- a/packages/cell/src/worker_calls.ts
+++ b/packages/cell/src/worker_calls.ts
@@ -24,6 +24,8 @@
   lifetime: number;
   running: ReportedRun[];
   ended: ReportedEnd[];
+  /** Whether more ends follow once these are acknowledged. */
+  hasMoreEnds?: boolean;
 }
 
 /** Reason why a worker did not start a run. */
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -167,8 +167,8 @@
       if (worker.lifetime === askedLifetime) options.onReplacement();
       throw new Error("another worker answered at its address");
     }
-    const { lifetime, running, ended } = answer;
-    options.onReport(lifetime, { askedAt, running, ended });
+    const { lifetime, running, ended, hasMoreEnds } = answer;
+    options.onReport(lifetime, { askedAt, running, ended, hasMoreEnds });
     // A late answer of an earlier lifetime names the time by another clock.
     if (lifetime === 0 || lifetime === worker.lifetime) {
       recordClock(answer.clock);
--- a/packages/scheduler/__tests__/failed_attempts.test.ts
+++ b/packages/scheduler/__tests__/failed_attempts.test.ts
@@ -161,3 +161,21 @@
   cell.settle();
   expect([cell.book.stateOf("a"), startsOf(cell)]).to.deep.equal(["failed", 2]);
 });
+
+it("attempts: a run is kept while its worker has more ends to report", () => {
+  const cell = createCell({ workers: 1 });
+  cell.submit(job("a"));
+  cell.settle();
+  cell.end("a", "failed");
+  const worker = cell.scheduler.state.workers.get("w0")!;
+  cell.clock.advance(1);
+  cell.scheduler.applyWorkerReport(worker, 1, {
+    askedAt: cell.clock.now(),
+    running: [],
+    ended: [],
+    hasMoreEnds: true,
+  });
+  expect(worker.runs.size).to.equal(1);
+  cell.pollWorkers();
+  expect(worker.runs.size).to.equal(0);
+});
--- a/packages/scheduler/src/run_ends.ts
+++ b/packages/scheduler/src/run_ends.ts
@@ -43,6 +43,8 @@
   askedAt: Milliseconds;
   running: readonly ReportedRun[];
   ended: readonly ReportedEnd[];
+  /** Whether more ends follow once these are acknowledged. */
+  hasMoreEnds?: boolean;
 }
 
 /** Options of {@link applyReport}. */
@@ -102,6 +104,8 @@
     reportedRuns.add(run);
     updateRunningRun(run, reported, options);
   }
+  // The end of a run that is missing may be among those that follow.
+  if (report.hasMoreEnds) return;
   for (const run of [...worker.runs]) {
     if (reportedRuns.has(run)) continue;
     if (
