refactor(scheduler): batches of records confirm themselves

The scheduler held half of the bookkeeping of a batch. What takes a batch now also confirms it, the log line of an unknown end stands where the end is recorded, and the starts of stored runs have a function. No decision changes.

--- a/packages/scheduler/src/record_batch.ts
+++ b/packages/scheduler/src/record_batch.ts
@@ -38,14 +38,65 @@
 }
 
 /**
- * Collects the changes of a cell since its last batch. Run ends that changed
- * nothing count as stored at once.
+ * Batches of the changes of a cell, one at a time. A change stays unsaved until
+ * its batch is confirmed.
+ */
+export interface RecordBatches {
+  /**
+   * Collects all unsaved changes. An earlier batch that is not confirmed by then
+   * counts as not stored; its changes are part of the new one.
+   *
+   * @returns the batch; undefined when there is nothing to store
+   */
+  take(): RecordBatch | undefined;
+  /**
+   * Marks the changes of a batch as stored, and its run ends as ready for
+   * acknowledgement.
+   *
+   * @returns whether it is the last batch; an earlier one has no effect
+   */
+  confirm(batch: RecordBatch): boolean;
+}
+
+/**
+ * Creates the batches of a cell.
  *
  * @param state the cell
- * @param wallTime time of the outcomes in the batch
- * @returns the batch; undefined when there is nothing to store
+ * @param wallTime returns the wall time, stored with outcomes
+ * @returns the batches, of which none is taken yet
  */
-export function takeBatch(
+export function createRecordBatches(
+  state: CellState,
+  wallTime: () => Milliseconds,
+): RecordBatches {
+  let unconfirmedBatch: RecordBatch | undefined;
+  return {
+    take: () => {
+      if (unconfirmedBatch !== undefined) returnBatch(state, unconfirmedBatch);
+      unconfirmedBatch = collectBatch(state, wallTime());
+      return unconfirmedBatch;
+    },
+    confirm: (batch) => {
+      if (batch !== unconfirmedBatch) return false;
+      unconfirmedBatch = undefined;
+      const { ends, outcomes, startedJobs } = batch;
+      for (const job of startedJobs) job.hasStarted = true;
+      for (const job of outcomes) state.unsavedOutcomes.delete(job);
+      for (const [worker, { position, lifetime }] of ends) {
+        // Positions start anew when a worker restarts.
+        if (worker.lifetime !== lifetime) continue;
+        worker.lastStoredEnd = Math.max(worker.lastStoredEnd, position);
+      }
+      return true;
+    },
+  };
+}
+
+/**
+ * Collects the unsaved changes of a cell. Run ends that changed nothing count as
+ * stored at once.
+ */
+function collectBatch(
   state: CellState,
   wallTime: Milliseconds,
 ): RecordBatch | undefined {
@@ -106,11 +157,8 @@
   return undefined;
 }
 
-/**
- * Marks the changes of a batch as unsaved again, since it is not known to be
- * stored.
- */
-export function returnBatch(
+/** Marks the changes of a batch as unsaved again. */
+function returnBatch(
   state: CellState,
   { steps, removedSteps }: RecordBatch,
 ): void {
--- a/packages/scheduler/src/run_ends.ts
+++ b/packages/scheduler/src/run_ends.ts
@@ -58,7 +58,7 @@
   /** Stops a run on its worker. */
   stop(run: Run, reason: string): void;
   /** Called for each reported end of a run that this lead does not know. */
-  onUnknownRunEnd(worker: WorkerState, reported: ReportedEnd): void;
+  onUnknownRunEnd(end: RunEnd): void;
   /** Stops a reported run that this lead does not know or has not started. */
   stopUnknown(worker: WorkerState, reported: ReportedRun): void;
   log: Logger;
@@ -171,12 +171,24 @@
   reported: ReportedEnd,
   options: ApplyReportOptions,
 ): void {
-  options.onUnknownRunEnd(worker, reported);
-  const { task: { job, occurrence, step: stepIndex, index }, number, end } =
-    reported;
-  const step = options.state.jobs.get(job)?.steps.get(
-    stepKey(job, occurrence, stepIndex),
+  const { task, number, end, position } = reported;
+  const { index } = task;
+  const key = stepKey(task.job, task.occurrence, task.step);
+  const step = options.state.jobs.get(task.job)?.steps.get(key);
+  options.log.warn(
+    {
+      job: task.job,
+      step: key,
+      task: index,
+      run: number,
+      worker: worker.id,
+      end,
+      position,
+      isStepKnown: step !== undefined,
+    },
+    "end of an unknown run",
   );
+  options.onUnknownRunEnd(end);
   if (step === undefined || index >= step.spec.taskCount) return;
   if (end === "failed") recordFailure({ step, index, number, worker }, options);
   if (end !== "done" || step.spec.isLongRunning) return;
@@ -186,12 +198,15 @@
   }
 }
 
+/** A run that has ended, released or not. */
+type EndedRun = Pick<Run, "step" | "index" | "number" | "worker">;
+
 /**
  * Marks the task of a run as done. One successful member completes a whole
  * gang; tasks of long-running steps are never done.
  */
 function recordSuccess(
-  { step, index }: Pick<Run, "step" | "index">,
+  { step, index }: Pick<EndedRun, "step" | "index">,
   options: ApplyReportOptions,
 ): void {
   const { spec, job } = step;
@@ -213,10 +228,7 @@
  * steps are not counted.
  */
 function recordFailure(
-  { step, index, number, worker }: Pick<
-    Run,
-    "step" | "index" | "number" | "worker"
-  >,
+  { step, index, number, worker }: EndedRun,
   options: ApplyReportOptions,
 ): void {
   const { job, spec } = step;
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -25,19 +25,13 @@
 } from "./advice.ts";
 import { createCrashBlame } from "./crash_blame.ts";
 import {
+  createRecordBatches,
   mayStart,
   type RecordBatch,
-  returnBatch,
-  takeBatch,
 } from "./record_batch.ts";
 import { failedAttemptsOf, isOutOfAttempts } from "./failed_attempts.ts";
 import type { StoredJob } from "./job_book.ts";
-import {
-  type JobSpec,
-  type RunEnd,
-  stepKey,
-  type TaskName,
-} from "./job_types.ts";
+import type { JobSpec, RunEnd, TaskName } from "./job_types.ts";
 import { type CellLoad, createPlanner } from "./planner.ts";
 import type { PlanningPolicy } from "./planning_policy.ts";
 import type { Rules } from "./rules.ts";
@@ -129,16 +123,16 @@
    */
   plan(): void;
   /**
-   * @returns the changes since the last confirmed batch; undefined when there is
-   * nothing to store. A batch that is not confirmed by then counts as not
-   * stored, and this one replaces it.
+   * @returns the changes that are not confirmed to be stored; undefined when
+   * there are none. An earlier batch that is not confirmed by then counts as not
+   * stored.
    */
   takeBatch(): RecordBatch | undefined;
   /** @returns the load of the cell; see {@link CellLoad} */
   load(): CellLoad;
   /**
-   * Confirms that a batch is stored: sends its start commands, makes its run
-   * ends ready for acknowledgement and deletes jobs that are finished.
+   * Confirms that the last batch is stored: sends its start commands, makes its
+   * run ends ready for acknowledgement and deletes jobs that are finished.
    */
   handleBatchStored(batch: RecordBatch): void;
 }
@@ -174,8 +168,7 @@
 export function createScheduler(options: SchedulerOptions): Scheduler {
   const { now, wallTime, sendCommand, log } = options;
   const state = createCellState();
-  /** The last batch, until it is confirmed to be stored. */
-  let unconfirmedBatch: RecordBatch | undefined;
+  const batches = createRecordBatches(state, wallTime);
   const quarantine = createQuarantine();
   const runTimes = createRunTimeEstimator();
   const crashBlame = createCrashBlame({ state, now, stop, log });
@@ -333,23 +326,7 @@
         now: now(),
         checkAttempts,
         onRunEnd: handleRunEnd,
-        onUnknownRunEnd: (target, { task, number, end, position }) => {
-          const { job, occurrence, step, index } = task;
-          log.warn(
-            {
-              job,
-              step: stepKey(job, occurrence, step),
-              task: index,
-              run: number,
-              worker: target.id,
-              end,
-              position,
-              isJobKnown: state.jobs.has(job),
-            },
-            "end of an unknown run",
-          );
-          options.onUnknownRunEnd?.(end);
-        },
+        onUnknownRunEnd: (end) => options.onUnknownRunEnd?.(end),
         stop,
         stopUnknown: (target, { task, number }) => {
           log.warn(
@@ -405,45 +382,11 @@
       planner.plan();
     },
     load: () => planner.load(),
-    takeBatch: () => {
-      if (unconfirmedBatch !== undefined) returnBatch(state, unconfirmedBatch);
-      unconfirmedBatch = takeBatch(state, wallTime());
-      return unconfirmedBatch;
-    },
+    takeBatch: batches.take,
     handleBatchStored: (batch) => {
-      // Its changes are part of a later batch.
-      if (batch !== unconfirmedBatch) return;
-      unconfirmedBatch = undefined;
-      const { starting, ends, outcomes, startedJobs } = batch;
-      for (const job of startedJobs) job.hasStarted = true;
-      for (const job of outcomes) state.unsavedOutcomes.delete(job);
-      for (const [worker, { position, lifetime }] of ends) {
-        // Positions start anew when a worker restarts.
-        if (worker.lifetime !== lifetime) continue;
-        worker.lastStoredEnd = Math.max(worker.lastStoredEnd, position);
-      }
-      for (const run of starting) {
-        if (run.phase !== RunPhase.storing) continue;
-        if (!mayStart(run)) {
-          const { step } = run;
-          releaseRun(state, run);
-          for (const member of step.spec.isGang ? step.runs.values() : []) {
-            stop(member, "a member of the gang was not started");
-          }
-        }
-      }
-      for (const run of starting) {
-        if (run.phase !== RunPhase.storing || !run.worker.runs.has(run)) {
-          continue;
-        }
-        if (run.stopReason !== undefined) {
-          releaseRun(state, run);
-          continue;
-        }
-        run.phase = RunPhase.ordered;
-        sendCommand({ kind: "start", run });
-      }
-      for (const job of outcomes) {
+      if (!batches.confirm(batch)) return;
+      startRuns(batch.starting);
+      for (const job of batch.outcomes) {
         log.info(
           { job: job.spec.id, outcome: job.outcome },
           "job outcome stored",
@@ -453,6 +396,27 @@
     },
   };
 
+  /** Sends the start commands of runs whose placement is stored. */
+  function startRuns(runs: readonly Run[]): void {
+    for (const run of runs) {
+      if (run.phase !== RunPhase.storing || mayStart(run)) continue;
+      const { step } = run;
+      releaseRun(state, run);
+      for (const member of step.spec.isGang ? step.runs.values() : []) {
+        stop(member, "a member of the gang was not started");
+      }
+    }
+    for (const run of runs) {
+      if (run.phase !== RunPhase.storing || !run.worker.runs.has(run)) continue;
+      if (run.stopReason !== undefined) {
+        releaseRun(state, run);
+        continue;
+      }
+      run.phase = RunPhase.ordered;
+      sendCommand({ kind: "start", run });
+    }
+  }
+
   function removeProgress(steps: Iterable<string>): void {
     for (const step of steps) state.removedSteps.add(step);
   }
