fix(planner): a step that failed on every worker may use them again

Cause: a worker on which a run of a step failed or stood still is avoided by that step for good. Once the rest cannot hold a task, or a gang as a whole, nothing is placed any more until another process leads. Change: the avoided workers of a step are forgotten when the others could not hold its gang, or one task, even if they were empty; one line tells of it. Both tests fail on (no run instead of run 3; none instead of run 2). Ruled out: using avoided workers last instead of never. On a busy cell a task would go back at once to the worker on which it failed.

--- a/packages/scheduler/__tests__/placement.test.ts
+++ b/packages/scheduler/__tests__/placement.test.ts
@@ -72,3 +72,25 @@
   expect([...racksOf(cell, "a")]).to.deep.equal(["r1"]);
   expect(cell.runs("b")).to.deep.equal([]);
 });
+
+it("placement: a task that failed on every worker is tried again", () => {
+  const cell = createCell({ workers: 2 });
+  cell.submit(job("a"));
+  for (let attempt = 1; attempt <= 2; attempt++) {
+    cell.settle();
+    cell.end("a", "failed");
+  }
+  cell.settle();
+  expect(cell.runs("a").map(({ number }) => number)).to.deep.equal([3]);
+});
+
+it("placement: a gang that needs the worker on which it failed is tried again", () => {
+  const cell = createCell({ workers: 2 });
+  const gang = step({ taskCount: 2, accelerators: 8, isGang: true });
+  cell.submit(job("g", { steps: [gang] }));
+  cell.settle();
+  const [{ worker, task }] = cell.runs("g");
+  cell.fleet.get(worker)!.end(task, "failed");
+  cell.settle();
+  expect(cell.runs("g").map(({ number }) => number)).to.deep.equal([2, 2]);
+});
--- a/packages/scheduler/src/placement.ts
+++ b/packages/scheduler/src/placement.ts
@@ -223,6 +223,19 @@
   }, 0);
 }
 
+/**
+ * @returns whether the step can do without the workers that it avoids: its gang,
+ * or a single task, would fit on the others if these were empty
+ */
+export function canAvoidWorkers(
+  step: StepState,
+  workers: readonly WorkerState[],
+): boolean {
+  const { spec, avoidedWorkers } = step;
+  const others = workers.filter(({ id }) => !avoidedWorkers.has(id));
+  return slotsWhenEmpty(step, others) >= (spec.isGang ? spec.taskCount : 1);
+}
+
 /**
  * Adds up the free shares of the three resources, from 0 for a full worker to 3
  * for an empty one. Partly used workers score lower than empty ones, so small
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -15,7 +15,12 @@
 import { createDurationEstimator } from "./durations.ts";
 import { failedAttemptsOf } from "./failed_attempts.ts";
 import { Tier, type WaitingStep } from "./step_ranking.ts";
-import { type Assignment, type PlacementView, placeStep } from "./placement.ts";
+import {
+  type Assignment,
+  canAvoidWorkers,
+  type PlacementView,
+  placeStep,
+} from "./placement.ts";
 import { placementShapeOf } from "./placement_shape.ts";
 import { PLANNING_POLICY, type PlanningPolicy } from "./planning_policy.ts";
 import { chooseVictims, lostWorkOf, workOf } from "./preemption.ts";
@@ -130,6 +135,15 @@
     const serviceWorkers = [...state.workers.values()].filter((worker) =>
       worker.isListed && worker.service === queueRules.service
     );
+    if (
+      step.avoidedWorkers.size > 0 && !canAvoidWorkers(step, serviceWorkers)
+    ) {
+      log.info(
+        { step: step.key, avoided: step.avoidedWorkers.size },
+        "step may use the workers again on which it failed",
+      );
+      step.avoidedWorkers.clear();
+    }
     const openWorkers = ledger.unreservedWorkers(
       serviceWorkers.filter(isOpen),
       step,
