--- a/packages/scheduler/__tests__/attempt_check.ts
+++ b/packages/scheduler/__tests__/attempt_check.ts
@@ -6,7 +6,7 @@
   task: string;
   worker: FakeWorker;
   position: number;
-  /** An end whose worker crashed, or whose lease expired, before counts not. */
+  /** `void` if the worker crashed, or its lease expired, before. */
   state: "reported" | "acknowledged" | "void";
 }
 
--- a/packages/scheduler/__tests__/takeover.test.ts
+++ b/packages/scheduler/__tests__/takeover.test.ts
@@ -36,10 +36,23 @@
 }
 
 // A start that is not answered and carried out late, and two runs that fail.
-const FAILING_ROUND = [
-  ...["poll", "poll", "poll", "plan", "store", "timeOut", "plan", "store"],
-  ...["deliver", "deliver", "failed", "failed", "poll", "poll", "store"],
-] as ModelEvent["kind"][];
+const FAILING_ROUND: readonly ModelEvent["kind"][] = [
+  "poll",
+  "poll",
+  "poll",
+  "plan",
+  "store",
+  "timeOut",
+  "plan",
+  "store",
+  "deliver",
+  "deliver",
+  "failed",
+  "failed",
+  "poll",
+  "poll",
+  "store",
+];
 
 const failingEvents: fc.Arbitrary<ModelEvent[]> = fc.array(
   fc.tuple(
@@ -51,8 +64,9 @@
 ).map((rounds) => rounds.flat());
 
 // Guards against a task that runs on two workers, runs again after its end was
-// stored, or fails more often than it may. All can happen around a change of lead or a restart of a worker,
-// when calls, answers and store writes of an earlier lead arrive late.
+// stored, or fails more often than it may. All can happen around a change of
+// lead or a restart of a worker, when calls, answers and store writes of an
+// earlier lead arrive late.
 it("takeover: no task runs twice, or too often, in any interleaving", () => {
   const result = checkTakeovers();
   expect(result.counterexample, JSON.stringify(result.counterexample)).to.equal(
@@ -73,6 +87,16 @@
   }).timeout(TIMEOUT_MS);
 }
 
+it("takeover: no task starts too often while its runs fail", () => {
+  const result = checkEvents(
+    (series) => simulateTakeovers(series, undefined, 6),
+    failingEvents,
+  );
+  expect(result.counterexample, JSON.stringify(result.counterexample)).to.equal(
+    null,
+  );
+}).timeout(TIMEOUT_MS);
+
 // With the fault, a run may start or fail unnoticed before the next one starts.
 it("takeover: no task starts after failed ends that were reported", () => {
   const result = checkEvents(
