--- a/packages/scheduler/__tests__/takeover_events.ts
+++ b/packages/scheduler/__tests__/takeover_events.ts
@@ -26,6 +26,10 @@
   "loseAnswer",
   /** The lead polls a worker and renews its lease. */
   "poll",
+  /** The lead polls a worker, whose answer is under way. */
+  "ask",
+  /** An answer reaches the lead, possibly after those to later polls. */
+  "answer",
   /** A run succeeds. */
   "done",
   /** A run fails. */
--- a/packages/scheduler/__tests__/takeover_model.ts
+++ b/packages/scheduler/__tests__/takeover_model.ts
@@ -86,6 +86,8 @@
    */
   const doneTasks = new Set<string>();
   let calls: Call[] = [];
+  /** Answers of workers that have not reached the lead. */
+  let answers: (() => void)[] = [];
   let lead = takeOver();
   /**
    * With the fault `startAfterLease`, an earlier lead with an unconfirmed
@@ -222,9 +224,16 @@
     );
   };
 
-  const pollWorker = (worker: FakeWorker): void => {
+  /**
+   * Polls a worker.
+   *
+   * @returns delivers its answer to the lead; undefined if it was not polled or
+   * does not answer this lead
+   */
+  const askWorker = (worker: FakeWorker): (() => void) | undefined => {
     if (!isLeading(lead)) return;
-    const known = lead.scheduler.state.workers.get(worker.id);
+    const asking = lead;
+    const known = asking.scheduler.state.workers.get(worker.id);
     if (known === undefined) return;
     const acknowledged = fault === "acknowledgeBeforeStored"
       ? Infinity
@@ -234,23 +243,24 @@
     const acknowledgedEnds = worker.ends.filter(({ position }) =>
       position <= acknowledged
     );
-    const report = worker.hold(
-      lead.term,
-      acknowledged,
-      leaseUntil,
-      clock.now(),
-    );
+    const askedAt = clock.now();
+    const report = worker.hold(asking.term, acknowledged, leaseUntil, askedAt);
     if (report === undefined) return;
     attempts.recordAcknowledgement(worker, acknowledged);
     for (const { task, end } of acknowledgedEnds) {
       if (end === "done") doneTasks.add(taskKeyOf(task));
     }
+    const { running } = report;
     const ended = acknowledged === Infinity ? acknowledgedEnds : report.ended;
-    lead.scheduler.applyWorkerReport(known, worker.lifetime, {
-      askedAt: clock.now(),
-      running: report.running,
-      ended,
-    });
+    const { lifetime } = worker;
+    return () => {
+      if (asking !== lead || !isLeading(lead)) return;
+      lead.scheduler.applyWorkerReport(known, lifetime, {
+        askedAt,
+        running,
+        ended,
+      });
+    };
   };
 
   const writeRecords = (records: readonly CellRecord[]): void => {
@@ -347,7 +357,17 @@
         if (!call.hasTimedOut) timeOutCall(call);
         return;
       case "poll":
-        return pollWorker(worker);
+        return askWorker(worker)?.();
+      case "ask": {
+        const answer = askWorker(worker);
+        if (answer !== undefined) answers.push(answer);
+        return;
+      }
+      case "answer": {
+        const answer = pickFrom(answers, pick);
+        answers = answers.filter((other) => other !== answer);
+        return answer?.();
+      }
       case "done":
       case "failed": {
         const run = pickFrom([...worker.running.values()], pick);
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -319,7 +319,7 @@
       }
       worker.hasAnswered = true;
       worker.reportedAt = now();
-      worker.lastAnsweredPollAt = report.askedAt;
+      worker.lastAnsweredPollAt = Math.max(worker.lastAnsweredPollAt, askedAt);
       worker.silentSince = undefined;
       applyReport(worker, report, {
         state,
