--- a/packages/scheduler/__tests__/job_book.test.ts
+++ b/packages/scheduler/__tests__/job_book.test.ts
@@ -76,3 +76,14 @@
   const stored = RECORDS.flatMap(encodeRecord).map(({ key }) => key);
   expect(keys).to.include.members(stored);
 });
+
+it("records: failures of earlier versions, without run numbers, count", () => {
+  const value = JSON.stringify([5, [], [], [[0, 2], [3, 1]], [], []]);
+  const record = decodeRecord("step/a.0.0", value);
+  if (record?.kind !== "progress") throw new Error("expected progress");
+  const counts = record.progress.failedRuns.map(([index, runs]) => [
+    index,
+    new Set(runs).size,
+  ]);
+  expect(counts).to.deep.equal([[0, 2], [3, 1]]);
+});
