--- a/packages/scheduler/__tests__/failed_attempts.test.ts
+++ b/packages/scheduler/__tests__/failed_attempts.test.ts
@@ -4,13 +4,9 @@
 
 type Cell = ReturnType<typeof createCell>;
 
-/** Returns the scheduler of the next lead, on the same workers and store. */
-function takeOver(
-  cell: Cell,
-  workers: number,
-  rules: Partial<Rules> = {},
-): Cell {
-  const next = createCell({ workers, rules });
+/** Returns the cell of the next lead, on the same workers and store. */
+function takeOver(cell: Cell, rules: Partial<Rules> = {}): Cell {
+  const next = createCell({ workers: cell.fleet.size, rules });
   for (const [id, worker] of cell.fleet) next.fleet.set(id, worker);
   for (const stored of cell.book.jobs()) {
     next.book.apply({ kind: "submission", spec: stored.spec });
@@ -31,7 +27,7 @@
   cell.fleet.get(first.worker)!.end(first.task, "failed");
   cell.pollWorker(first.worker);
   cell.storeBatch();
-  const next = takeOver(cell, 12);
+  const next = takeOver(cell);
   next.fleet.get(second.worker)!.end(second.task, "failed");
   next.fleet.get(third.worker)!.end(third.task, "broken");
   next.settle();
@@ -103,7 +99,7 @@
   cell.fleet.get(worker)!.end(task, "failed");
   cell.pollWorker(worker);
   cell.storeBatch();
-  const next = takeOver(cell, 12);
+  const next = takeOver(cell);
   next.settle();
   next.end("a", "failed");
   next.settle();
@@ -141,7 +137,7 @@
     cell.end("a", "failed");
   }
   cell.settle();
-  const next = takeOver(cell, 12, { queues: new Map() });
+  const next = takeOver(cell, { queues: new Map() });
   next.settle();
   next.end("a", "failed");
   next.settle();
--- a/packages/scheduler/__tests__/takeover.test.ts
+++ b/packages/scheduler/__tests__/takeover.test.ts
@@ -21,7 +21,7 @@
 );
 
 function checkTakeovers(fault?: InjectedFault) {
-  return checkEvents((series) => simulateTakeovers(series, fault));
+  return checkEvents((series) => simulateTakeovers(series, { fault }));
 }
 
 /** Checks that no series of events leads to violations. */
@@ -89,7 +89,7 @@
 
 it("takeover: no task starts too often while its runs fail", () => {
   const result = checkEvents(
-    (series) => simulateTakeovers(series, undefined, 6),
+    (series) => simulateTakeovers(series, { workerCount: 6 }),
     failingEvents,
   );
   expect(result.counterexample, JSON.stringify(result.counterexample)).to.equal(
@@ -101,7 +101,10 @@
 it("takeover: no task starts after failed ends that were reported", () => {
   const result = checkEvents(
     (series) =>
-      simulateTakeovers(series, "refusalAfterTimeout", 6)
+      simulateTakeovers(series, {
+        fault: "refusalAfterTimeout",
+        workerCount: 6,
+      })
         .filter((violation) => violation.endsWith(" that were known")),
     failingEvents,
   );
@@ -144,7 +147,7 @@
 it("takeover: the model detects the injected fault startAfterLease", () => {
   const simulate = (fault?: InjectedFault) =>
     [0, 1].flatMap((polledWorker) =>
-      simulateTakeovers(overtakenLeadEvents(polledWorker), fault)
+      simulateTakeovers(overtakenLeadEvents(polledWorker), { fault })
     );
   expect(simulate()).to.deep.equal([]);
   expect(simulate("startAfterLease")).not.to.deep.equal([]);
--- a/packages/scheduler/__tests__/takeover_model.ts
+++ b/packages/scheduler/__tests__/takeover_model.ts
@@ -6,8 +6,6 @@
   decodeRecord,
   encodeRecord,
   isProgressRecord,
-  type RecordBatch,
-  type Scheduler,
   taskNameOf,
   type WorkerCommand,
   type WorkerListing,
@@ -23,50 +21,29 @@
   successorIdOf,
   taskKeyOf,
 } from "./fake_worker.ts";
-
-/** A lead of the cell, current or earlier. */
-interface Lead {
-  term: number;
-  scheduler: Scheduler;
-  /** Commands that have not been sent yet. */
-  commands: WorkerCommand[];
-  /** Monotonic time at which its lease expires; it sends nothing afterwards. */
-  leaseEnd: number;
-  /** Batch whose write is not confirmed yet. */
-  batch?: RecordBatch;
-}
-
-/** A call that may still reach its worker. */
-interface Call {
-  lead: Lead;
-  command: WorkerCommand;
-  leaseUntil: number;
-  hasTimedOut: boolean;
-  /** Whether its task was known to be out of attempts when it was sent. */
-  isOutOfAttempts: boolean;
-}
-
-const MAXIMUM_ATTEMPTS = 2;
-const LEAD_LEASE_MS = 2_000;
-const WORKER_LEASE_MS = 9_700;
-// Time after a takeover by which all leases that earlier leads granted to
-// workers have expired.
-const INHERITED_LEASE_MS = 10_300;
+import {
+  type Call,
+  INHERITED_LEASE_MS,
+  type Lead,
+  LEAD_LEASE_MS,
+  MAXIMUM_ATTEMPTS,
+  WORKER_LEASE_MS,
+} from "./takeover_parts.ts";
 
 /**
  * Simulates a series of events on successive leads, a store and some workers.
  *
  * @param events the events, in order
- * @param fault the fault to inject, if any
- * @param workerCount number of workers at the start
+ * @param options the fault to inject, if any, and the number of workers at the
+ * start
  * @returns violations: tasks that ran on two workers at once, that started
  * again after their end was stored or acknowledged, or that started after as
  * many failed runs as they may have
  */
 export function simulateTakeovers(
   events: readonly ModelEvent[],
-  fault?: InjectedFault,
-  workerCount = 2,
+  { fault, workerCount = 2 }: { fault?: InjectedFault; workerCount?: number } =
+    {},
 ): string[] {
   const clock = createManualClock(100_000);
   const violations: string[] = [];
