--- a/review/lib/executor.mjs
+++ b/review/lib/executor.mjs
@@ -209,7 +209,15 @@
     if ((body.fencing_token ?? 0) < life.fencingToken) {
       return [409, { reason: "fence" }];
     }
-    if (executor.isUnhealthy && path === "/run-start") return [503, {}];
+    if (executor.isUnhealthy && path === "/run-start") {
+      onEvent({
+        kind: "start rejected with 503",
+        executor: life.id,
+        task: body.task,
+        run: body.run,
+      });
+      return [503, {}];
+    }
     life.fencingToken = body.fencing_token ?? 0;
     if (path === "/run-start") return startRun(body);
     if (path === "/run-stop") return stopRun(body);
