fix(cell): a worker that cannot be connected to stops no other

With the lead killed, the others took the lead and gave it up again without end.

Cause, second layer and the larger fault: the lead opened its links in the planning pass. One that could not be opened threw out of planAndStore before the pass was stored, in every pass; at a takeover it threw out of start(), so the lease was released and the entry was passed on to the next lead. A start whose link failed would also have ended the loop that sends the others, whose batch was confirmed already.

Change: links are kept in worker_links.ts. createIsolation (shared) calls a function for one item of a loop; an error is counted (item.failed.OPERATION), logged with the item, at most each 10 s, and goes no further. A worker whose connection can't be opened has no link, is never taken as answering and gets no runs; if it had a link at an earlier address, that link stays, so its runs keep their leases. A start without a link is answered as not sent, which is certain.

Both new tests of the lead failed before, with "TypeError: Invalid URL" out of refreshLinks (the second one ended the test run).

--- a/packages/cell/__tests__/cell_lead.test.ts
+++ b/packages/cell/__tests__/cell_lead.test.ts
@@ -32,7 +32,11 @@
   remainingMs: 0,
 };
 
-async function startLead({ isRestored = false } = {}) {
+const UNCONNECTABLE: WorkerEntry = { ...ENTRY, id: "other", address: "none" };
+
+async function startLead(
+  { isRestored = false, entries = [ENTRY] } = {},
+) {
   const clock = createSystemClock();
   const { store } = createMemoryStore();
   const book = createJobBook();
@@ -40,7 +44,7 @@
   let running: HoldAnswer["running"] = [];
   /** Addresses at which a worker answers, with its lifetime. */
   const answering = new Map([["a1", 1]]);
-  const connect = (_id: string, address: string): WorkerConnection => ({
+  const openConnection = (address: string): WorkerConnection => ({
     hold: async ({ waitMs }) => {
       await pause(Math.min(waitMs, 20) + 1);
       const lifetime = answering.get(address);
@@ -61,6 +65,10 @@
     },
     close: async () => {},
   });
+  const connect = (_id: string, address: string): WorkerConnection => {
+    if (address === UNCONNECTABLE.address) throw new TypeError("Invalid URL");
+    return openConnection(address);
+  };
   const lead = createCellLead({
     store,
     topic: "journal",
@@ -72,11 +80,7 @@
     connect,
     isLeading: () => true,
     waitForBook: async () => {},
-    listWorkers: () =>
-      Promise.resolve({
-        entries: isRestored ? [] : [ENTRY],
-        left: new Set(),
-      }),
+    listWorkers: () => Promise.resolve({ entries, left: new Set() }),
     rules: () => ({
       queues: new Map([["q", {
         name: "q",
@@ -161,7 +165,10 @@
 
 it("cell lead: a run that a lost stop was meant for is stopped once listed", async () => {
   // The list has lapsed in an outage of the store when this lead takes over.
-  const { lead, waitFor } = await startLead({ isRestored: true });
+  const { lead, waitFor } = await startLead({
+    isRestored: true,
+    entries: [],
+  });
   lead.updateWorkers({ entries: [ENTRY], left: new Set() });
   const calls = await waitFor("stop 1 a1", 5_000);
   lead.close();
@@ -179,3 +186,37 @@
   lead.close();
   expect(calls).to.include("start 2 a1");
 });
+
+// Guards against a worker whose connection cannot be opened and that stops all
+// planning, and the takeover of the next lead.
+it("cell lead: a worker that cannot be connected to stops no other", async () => {
+  const { lead, waitFor } = await startLead({
+    entries: [UNCONNECTABLE, ENTRY],
+  });
+  lead.updateWorkers({
+    entries: [UNCONNECTABLE, { ...ENTRY, id: "w2", address: "a2" }, ENTRY],
+    left: new Set(),
+  });
+  lead.cancelJob("j");
+  const calls = await waitFor("stop 1 a1", 2_000);
+  lead.close();
+  expect(calls).to.include("stop 1 a1");
+});
+
+// Guards against runs that are given up since the entry of their worker named
+// an address for a moment that no connection can be opened to.
+it("cell lead: runs go on while an entry names an address that is none", async () => {
+  const { lead, calls, waitFor } = await startLead();
+  lead.updateWorkers({
+    entries: [{ ...ENTRY, address: UNCONNECTABLE.address }],
+    left: new Set(),
+  });
+  await pause(500);
+  const [worker] = lead.scheduler()!.state.workers.values();
+  expect(worker.silentSince).to.equal(undefined);
+  lead.updateWorkers({ entries: [ENTRY], left: new Set() });
+  lead.cancelJob("j");
+  await waitFor("stop 1 a1", 2_000);
+  lead.close();
+  expect(calls).to.deep.equal(["start 1 a1", "stop 1 a1"]);
+});
--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -1,5 +1,6 @@
 import {
   type Clock,
+  createIsolation,
   describeError,
   type Logger,
   type Milliseconds,
@@ -12,24 +13,17 @@
   type JobBook,
   type JobSpec,
   type Rules,
-  RunPhase,
   type Scheduler,
   type StoredJob,
-  taskNameOf,
   withProgress,
-  type WorkerCommand,
   type WorkerListing,
-  type WorkerState,
 } from "@rattanhill/scheduler";
 import { createCellJournal } from "./cell_journal.ts";
 import type { Metrics } from "./metrics.ts";
 import type { Store } from "./store.ts";
 import type { Advise, ConnectWorker } from "./worker_calls.ts";
-import {
-  createWorkerLink,
-  INHERITED_LEASE_MS,
-  type WorkerLink,
-} from "./worker_link.ts";
+import { INHERITED_LEASE_MS } from "./worker_link.ts";
+import { createWorkerLinks } from "./worker_links.ts";
 
 /**
  * The lead of a cell during one term: the elected entry that schedules the
@@ -119,8 +113,7 @@
  * @returns the lead, not yet started
  */
 export function createCellLead(options: CellLeadOptions): CellLead {
-  const { book, clock, log, term, connect, metrics } = options;
-  const links = new Map<WorkerState, { link: WorkerLink; address: string }>();
+  const { book, clock, log, term, metrics } = options;
   const isLeading = (): boolean => !isClosed && options.isLeading();
   const journal = createCellJournal({ ...options, isLeading });
   let scheduler: Scheduler | undefined;
@@ -131,66 +124,22 @@
   let planningTimer: NodeJS.Timeout | undefined;
   let loadLogTimer: NodeJS.Timeout | undefined;
   let removalTimer: NodeJS.Timeout | undefined;
-
-  /**
-   * Returns the link to a worker, and opens a new one when the worker has none
-   * or its address has changed. Returns undefined while the address is unknown.
-   */
-  const ensureLink = (worker: WorkerState): WorkerLink | undefined => {
-    const existing = links.get(worker);
-    if (existing?.address === worker.address) return existing.link;
-    existing?.link.close();
-    links.delete(worker);
-    if (worker.address === "") return undefined;
-    const link = createWorkerLink({
-      worker,
-      connection: connect(worker.id, worker.address),
-      term,
-      clock,
-      log,
-      isLeading,
-      onReport: (lifetime, report) => {
-        scheduler?.applyWorkerReport(worker, lifetime, report);
-        schedulePlanning();
-      },
-      onStartAnswer: (run, answer, reason) => {
-        scheduler?.handleStartAnswer(run, answer, reason);
-        if (answer !== "started") schedulePlanning();
-      },
-      onNoAnswer: () => scheduler?.recordNoAnswer(worker),
-      onReplacement: () => {
-        scheduler?.recordReplacement(worker);
-        schedulePlanning();
-      },
-      onStopAnswer: (run) => scheduler?.handleStopAnswer(run),
-    });
-    links.set(worker, { link, address: worker.address });
-    // Stops that the earlier link had not delivered are lost with it.
-    for (const run of worker.runs) {
-      if (run.phase !== RunPhase.stopping) continue;
-      const { number } = run;
-      link.sendCommand({
-        kind: "stop",
-        worker,
-        task: taskNameOf(run),
-        number,
-        run,
-      });
-    }
-    return link;
-  };
-
-  const sendCommand = (command: WorkerCommand): void => {
-    const worker = command.kind === "start"
-      ? command.run.worker
-      : command.worker;
-    const link = ensureLink(worker);
-    if (link !== undefined) return link.sendCommand(command);
-    log.warn(
-      { worker: worker.id, kind: command.kind },
-      "command dropped: the worker has no address",
-    );
-  };
+  const isolate = createIsolation({
+    clock,
+    log,
+    onError: (operation) =>
+      metrics.incrementCounter(`item.failed.${operation}`),
+  });
+  const links = createWorkerLinks({
+    term,
+    clock,
+    log,
+    connect: options.connect,
+    isolate,
+    isLeading,
+    scheduler: () => scheduler,
+    onChange: () => schedulePlanning(),
+  });
 
   const requestAdvice = async (question: AdviceQuestion): Promise<void> => {
     const { step, workers } = question;
@@ -216,21 +165,6 @@
     schedulePlanning();
   };
 
-  /**
-   * Opens links to new workers and closes those to workers that the scheduler
-   * has deleted.
-   */
-  const refreshLinks = (): void => {
-    if (scheduler === undefined) return;
-    const { workers } = scheduler.state;
-    for (const worker of workers.values()) ensureLink(worker);
-    for (const [worker, { link }] of links) {
-      if (workers.get(worker.id) === worker) continue;
-      link.close();
-      links.delete(worker);
-    }
-  };
-
   /**
    * Appends the scheduler's batches of records to the journal until there is
    * none left. Commands that depend on a batch are sent once it is stored.
@@ -241,7 +175,7 @@
     try {
       while (scheduler !== undefined && isLeading()) {
         const batch = scheduler.takeBatch();
-        for (const { link } of links.values()) link.notifyEndsStored();
+        links.notifyEndsStored();
         if (batch === undefined) return;
         if (!await journal.append(batch.records) || !isLeading()) {
           const { records: { length: records }, ends: { size: ends } } = batch;
@@ -312,7 +246,7 @@
     isPlanningScheduled = false;
     if (scheduler === undefined || !isLeading()) return;
     runPlanner();
-    refreshLinks();
+    links.refresh();
     void storeBatches();
   };
 
@@ -356,7 +290,7 @@
       scheduler = createScheduler({
         now: clock.now,
         wallTime: clock.wallTime,
-        sendCommand,
+        sendCommand: links.sendCommand,
         askAdvice: (question) => void requestAdvice(question),
         onUnknownRunEnd: (end) =>
           metrics.incrementCounter(`run.unknown.${end}`),
@@ -411,8 +345,7 @@
       clearInterval(planningTimer);
       clearInterval(loadLogTimer);
       clearInterval(removalTimer);
-      for (const { link } of links.values()) link.close();
-      links.clear();
+      links.close();
     },
   };
 }
--- a/packages/cell/src/mod.ts
+++ b/packages/cell/src/mod.ts
@@ -13,4 +13,5 @@
 export * from "./topic_follower.ts";
 export * from "./worker_calls.ts";
 export * from "./worker_link.ts";
+export * from "./worker_links.ts";
 export * from "./worker_list.ts";
