fix(scheduler): a job, step or worker whose handling throws stops no other

Cause: a planning pass and the application of a list of workers were one unit. An error for one job, step or entry ended them, in each pass and at each lead, and the one log line ("planning pass failed") did not say which it was. A step that names a missing one also left a step without needs behind, on which every later pass failed even after the job was gone from the queue.

Change: entries and lost runs per worker, ranking and guarantees per job, shapes and placing per step, and attempts per job are isolated; the line names the operation and the item. A claim is put back if placing throws, a step counts as unsaved before its runs are added, and a missing step throws before it is kept.

Not isolated, on purpose: the rows of one worker's report. A row that is passed over would be acknowledged with the later ones, and its run lost; a report that can't be applied makes only that worker count as silent.

--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -294,6 +294,7 @@
         askAdvice: (question) => void requestAdvice(question),
         onUnknownRunEnd: (end) =>
           metrics.incrementCounter(`run.unknown.${end}`),
+        isolate,
         log,
       });
       scheduler.setRules(options.rules());
--- a/packages/scheduler/src/capacity_ledger.ts
+++ b/packages/scheduler/src/capacity_ledger.ts
@@ -176,9 +176,11 @@
       const claim = claims.get(step);
       if (claim === undefined) return place(new Set());
       adjustHeld(claim.slots, step, -1);
-      const result = place(new Set(claim.slots.keys()));
-      if (claims.has(step)) adjustHeld(claim.slots, step, 1);
-      return result;
+      try {
+        return place(new Set(claim.slots.keys()));
+      } finally {
+        if (claims.has(step)) adjustHeld(claim.slots, step, 1);
+      }
     },
     dropClaim: (step) => {
       claims.delete(step);
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -248,7 +248,10 @@
   return job;
 }
 
-/** @returns a step of an occurrence, created on first use */
+/**
+ * @returns a step of an occurrence, created on first use
+ * @throws RangeError when the job has no step with this index
+ */
 export function getOrCreateStep(
   job: ActiveJob,
   occurrence: number,
@@ -257,11 +260,16 @@
   const key = stepKey(job.spec.id, occurrence, index);
   let step = job.steps.get(key);
   if (step === undefined) {
+    const spec = job.spec.steps[index];
+    if (spec === undefined) {
+      const { length } = job.spec.steps;
+      throw new RangeError(`step ${key}: the job has ${length} steps`);
+    }
     step = {
       job,
       occurrence,
       index,
-      spec: job.spec.steps[index],
+      spec,
       key,
       highestRun: 0,
       done: new Set(),
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -1,4 +1,4 @@
-import type { Logger, Milliseconds } from "@rattanhill/shared";
+import type { Isolate, Logger, Milliseconds } from "@rattanhill/shared";
 import type { Quarantine, RunTimeEstimator } from "@rattanhill/core";
 import { type AdviceQuestion, chooseQuestion, ticketFor } from "./advice.ts";
 import {
@@ -79,6 +79,8 @@
   askAdvice(question: AdviceQuestion): void;
   /** Parameters that override those of {@link PLANNING_POLICY}. */
   policy?: Partial<PlanningPolicy>;
+  /** Keeps the failure of one job, step or worker from the others. */
+  isolate: Isolate;
   log: Logger;
 }
 
@@ -101,7 +103,7 @@
  */
 export function createPlanner(options: PlannerOptions): Planner {
   const { state, quarantine, crashBlame, runTimes } = options;
-  const { now, wallTime, stop, log } = options;
+  const { now, wallTime, stop, isolate, log } = options;
   const policy = { ...PLANNING_POLICY, ...options.policy };
   let rules = NO_RULES;
   let waitingSteps: WaitingStep[] = [];
@@ -297,6 +299,7 @@
     const number = step.highestRun + 1;
     step.highestRun = number;
     const placedAt = now();
+    state.unsavedSteps.add(step);
     for (const [index, worker] of assignment) {
       addRun({
         step,
@@ -311,7 +314,6 @@
         checkpoint: step.checkpoints.get(step.spec.isGang ? 0 : index) ?? "",
       });
     }
-    state.unsavedSteps.add(step);
     const workers = [...new Set([...assignment.values()].map(({ id }) => id))];
     log.info(
       {
@@ -332,20 +334,27 @@
   };
 
   /**
-   * Stops checkpointing runs, except those of gangs, that would not end before
-   * their draining worker leaves.
+   * Stops checkpointing runs of a draining worker, except those of gangs, that
+   * would not end before it leaves.
    */
+  const evacuateIfDraining = (worker: WorkerState): void => {
+    if (!worker.isDraining || worker.remainingSince === undefined) return;
+    const leavesInMs = worker.remainingSince + worker.remainingMs - now();
+    for (const run of worker.runs) {
+      if (run.phase !== RunPhase.running) continue;
+      if (!run.step.spec.isCheckpointing || run.step.spec.isGang) continue;
+      const endsTooLate =
+        durations.remainingTime(run) > leavesInMs + DRAIN_MARGIN_MS;
+      if (endsTooLate) stop(run, "its draining worker leaves too soon");
+    }
+  };
+
   const evacuateDrainingWorkers = (): void => {
     for (const worker of state.workers.values()) {
-      if (!worker.isDraining || worker.remainingSince === undefined) continue;
-      const leavesInMs = worker.remainingSince + worker.remainingMs - now();
-      for (const run of worker.runs) {
-        if (run.phase !== RunPhase.running) continue;
-        if (!run.step.spec.isCheckpointing || run.step.spec.isGang) continue;
-        const endsTooLate =
-          durations.remainingTime(run) > leavesInMs + DRAIN_MARGIN_MS;
-        if (endsTooLate) stop(run, "its draining worker leaves too soon");
-      }
+      isolate(
+        { operation: "worker.evacuate", item: worker.id },
+        () => evacuateIfDraining(worker),
+      );
     }
   };
 
@@ -408,12 +417,19 @@
         durations,
         now: now(),
         wallTime: wallTime(),
+        isolate,
       });
       for (const waitingStep of waitingSteps) {
-        const shape = placementShapeOf(waitingStep);
+        const shape = isolate(
+          { operation: "step.shape", item: waitingStep.step.key },
+          () => placementShapeOf(waitingStep),
+        );
         if (shape !== undefined && failedShapes.has(shape)) continue;
         const runCountBefore = waitingStep.step.runs.size;
-        placeTasks(waitingStep);
+        isolate(
+          { operation: "step.place", item: waitingStep.step.key },
+          () => placeTasks(waitingStep),
+        );
         const isPlaced = waitingStep.step.runs.size >=
           runCountBefore + waitingStep.tasks.length;
         if (shape !== undefined && !isPlaced) failedShapes.add(shape);
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -1,4 +1,9 @@
-import type { Logger, Milliseconds } from "@rattanhill/shared";
+import {
+  createIsolation,
+  type Isolate,
+  type Logger,
+  type Milliseconds,
+} from "@rattanhill/shared";
 import { createQuarantine, createRunTimeEstimator } from "@rattanhill/core";
 import {
   type ActiveJob,
@@ -149,6 +154,11 @@
   onUnknownRunEnd?(end: RunEnd): void;
   /** Planning parameters that override the defaults. */
   policy?: Partial<PlanningPolicy>;
+  /**
+   * Keeps the failure of one job, step or worker from the others; one that only
+   * logs is the default.
+   */
+  isolate?: Isolate;
   log: Logger;
 }
 
@@ -167,6 +177,7 @@
  */
 export function createScheduler(options: SchedulerOptions): Scheduler {
   const { now, wallTime, sendCommand, log } = options;
+  const isolate = options.isolate ?? createIsolation({ clock: { now }, log });
   const state = createCellState();
   const batches = createRecordBatches(state, wallTime);
   const quarantine = createQuarantine();
@@ -177,6 +188,7 @@
     now,
     stop,
     onCrash: crashBlame.recordCrash,
+    isolate,
     log,
   });
   const planner = createPlanner({
@@ -189,6 +201,7 @@
     stop,
     askAdvice: (question) => options.askAdvice?.(question),
     policy: options.policy,
+    isolate,
     log,
   });
 
@@ -258,7 +271,12 @@
     state,
     setRules: (rules) => {
       planner.setRules(rules);
-      for (const job of state.jobs.values()) checkAttempts(job);
+      for (const job of state.jobs.values()) {
+        isolate(
+          { operation: "job.attempts", item: job.spec.id },
+          () => checkAttempts(job),
+        );
+      }
     },
     restore: (storedJob, leasesEndBy) => {
       const { spec, steps, isCancelled, outcome } = storedJob;
--- a/packages/scheduler/src/waiting_work.ts
+++ b/packages/scheduler/src/waiting_work.ts
@@ -1,5 +1,6 @@
-import type { Milliseconds } from "@rattanhill/shared";
+import type { Isolate, Milliseconds } from "@rattanhill/shared";
 import {
+  type ActiveJob,
   type CellState,
   getOrCreateStep,
   isOver,
@@ -16,10 +17,11 @@
 import { type Rules, rulesOf } from "./rules.ts";
 
 /**
- * Collects the runnable steps that have tasks without a run.
+ * Collects the runnable steps that have tasks without a run. A job that cannot
+ * be ranked is left out.
  *
  * @param state the cell
- * @param view rules, duration estimates and clocks
+ * @param view rules, duration estimates, clocks and the isolation of jobs
  * @returns the steps in planning order
  */
 export function collectWaitingSteps(
@@ -29,17 +31,17 @@
     durations: DurationEstimator;
     now: Milliseconds;
     wallTime: Milliseconds;
+    isolate: Isolate;
   },
 ): WaitingStep[] {
-  const { rules, durations, now, wallTime } = view;
-  const waitingSteps: WaitingStep[] = [];
-  const guaranteedJobs = findGuaranteedJobs(state, rules);
-  for (const job of state.jobs.values()) {
-    if (isOver(job)) continue;
+  const { rules, durations, now, wallTime, isolate } = view;
+  const guaranteedJobs = findGuaranteedJobs(state, rules, isolate);
+  const collectSteps = (job: ActiveJob): WaitingStep[] => {
     const { spec } = job;
     const stepAt = (occurrence: number, index: number) =>
       getOrCreateStep(job, occurrence, index);
-    for (const { step, tasks } of findRunnableSteps(job, stepAt, wallTime)) {
+    const runnable = findRunnableSteps(job, stepAt, wallTime);
+    return runnable.map(({ step, tasks }) => {
       const jobDuration = { totalMs: 0, remainingMs: 0 };
       spec.steps.forEach(({ estimateMs }, index) => {
         const expectedMs = durations.expectedDuration(spec, estimateMs);
@@ -57,23 +59,38 @@
           : wallTime - dueAt(spec, step.occurrence),
       };
       const rank = rankStep(waiting, jobDuration, guaranteedJobs.has(spec.id));
-      waitingSteps.push({ ...waiting, rank });
-    }
-  }
-  return waitingSteps.sort(compareRanks);
+      return { ...waiting, rank };
+    });
+  };
+  return [...state.jobs.values()].filter((job) => !isOver(job))
+    .flatMap((job) =>
+      isolate(
+        { operation: "job.rank", item: job.spec.id },
+        () => collectSteps(job),
+      ) ?? []
+    )
+    .sort(compareRanks);
 }
 
 /**
  * Finds the ids of the urgent jobs that the guarantees of their accounts cover.
  * Jobs that were added earlier are covered first.
  */
-function findGuaranteedJobs(state: CellState, rules: Rules): Set<string> {
+function findGuaranteedJobs(
+  state: CellState,
+  rules: Rules,
+  isolate: Isolate,
+): Set<string> {
   const coveredJobs = new Set<string>();
   const remainingGuarantees = new Map(rules.guarantees);
   for (const job of state.jobs.values()) {
     const { spec } = job;
     if (isOver(job) || rulesOf(rules, spec).priority !== 0) continue;
-    const needed = peakAcceleratorsOf(spec);
+    const needed = isolate(
+      { operation: "job.measure", item: spec.id },
+      () => peakAcceleratorsOf(spec),
+    );
+    if (needed === undefined) continue;
     const available = remainingGuarantees.get(spec.account) ?? 0;
     if (needed > available) continue;
     remainingGuarantees.set(spec.account, available - needed);
--- a/packages/scheduler/src/worker_roster.ts
+++ b/packages/scheduler/src/worker_roster.ts
@@ -1,4 +1,4 @@
-import type { Logger, Milliseconds } from "@rattanhill/shared";
+import type { Isolate, Logger, Milliseconds } from "@rattanhill/shared";
 import {
   addRun,
   type CellState,
@@ -74,6 +74,8 @@
     runs: readonly Run[],
     options?: { hadLapsed?: boolean },
   ): void;
+  /** Keeps the failure of one worker from the others. */
+  isolate: Isolate;
   log: Logger;
 }
 
@@ -102,7 +104,7 @@
  * @returns the roster
  */
 export function createWorkerRoster(options: WorkerRosterOptions): WorkerRoster {
-  const { state, now, stop, onCrash, log } = options;
+  const { state, now, stop, onCrash, isolate, log } = options;
   /** Runs whose leases expired before it was known whether they had crashed. */
   let expiredLosses: ExpiredLoss[] = [];
   /** Restored runs whose worker had restarted before, by worker. */
@@ -185,6 +187,54 @@
     }
   };
 
+  const applyEntry = (entry: WorkerEntry): void => {
+    const knownWorker = state.workers.get(entry.id);
+    const worker = knownWorker ?? createWorker(entry.id);
+    // The entry belongs to an earlier lifetime or does not give one.
+    if (
+      entry.lifetime < worker.lifetime ||
+      worker.pastLifetimes.has(entry.lifetime)
+    ) return;
+    if (!worker.isListed) {
+      const { id, zone, vm, address, lifetime } = entry;
+      log.info(
+        { worker: id, zone, vm, address, lifetime },
+        "worker found",
+      );
+    }
+    if (entry.lifetime > worker.lifetime) {
+      setLifetime(worker, entry.lifetime);
+    }
+    if (
+      entry.isDraining &&
+      (!worker.isDraining || entry.remainingMs !== worker.remainingMs)
+    ) {
+      worker.remainingSince = now();
+    }
+    if (entry.isDraining && !worker.isDraining) {
+      log.info(
+        { worker: entry.id, remainingMs: entry.remainingMs },
+        "worker draining",
+      );
+    }
+    const { vm, service, address, zone, labels, rack, capacity } = entry;
+    const { isDraining, remainingMs } = entry;
+    Object.assign(worker, {
+      vm,
+      service,
+      address,
+      zone,
+      labels,
+      rack,
+      capacity,
+      isDraining,
+      remainingMs,
+      listedLifetime: entry.lifetime,
+      isListed: true,
+      hasLeft: false,
+    });
+  };
+
   const recordProcessEnd = (worker: WorkerState, reason: string): void => {
     if (worker.hasEnded) return;
     worker.hasEnded = true;
@@ -256,6 +306,31 @@
     return !isAlive && now() - at < LATE_CRASH_MS;
   };
 
+  /**
+   * Releases the runs of a worker that has certainly lost them, and deletes it
+   * if it is unlisted and without runs.
+   */
+  const releaseIfLost = (worker: WorkerState): void => {
+    if (hasSuccessor(worker)) {
+      recordProcessEnd(worker, "another worker answers on its VM");
+    }
+    const hasDeparted = worker.hasLeft && worker.silentSince !== undefined;
+    if (hasDeparted) {
+      releaseSentRuns(worker, "run lost: its worker drained and left");
+    } else if (now() > worker.leasesEndBy) {
+      const lostRuns = findLostRuns(worker);
+      if (lostRuns.length > 0) {
+        const { lifetime } = worker;
+        expiredLosses.push({ worker, lifetime, lostRuns, at: now() });
+      }
+      releaseSentRuns(
+        worker,
+        "run released: all leases on its worker have expired",
+      );
+    }
+    deleteIfUnused(worker);
+  };
+
   return {
     updateLifetime: (worker, lifetime, askedAt) => {
       if (lifetime === 0 || lifetime === worker.lifetime) return true;
@@ -270,51 +345,10 @@
     applyListing: ({ entries, left }) => {
       const listedIds = new Set(entries.map(({ id }) => id));
       for (const entry of entries) {
-        const knownWorker = state.workers.get(entry.id);
-        const worker = knownWorker ?? createWorker(entry.id);
-        // The entry belongs to an earlier lifetime or does not give one.
-        if (
-          entry.lifetime < worker.lifetime ||
-          worker.pastLifetimes.has(entry.lifetime)
-        ) continue;
-        if (!worker.isListed) {
-          const { id, zone, vm, address, lifetime } = entry;
-          log.info(
-            { worker: id, zone, vm, address, lifetime },
-            "worker found",
-          );
-        }
-        if (entry.lifetime > worker.lifetime) {
-          setLifetime(worker, entry.lifetime);
-        }
-        if (
-          entry.isDraining &&
-          (!worker.isDraining || entry.remainingMs !== worker.remainingMs)
-        ) {
-          worker.remainingSince = now();
-        }
-        if (entry.isDraining && !worker.isDraining) {
-          log.info(
-            { worker: entry.id, remainingMs: entry.remainingMs },
-            "worker draining",
-          );
-        }
-        const { vm, service, address, zone, labels, rack, capacity } = entry;
-        const { isDraining, remainingMs } = entry;
-        Object.assign(worker, {
-          vm,
-          service,
-          address,
-          zone,
-          labels,
-          rack,
-          capacity,
-          isDraining,
-          remainingMs,
-          listedLifetime: entry.lifetime,
-          isListed: true,
-          hasLeft: false,
-        });
+        isolate(
+          { operation: "worker.list", item: entry.id },
+          () => applyEntry(entry),
+        );
       }
       for (const worker of [...state.workers.values()]) {
         if (listedIds.has(worker.id)) continue;
@@ -367,24 +401,10 @@
       restoredLosses.clear();
       expiredLosses = expiredLosses.filter(checkExpiredLoss);
       for (const worker of [...state.workers.values()]) {
-        if (hasSuccessor(worker)) {
-          recordProcessEnd(worker, "another worker answers on its VM");
-        }
-        const hasDeparted = worker.hasLeft && worker.silentSince !== undefined;
-        if (hasDeparted) {
-          releaseSentRuns(worker, "run lost: its worker drained and left");
-        } else if (now() > worker.leasesEndBy) {
-          const lostRuns = findLostRuns(worker);
-          if (lostRuns.length > 0) {
-            const { lifetime } = worker;
-            expiredLosses.push({ worker, lifetime, lostRuns, at: now() });
-          }
-          releaseSentRuns(
-            worker,
-            "run released: all leases on its worker have expired",
-          );
-        }
-        deleteIfUnused(worker);
+        isolate(
+          { operation: "worker.release", item: worker.id },
+          () => releaseIfLost(worker),
+        );
       }
     },
   };
