fix(cell): records that cannot be applied do not stop the following of a topic

Cause: a follower applied records within the try block of its read. If the receiver threw, the read counted as failed ("store read failed", which points at the store) and the same records were read and applied again without end, so the process stopped following the topic. In the list of workers the line that tells of an invalid entry was itself outside of any isolation, and a first list that threw left the next lead waiting for good.

Change: the application of records is isolated from the read; the line names topic and offset, and reading goes on after them.

Both new tests failed before: catchUp never returned, nor did the first list.

--- a/packages/cell/__tests__/topic_follower.test.ts
+++ b/packages/cell/__tests__/topic_follower.test.ts
@@ -112,3 +112,31 @@
   expect(follower.position()).to.equal(backlog.length);
   follower.close();
 });
+
+// Guards against one record that stops the following of a topic for good, as it
+// is read and applied again and again.
+it("topic follower: records after one that cannot be applied are applied", async () => {
+  const { store } = createMemoryStore();
+  const appliedKeys: string[] = [];
+  const follower = createTopicFollower({
+    topic: "t",
+    clock: createSystemClock(),
+    log: silentLogger,
+    apply: (records) => {
+      for (const { key } of records) {
+        if (key === "bad") throw new RangeError("broken");
+        appliedKeys.push(key);
+      }
+    },
+    readIntervalMs: () => 10,
+    waitMs: WAIT_MS,
+    store,
+  });
+  await pause(50);
+  await store.append("t", [{ key: "bad", value: "1" }], { timeoutMs: 100 });
+  await pause(50);
+  await store.append("t", [{ key: "good", value: "1" }], { timeoutMs: 100 });
+  await follower.catchUp();
+  follower.close();
+  expect(appliedKeys).to.deep.equal(["good"]);
+});
--- a/packages/cell/__tests__/worker_list.test.ts
+++ b/packages/cell/__tests__/worker_list.test.ts
@@ -34,11 +34,17 @@
   let reads = Promise.resolve();
   let hasExpired = false;
   let isStoreDown = false;
+  let isLogBroken = false;
   let remainingMs: Milliseconds = 0;
   let listing: WorkerListing | undefined;
   const list = createWorkerList({
     clock,
-    log: silentLogger,
+    log: {
+      ...silentLogger,
+      warn: () => {
+        if (isLogBroken) throw new RangeError("line too long");
+      },
+    },
     heartbeatMs: HEARTBEAT_MS,
     decode: (id, text) => {
       if (text === INVALID_ENTRY) throw new Error("not an entry");
@@ -75,8 +81,8 @@
       },
     },
   });
-  const write = (value: string | undefined) =>
-    memory.store.append(PlatformTopic.workers, [{ key: WORKER, value }], {
+  const write = (value: string | undefined, key = WORKER) =>
+    memory.store.append(PlatformTopic.workers, [{ key, value }], {
       timeoutMs: 1_000,
     });
   return {
@@ -107,6 +113,8 @@
       return release;
     },
     deleteHistory: () => hasExpired = true,
+    /** Makes each line of the log throw. */
+    breakLog: () => isLogBroken = true,
     hasLeft: () => listing!.left.has(WORKER),
     isListed: () => listing!.entries.length > 0,
   };
@@ -292,3 +300,15 @@
   list.stop();
   expect(hasLeft()).to.equal(false);
 });
+
+// Guards against an entry whose handling throws, even in the line that says so,
+// and that hides the entries after it.
+it("worker list: an entry that fails in any way hides no other", async () => {
+  const { list, write, start, breakLog, isListed } = followList();
+  breakLog();
+  await write(INVALID_ENTRY, "other");
+  await write("entry");
+  await start();
+  list.stop();
+  expect(isListed()).to.equal(true);
+});
--- a/packages/cell/src/topic_follower.ts
+++ b/packages/cell/src/topic_follower.ts
@@ -1,5 +1,6 @@
 import {
   type Clock,
+  createIsolation,
   describeError,
   elapsedSince,
   ErrorCode,
@@ -72,7 +73,8 @@
   clock: Clock;
   log: Logger;
   /**
-   * Applies records.
+   * Applies records. If it throws, reading goes on with the records after them,
+   * so a receiver that must not miss any isolates each record.
    *
    * @param records the records, in the order of their offsets
    * @param read how they were read
@@ -109,10 +111,10 @@
     topic,
     clock,
     log,
-    apply,
     readIntervalMs,
     waitMs,
   } = options;
+  const isolate = createIsolation({ clock, log });
   let position = 0;
   let isLoaded = false;
   let isClosed = false;
@@ -161,6 +163,13 @@
     throw new UnavailableError(ErrorCode.logUnavailable, message, context);
   };
 
+  const apply = (records: readonly StoredRecord[], read: TopicRead): void => {
+    isolate(
+      { operation: "topic.apply", item: `${topic} from ${position}` },
+      () => options.apply(records, read),
+    );
+  };
+
   /**
    * Notes that a read was answered. From answer to answer, so that a suspension
    * of the VM between two reads counts as well.
--- a/packages/cell/src/worker_list.ts
+++ b/packages/cell/src/worker_list.ts
@@ -1,5 +1,6 @@
 import {
   type Clock,
+  createIsolation,
   describeError,
   elapsedSince,
   type Instant,
@@ -68,6 +69,7 @@
  */
 export function createWorkerList(options: WorkerListOptions): WorkerList {
   const { store, clock, log, decode, onChange } = options;
+  const isolate = createIsolation({ clock, log });
   let follower: TopicFollower | undefined;
 
   return {
@@ -147,7 +149,12 @@
               entries.clear();
               lastHeartbeats.clear();
             }
-            for (const record of records) applyRecord(record, read);
+            for (const record of records) {
+              isolate(
+                { operation: "worker.entry", item: record.key },
+                () => applyRecord(record, read),
+              );
+            }
             const listing = { entries: [...entries.values()], left: withdrawn };
             if (isFirst) resolve(listing);
             else onChange(listing);
