fix(http): a client of an address that is none fails its calls, not its caller

Cause: createHttpClient threw for what is no host and port.

Change: the connections are opened by the first call, and a call to an address that is none, or of a closed client, fails as undelivered, which is true, with the address in the message. To its callers it is an unreachable peer.

The new test failed before with "InvalidArgumentError: invalid url" out of the creation.

--- a/packages/platform/__tests__/http_client.test.ts
+++ b/packages/platform/__tests__/http_client.test.ts
@@ -79,3 +79,25 @@
     await close();
   });
 }
+
+// Guards against an address that is none and that ends the loop over all peers
+// in which its client is created.
+it("http client: calls to an address that is none were not delivered", async () => {
+  for (const address of ["http://10.0.0.1:80/x", "host:port", "a:99999", ""]) {
+    const client = createHttpClient({
+      address,
+      connections: 1,
+      errorCode: ErrorCode.workerUnreachable,
+    });
+    const error = await client.call({
+      method: "GET",
+      path: "/",
+      step: "test.call",
+      timeoutMs: 700,
+    }).catch((thrown) => thrown);
+    expect(error).to.be.instanceOf(UnavailableError);
+    expect(error.message).to.include(`address "${address}"`);
+    client.reset();
+    await client.close();
+  }
+});
--- a/packages/platform/src/http_client.ts
+++ b/packages/platform/src/http_client.ts
@@ -67,7 +67,8 @@
 /**
  * Creates a client for one address. After a timeout every connection of the
  * client is replaced, since a middlebox that dropped the state of one
- * connection has usually dropped that of the others as well.
+ * connection has usually dropped that of the others as well. To an address that
+ * is none, every call fails as undelivered.
  *
  * @param options address, limits and error code
  * @returns the client, which connects with its first call
@@ -85,18 +86,30 @@
       bodyTimeout: 0,
       connect: { timeout: CONNECT_TIMEOUT_MS },
     });
-  let pool = createPool();
+  /** Opened by the first call, and by the first one after a replacement. */
+  let pool: Pool | undefined;
+  let isClosed = false;
 
-  const replacePool = (stalePool: Pool): void => {
+  const openPool = (step: string): Pool => {
+    const fail = (reason: string, cause?: unknown) =>
+      new UnavailableError(options.errorCode, reason, { step, peer, cause });
+    if (isClosed) throw fail("the client is closed");
+    try {
+      return pool ??= createPool();
+    } catch (cause) {
+      throw fail(`no connection can be opened to address "${peer}"`, cause);
+    }
+  };
+  const replacePool = (stalePool: Pool | undefined): void => {
     // When several calls time out on one pool, only the first replaces it.
-    if (stalePool !== pool) return;
-    pool = createPool();
+    if (stalePool === undefined || stalePool !== pool) return;
+    pool = undefined;
     stalePool.destroy().catch(() => {});
   };
 
   return {
     call: async ({ method, path, step, timeoutMs, body, headers, signal }) => {
-      const usedPool = pool;
+      const usedPool = openPool(step);
       const controller = new AbortController();
       let isTimedOut = false;
       const timer = setTimeout(() => {
@@ -137,7 +150,10 @@
       }
     },
     reset: () => replacePool(pool),
-    close: () => pool.destroy(),
+    close: async () => {
+      isClosed = true;
+      await pool?.destroy();
+    },
   };
 }
 
