fix(cell): a worker of a service that no queue uses is not called

Cause: the lead opened a link to every listed worker. What another writer put into the list got a lease and a poll each two seconds from every lead, and so did real workers of services without queues, each poll being priced.

Change: a link is opened once a queue of the configuration, or a job, uses the worker's service, or the worker has runs; it is not closed again when the queue goes, so ends are still acknowledged. The scheduler says so (isUsed).

The new test failed before: connected to x and w, expected w alone until a queue uses the service of x.

--- a/packages/cell/__tests__/cell_lead.test.ts
+++ b/packages/cell/__tests__/cell_lead.test.ts
@@ -6,7 +6,12 @@
   silentLogger,
   UncertainError,
 } from "@rattanhill/shared";
-import { createJobBook, type WorkerEntry } from "@rattanhill/scheduler";
+import {
+  createJobBook,
+  type QueueRules,
+  type Rules,
+  type WorkerEntry,
+} from "@rattanhill/scheduler";
 import {
   createCellLead,
   createMetrics,
@@ -32,6 +37,19 @@
   remainingMs: 0,
 };
 
+const QUEUE = {
+  name: "q",
+  service: "planner",
+  priority: 1,
+  maximumAttempts: 3,
+  stretch: 2,
+  targetMs: 500,
+};
+const rulesWith = (...queues: QueueRules[]): Rules => ({
+  queues: new Map(queues.map((queue) => [queue.name, queue])),
+  guarantees: new Map(),
+  deployment: { remoteFactor: 3, reclaimMs: 3_000, stopMs: 500 },
+});
 const UNCONNECTABLE: WorkerEntry = { ...ENTRY, id: "other", address: "none" };
 
 async function startLead(
@@ -41,6 +59,7 @@
   const { store } = createMemoryStore();
   const book = createJobBook();
   const calls: string[] = [];
+  const connectedIds: string[] = [];
   let running: HoldAnswer["running"] = [];
   /** Addresses at which a worker answers, with its lifetime. */
   const answering = new Map([["a1", 1]]);
@@ -65,7 +84,8 @@
     },
     close: async () => {},
   });
-  const connect = (_id: string, address: string): WorkerConnection => {
+  const connect = (id: string, address: string): WorkerConnection => {
+    connectedIds.push(id);
     if (address === UNCONNECTABLE.address) throw new TypeError("Invalid URL");
     return openConnection(address);
   };
@@ -81,18 +101,7 @@
     isLeading: () => true,
     waitForBook: async () => {},
     listWorkers: () => Promise.resolve({ entries, left: new Set() }),
-    rules: () => ({
-      queues: new Map([["q", {
-        name: "q",
-        service: "planner",
-        priority: 1,
-        maximumAttempts: 3,
-        stretch: 2,
-        targetMs: 500,
-      }]]),
-      guarantees: new Map(),
-      deployment: { remoteFactor: 3, reclaimMs: 3000, stopMs: 500 },
-    }),
+    rules: () => rulesWith(QUEUE),
     keepEndedMs: 60_000,
     metrics: createMetrics(),
   });
@@ -142,6 +151,7 @@
   return {
     lead,
     calls,
+    connectedIds,
     answering,
     waitFor,
     loseRuns: () => running = [],
@@ -220,3 +230,17 @@
   lead.close();
   expect(calls).to.deep.equal(["start 1 a1", "stop 1 a1"]);
 });
+
+// Guards against calls, and the sending of leases, to what only another writer
+// calls a worker.
+it("cell lead: a worker of a service that no queue uses is not called", async () => {
+  const other: WorkerEntry = { ...ENTRY, id: "x", service: "unused" };
+  const { lead, connectedIds } = await startLead({ entries: [other, ENTRY] });
+  expect(connectedIds).to.deep.equal(["w"]);
+  lead.updateRules(rulesWith({ ...QUEUE, name: "n", service: "unused" }));
+  await pause(300);
+  lead.updateRules(rulesWith(QUEUE));
+  await pause(300);
+  lead.close();
+  expect(connectedIds).to.deep.equal(["w", "x"]);
+});
--- a/packages/cell/src/worker_links.ts
+++ b/packages/cell/src/worker_links.ts
@@ -12,8 +12,8 @@
 /** Links from a lead to the workers of its cell. */
 export interface WorkerLinks {
   /**
-   * Opens links to new workers and closes those to workers that the scheduler
-   * has deleted.
+   * Opens links to new workers that a queue or a job uses, and closes those to
+   * workers that the scheduler has deleted.
    */
   refresh(): void;
   /**
@@ -117,9 +117,12 @@
 
   return {
     refresh: () => {
-      const workers = scheduler()?.state.workers;
-      if (workers === undefined) return;
-      for (const worker of workers.values()) ensureLink(worker);
+      const current = scheduler();
+      if (current === undefined) return;
+      const { state: { workers } } = current;
+      for (const worker of workers.values()) {
+        if (links.has(worker) || current.isUsed(worker)) ensureLink(worker);
+      }
       for (const [worker, { link }] of links) {
         if (workers.get(worker.id) === worker) continue;
         link.close();
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -37,6 +37,11 @@
   setRules(rules: Rules): void;
   /** @returns the number of failed attempts of a task at which a job fails */
   attemptLimitOf(spec: JobSpec): number;
+  /**
+   * @returns whether a queue or a job uses the service of a worker, or the
+   * worker has runs
+   */
+  isUsed(worker: WorkerState): boolean;
   /** @returns the factor by which a run is slowed by its placement */
   slowdownOf(run: Run): number;
   /**
@@ -106,6 +111,8 @@
   const { now, wallTime, stop, isolate, log } = options;
   const policy = { ...PLANNING_POLICY, ...options.policy };
   let rules = NO_RULES;
+  /** Services of all queues. */
+  let services = new Set<string>();
   let waitingSteps: WaitingStep[] = [];
 
   /** Returns whether a worker may get new runs now. */
@@ -362,7 +369,13 @@
     // Jobs of a removed queue still follow its last rules.
     setRules: (next) => {
       rules = { ...next, queues: new Map([...rules.queues, ...next.queues]) };
+      services = new Set([...rules.queues.values()].map((one) => one.service));
     },
+    isUsed: ({ service, runs }) =>
+      runs.size > 0 || services.has(service) ||
+      [...state.jobs.values()].some(({ spec }) =>
+        rulesOf(rules, spec).service === service
+      ),
     attemptLimitOf: (spec) => rulesOf(rules, spec).maximumAttempts,
     slowdownOf: durations.slowdownFactor,
     load: () => {
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -100,6 +100,8 @@
     lifetime: number,
     report: WorkerReport,
   ): void;
+  /** See {@link Planner.isUsed}. */
+  isUsed(worker: WorkerState): boolean;
   /** Records that a poll of a worker failed or got no answer. */
   recordNoAnswer(worker: WorkerState): void;
   /**
@@ -356,6 +358,7 @@
         log,
       });
     },
+    isUsed: planner.isUsed,
     recordNoAnswer: (worker) => {
       worker.silentSince ??= now();
     },
