--- a/packages/cell/src/worker_list.ts
+++ b/packages/cell/src/worker_list.ts
@@ -61,6 +61,10 @@
 // 2 s that a worker drains.
 const READ_INTERVAL_MS: Milliseconds = 200;
 
+// Number of invalid entries that are told of, since another writer may write
+// any number.
+const MAXIMUM_INVALID_KEYS = 1_000;
+
 /**
  * Creates the list without reading it.
  *
@@ -117,6 +121,7 @@
             if (isWithdrawal(key, read)) withdrawn.add(key);
             entries.delete(key);
             lastHeartbeats.delete(key);
+            invalidKeys.delete(key);
             return;
           }
           withdrawn.delete(key);
@@ -129,6 +134,7 @@
             entries.delete(key);
             lastHeartbeats.delete(key);
             if (invalidKeys.has(key)) return;
+            if (invalidKeys.size >= MAXIMUM_INVALID_KEYS) return;
             invalidKeys.add(key);
             log.warn(
               { worker: key, error: describeError(error) },
