fix(scheduler): a worker that rejected a ticket is asked about again

Cause, first part: "was asked about" and "was refused by the policy" were one set. A rejected start dropped its ticket, but the worker stayed in the set, and without a ticket that read as refused, for good.

Change: StepAdvice keeps the workers that the policy allows, those that it has refused with the lifetime they had, and the tickets. Allowed workers without a valid ticket are asked about first, refused ones never again in that lifetime.

Both new tests failed before: no question about w2 after its rejection, none about w1 after its restart.

--- a/packages/scheduler/__tests__/advice.test.ts
+++ b/packages/scheduler/__tests__/advice.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { recordAdvice } from "../src/mod.ts";
+import { recordAdvice, type Run } from "../src/mod.ts";
 import { createCell, job, queueRules, step } from "./cell_fixture.ts";
 
 /** Creates a cell with a queue whose policy restricts the workers of a step. */
@@ -16,6 +16,20 @@
   return cell;
 }
 
+/** Answers the oldest open question of a cell. */
+function answer(
+  cell: ReturnType<typeof createAdvisedCell>,
+  allowed: readonly string[],
+): void {
+  const question = cell.questions.shift()!;
+  cell.scheduler.handleAdvice(question, {
+    allowed: allowed
+      .filter((worker) => question.workers.includes(worker))
+      .map((worker) => ({ worker, ticket: "t" })),
+    validMs: 3_000,
+  });
+}
+
 it("advice: a step starts only on workers that its policy allows", () => {
   const cell = createAdvisedCell();
   cell.submit(job("a", { steps: [step({ taskCount: 2 })] }));
@@ -62,3 +76,38 @@
   cell.settle();
   expect(cell.runs("a")).to.deep.equal([]);
 });
+
+// Guards against an accepted job that never starts: a worker whose ticket was
+// rejected once counted as refused by the policy.
+it("advice: a worker that rejected a ticket is asked about again", () => {
+  const cell = createAdvisedCell();
+  cell.submit(job("a"));
+  cell.settle();
+  answer(cell, ["w2"]);
+  cell.scheduler.plan();
+  cell.storeBatch();
+  const [{ run }] = cell.commands.splice(0) as { run: Run }[];
+  cell.scheduler.handleStartAnswer(run, "refused", "noTicket");
+  cell.clock.advance(1_000);
+  cell.settle();
+  expect(cell.questions).to.have.length(1);
+  expect(cell.questions[0].workers).to.deep.equal(["w2"]);
+  answer(cell, ["w2"]);
+  cell.settle();
+  expect(cell.runs("a")).to.have.length(1);
+});
+
+// Guards against questions that can't be answered otherwise, since the policy's
+// answer for a worker doesn't change.
+it("advice: a worker that the policy refused is not asked about again", () => {
+  const cell = createAdvisedCell();
+  cell.submit(job("a"));
+  cell.settle();
+  answer(cell, []);
+  cell.clock.advance(10_000);
+  cell.settle();
+  expect(cell.questions).to.deep.equal([]);
+  cell.fleet.get("w1")!.crash();
+  cell.settle();
+  expect(cell.questions.map(({ workers }) => workers)).to.deep.equal([["w1"]]);
+});
--- a/packages/scheduler/src/advice.ts
+++ b/packages/scheduler/src/advice.ts
@@ -1,7 +1,32 @@
 import type { Milliseconds } from "@rattanhill/shared";
-import type { StepState, Ticket, WorkerState } from "./cell_state.ts";
+import type { StepState, WorkerState } from "./cell_state.ts";
 import { isEligible } from "./placement.ts";
 
+/**
+ * What a queue's policy has said of the workers for a step. Its answer for a
+ * lifetime of a worker does not change; the ticket that comes with it expires.
+ */
+export interface StepAdvice {
+  /** Workers that the policy has allowed, with or without a valid ticket. */
+  allowed: Set<string>;
+  /** Lifetimes of the workers that the policy has refused. */
+  refused: Map<string, number>;
+  /** Newest tickets by worker. */
+  tickets: Map<string, Ticket>;
+  /** Whether a question to the policy is unanswered. */
+  isAsking: boolean;
+}
+
+/** Permission of a queue's policy to run a step on a worker. */
+export interface Ticket {
+  /** Text that the start command carries. */
+  text: string;
+  /** Lifetime of the worker for which it is valid. */
+  lifetime: number;
+  /** Monotonic time from which it counts as expired. */
+  validUntil: Milliseconds;
+}
+
 /** Question to the policy of a queue: which of these workers may run a step? */
 export interface AdviceQuestion {
   step: StepState;
@@ -28,8 +53,8 @@
 const TICKET_MARGIN_MS: Milliseconds = 500;
 
 /**
- * Chooses the workers to ask about next: first those whose ticket is no longer
- * valid, then those that the policy has not judged yet. The caller must ask the
+ * Chooses the workers to ask about next: first those that the policy allows but
+ * for which there is no valid ticket, then those that it has not judged yet. The caller must ask the
  * returned question, since the step is marked as having an unanswered one.
  *
  * @param step the step
@@ -43,23 +68,27 @@
   candidates: readonly WorkerState[],
   now: Milliseconds,
 ): AdviceQuestion | undefined {
-  step.advice ??= { asked: new Set(), tickets: new Map(), isAsking: false };
+  step.advice ??= {
+    allowed: new Set(),
+    refused: new Map(),
+    tickets: new Map(),
+    isAsking: false,
+  };
   const { advice } = step;
   if (advice.isAsking) return undefined;
   const fitting = candidates.filter((worker) => isEligible(step, worker));
-  const allowed = fitting.filter((worker) =>
-    ticketFor(step, worker, now) !== undefined
-  );
-  if (allowed.length >= step.spec.taskCount) return undefined;
-  const ticketHolders = fitting.filter(({ id }) => advice.tickets.has(id));
-  const invalidTicketHolders = ticketHolders.filter((worker) =>
-    !allowed.includes(worker)
-  );
-  const unasked = fitting.filter(({ id }) => !advice.asked.has(id));
-  const chosen = [...invalidTicketHolders, ...unasked].slice(
-    0,
-    MAXIMUM_WORKERS_PER_QUESTION,
+  const withoutTicket = fitting.filter((worker) =>
+    ticketFor(step, worker, now) === undefined
   );
+  if (fitting.length - withoutTicket.length >= step.spec.taskCount) {
+    return undefined;
+  }
+  const chosen = [
+    ...withoutTicket.filter(({ id }) => advice.allowed.has(id)),
+    ...withoutTicket.filter((worker) =>
+      !advice.allowed.has(worker.id) && !isRefused(step, worker)
+    ),
+  ].slice(0, MAXIMUM_WORKERS_PER_QUESTION);
   if (chosen.length === 0) return undefined;
   advice.isAsking = true;
   return {
@@ -82,18 +111,40 @@
   if (advice === undefined) return;
   advice.isAsking = false;
   if (answer === undefined) return;
-  for (const id of workers) {
-    advice.asked.add(id);
+  workers.forEach((id, index) => {
+    advice.allowed.delete(id);
+    advice.refused.set(id, lifetimes[index]);
     advice.tickets.delete(id);
-  }
+  });
   const validUntil = now + answer.validMs - TICKET_MARGIN_MS;
   for (const { worker, ticket } of answer.allowed) {
     const lifetime = lifetimes[workers.indexOf(worker)];
     if (lifetime === undefined) continue;
+    advice.allowed.add(worker);
+    advice.refused.delete(worker);
     advice.tickets.set(worker, { text: ticket, lifetime, validUntil });
   }
 }
 
+/**
+ * Drops the ticket that a worker has rejected. The policy allows the worker all
+ * the same, so it is asked for another ticket.
+ */
+export function dropTicket(step: StepState, worker: WorkerState): void {
+  step.advice?.tickets.delete(worker.id);
+}
+
+/**
+ * @returns whether the policy has refused the worker in its current lifetime;
+ * one that has restarted may be of another kind
+ */
+export function isRefused(
+  { advice }: StepState,
+  { id, lifetime }: WorkerState,
+): boolean {
+  return advice?.refused.get(id) === lifetime;
+}
+
 /**
  * @returns the valid ticket of a step for a worker; undefined if there is none
  */
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -7,6 +7,7 @@
   type StepSpec,
   type TaskName,
 } from "./job_types.ts";
+import type { StepAdvice } from "./advice.ts";
 import type { TaskCrashes } from "./crash_blame.ts";
 import type { StepRecord } from "./records.ts";
 import { addResources, type Resources } from "./resources.ts";
@@ -92,26 +93,6 @@
   advice?: StepAdvice;
 }
 
-/** Workers that a queue's policy allows for a step. */
-export interface StepAdvice {
-  /** Workers that the policy has judged, whether it allowed them or not. */
-  asked: Set<string>;
-  /** Tickets by worker. */
-  tickets: Map<string, Ticket>;
-  /** Whether a question to the policy is unanswered. */
-  isAsking: boolean;
-}
-
-/** Permission of a queue's policy to run a step on a worker. */
-export interface Ticket {
-  /** Text that the start command carries. */
-  text: string;
-  /** Lifetime of the worker for which it is valid. */
-  lifetime: number;
-  /** Monotonic time from which it counts as expired. */
-  validUntil: Milliseconds;
-}
-
 /** A job; kept until its outcome is stored and all its runs are released. */
 export interface ActiveJob {
   spec: JobSpec;
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -26,6 +26,7 @@
 import {
   type AdviceAnswer,
   type AdviceQuestion,
+  dropTicket,
   recordAdvice,
 } from "./advice.ts";
 import { createCrashBlame } from "./crash_blame.ts";
@@ -385,7 +386,7 @@
       worker.noPlacementBefore = now() +
         (answer === "unhealthy" ? SILENCE_BACKOFF_MS : REFUSAL_BACKOFF_MS);
       releaseRun(state, run);
-      if (reason === "noTicket") step.advice?.tickets.delete(worker.id);
+      if (reason === "noTicket") dropTicket(step, worker);
       if (!step.spec.isGang) return;
       for (const member of [...step.runs.values()]) {
         stop(member, "a member of the gang was not started");
