fix(scheduler): a start that needs a ticket is sent with a valid one or not at all

Change: a run keeps the ticket that it is placed with. When its placement is stored it gets the newest for its worker; without one that is still valid in the worker's current lifetime, the start is not sent, the run is released and the policy is asked again, a gang as a whole. A start is not repeated after its ticket has expired, and a rejection drops only the ticket that was rejected. There are two margins now, 500 ms before the end for placing and 100 ms for sending, each at most a quarter of the time for which tickets are valid: with one of 400 ms no job ever started.

--- a/packages/cell/__tests__/worker_link.test.ts
+++ b/packages/cell/__tests__/worker_link.test.ts
@@ -421,3 +421,24 @@
   await pause(POLL_INTERVAL_MS);
   expect(silences()).to.equal(0);
 });
+
+// Guards against a repeated start that its worker must reject.
+it("worker link: a start is not repeated after its ticket has expired", async () => {
+  const tickets: (string | undefined)[] = [];
+  const { run, start } = await openLink({
+    start: async ({ ticket }) => {
+      tickets.push(ticket);
+      await pause(200);
+      throw unanswered;
+    },
+  });
+  const now = createSystemClock().now();
+  run.ticket = {
+    text: "t",
+    lifetime: 1,
+    placeUntil: now,
+    sendUntil: now + 100,
+  };
+  expect(await start()).to.deep.equal([["uncertain", undefined]]);
+  expect(tickets).to.deep.equal(["t"]);
+});
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -11,7 +11,6 @@
   type Run,
   type StartAnswer,
   taskNameOf,
-  ticketFor,
   type WorkerCommand,
   type WorkerReport,
   type WorkerState,
@@ -248,7 +247,11 @@
     let reason: StartRefusal | undefined;
     for (let attempt = 1; attempt <= MAXIMUM_START_ATTEMPTS; attempt++) {
       const leaseUntil = extendLease();
-      if (isClosed || !isLeading() || leaseUntil === undefined) {
+      const isExpired = run.ticket !== undefined &&
+        clock.now() >= run.ticket.sendUntil;
+      if (
+        isClosed || !isLeading() || leaseUntil === undefined || isExpired
+      ) {
         if (attempt > 1) break;
         return options.onStartAnswer(run, "refused", "not sent");
       }
@@ -261,7 +264,7 @@
           payload: run.step.job.spec.payload,
           leaseUntil,
           checkpoint: run.checkpoint,
-          ticket: ticketFor(run.step, worker, clock.now())?.text,
+          ticket: run.ticket?.text,
           timeoutMs: START_TIMEOUT_MS,
         });
         // The confirmation of an earlier lifetime says nothing about this one.
--- a/packages/scheduler/__tests__/advice.test.ts
+++ b/packages/scheduler/__tests__/advice.test.ts
@@ -111,3 +111,77 @@
   cell.settle();
   expect(cell.questions.map(({ workers }) => workers)).to.deep.equal([["w1"]]);
 });
+
+// Guards against starts that their worker must reject, each of which was the
+// last one of its job: their tickets had expired, or had ended with a lifetime
+// of the worker, while their placement was being stored.
+it("advice: a start whose ticket expired meanwhile is not sent", () => {
+  const cell = createAdvisedCell();
+  cell.submit(job("a"));
+  cell.settle();
+  answer(cell, ["w2"]);
+  cell.scheduler.plan();
+  cell.clock.advance(3_000);
+  cell.storeBatch();
+  expect(cell.commands).to.deep.equal([]);
+  cell.settle();
+  expect(cell.questions[0].workers).to.deep.equal(["w2"]);
+  answer(cell, ["w2"]);
+  cell.settle();
+  expect(cell.runs("a")).to.have.length(1);
+});
+
+it("advice: a start is sent with the newest ticket for its worker", () => {
+  const cell = createAdvisedCell();
+  cell.submit(job("a", { steps: [step({ taskCount: 4 })] }));
+  cell.settle();
+  const [question] = cell.questions;
+  const ticketOf = (ticket: string) => ({
+    allowed: [{ worker: "w2", ticket }],
+    validMs: 3_000,
+  });
+  answer(cell, ["w2"]);
+  cell.scheduler.plan();
+  cell.clock.advance(2_950);
+  recordAdvice(question, ticketOf("newer"), cell.clock.now());
+  cell.storeBatch();
+  const runs = cell.commands.map((command) => (command as { run: Run }).run);
+  expect(runs.map(({ ticket }) => ticket?.text)).to.deep.equal(
+    Array(4).fill("newer"),
+  );
+  // The rejection of an older ticket says nothing about a newer one.
+  recordAdvice(question, ticketOf("newest"), cell.clock.now());
+  cell.scheduler.handleStartAnswer(runs[0], "refused", "noTicket");
+  expect(runs[0].step.advice!.tickets.get("w2")!.text).to.equal("newest");
+});
+
+it("advice: no member of a gang starts if a ticket of one is void", () => {
+  const cell = createAdvisedCell();
+  cell.submit(job("a", {
+    steps: [step({ accelerators: 8, taskCount: 2, isGang: true })],
+  }));
+  cell.settle();
+  answer(cell, ["w0", "w1"]);
+  cell.scheduler.plan();
+  cell.fleet.get("w1")!.crash();
+  cell.pollWorkers();
+  cell.entries[1] = { ...cell.entries[1], lifetime: 2 };
+  cell.updateListing();
+  cell.storeBatch();
+  expect(cell.commands).to.deep.equal([]);
+  cell.settle();
+  expect(cell.questions[0].workers).to.deep.equal(["w1"]);
+});
+
+it("advice: tickets are used however short they are valid", () => {
+  const cell = createAdvisedCell();
+  cell.submit(job("a"));
+  cell.settle();
+  const [{ workers }] = cell.questions;
+  cell.scheduler.handleAdvice(cell.questions[0], {
+    allowed: workers.map((worker) => ({ worker, ticket: "t" })),
+    validMs: 400,
+  });
+  cell.settle();
+  expect(cell.runs("a")).to.have.length(1);
+});
--- a/packages/scheduler/src/advice.ts
+++ b/packages/scheduler/src/advice.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from "@rattanhill/shared";
-import type { StepState, WorkerState } from "./cell_state.ts";
+import type { Run, StepState, WorkerState } from "./cell_state.ts";
 import { isEligible } from "./placement.ts";
 
 /**
@@ -23,8 +23,10 @@
   text: string;
   /** Lifetime of the worker for which it is valid. */
   lifetime: number;
-  /** Monotonic time from which it counts as expired. */
-  validUntil: Milliseconds;
+  /** Monotonic time from which no run is placed with it. */
+  placeUntil: Milliseconds;
+  /** Monotonic time from which no start command is sent with it. */
+  sendUntil: Milliseconds;
 }
 
 /** Question to the policy of a queue: which of these workers may run a step? */
@@ -48,9 +50,14 @@
 // Largest number of workers in one question. The policy takes time for each
 // worker, and this many usually include enough allowed ones.
 const MAXIMUM_WORKERS_PER_QUESTION = 30;
-// A ticket is no longer used this long before it expires, so that it is still
-// valid when the start command reaches the worker.
-const TICKET_MARGIN_MS: Milliseconds = 500;
+// No run is placed this long before the ticket expires, so that the placement
+// can be stored and the start sent in time.
+const PLACE_MARGIN_MS: Milliseconds = 500;
+// No start is sent this long before the ticket expires, so that it still reaches
+// the worker in time.
+const SEND_MARGIN_MS: Milliseconds = 100;
+// Largest part of a ticket's time that a margin takes.
+const MAXIMUM_MARGIN_SHARE = 0.25;
 
 /**
  * Chooses the workers to ask about next: first those that the policy allows but
@@ -116,22 +123,46 @@
     advice.refused.set(id, lifetimes[index]);
     advice.tickets.delete(id);
   });
-  const validUntil = now + answer.validMs - TICKET_MARGIN_MS;
+  const { validMs } = answer;
+  const timeBefore = (marginMs: Milliseconds): Milliseconds =>
+    now + validMs - Math.min(marginMs, MAXIMUM_MARGIN_SHARE * validMs);
   for (const { worker, ticket } of answer.allowed) {
     const lifetime = lifetimes[workers.indexOf(worker)];
     if (lifetime === undefined) continue;
     advice.allowed.add(worker);
     advice.refused.delete(worker);
-    advice.tickets.set(worker, { text: ticket, lifetime, validUntil });
+    advice.tickets.set(worker, {
+      text: ticket,
+      lifetime,
+      placeUntil: timeBefore(PLACE_MARGIN_MS),
+      sendUntil: timeBefore(SEND_MARGIN_MS),
+    });
   }
 }
 
 /**
- * Drops the ticket that a worker has rejected. The policy allows the worker all
- * the same, so it is asked for another ticket.
+ * Gives a run the newest ticket for its worker, in place of the one that it was
+ * placed with.
+ *
+ * @returns whether its start may be sent: it needs no ticket, or has one that is
+ * still valid for the current lifetime of the worker
+ */
+export function renewTicket(run: Run, now: Milliseconds): boolean {
+  if (run.ticket === undefined) return true;
+  const { step, worker } = run;
+  const newest = step.advice?.tickets.get(worker.id);
+  if (newest === undefined || newest.lifetime !== worker.lifetime) return false;
+  run.ticket = newest;
+  return now < newest.sendUntil;
+}
+
+/**
+ * Drops the ticket of a run whose worker has rejected it. The policy allows the
+ * worker all the same, so it is asked for another ticket.
  */
-export function dropTicket(step: StepState, worker: WorkerState): void {
-  step.advice?.tickets.delete(worker.id);
+export function dropTicket({ step, worker, ticket }: Run): void {
+  const newest = step.advice?.tickets.get(worker.id);
+  if (newest?.text === ticket?.text) step.advice?.tickets.delete(worker.id);
 }
 
 /**
@@ -146,7 +177,8 @@
 }
 
 /**
- * @returns the valid ticket of a step for a worker; undefined if there is none
+ * @returns the ticket of a step for a worker with which a run can be placed;
+ * undefined if there is none
  */
 export function ticketFor(
   step: StepState,
@@ -157,5 +189,5 @@
   if (ticket === undefined || ticket.lifetime !== worker.lifetime) {
     return undefined;
   }
-  return ticket.validUntil > now ? ticket : undefined;
+  return ticket.placeUntil > now ? ticket : undefined;
 }
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -7,7 +7,7 @@
   type StepSpec,
   type TaskName,
 } from "./job_types.ts";
-import type { StepAdvice } from "./advice.ts";
+import type { StepAdvice, Ticket } from "./advice.ts";
 import type { TaskCrashes } from "./crash_blame.ts";
 import type { StepRecord } from "./records.ts";
 import { addResources, type Resources } from "./resources.ts";
@@ -60,6 +60,8 @@
   firstPercent?: { percent: number; at: Milliseconds };
   /** Newest checkpoint; empty if there is none. */
   checkpoint: string;
+  /** Ticket that its start command carries; undefined when it needs none. */
+  ticket?: Ticket;
   /** Monotonic time at which a report of its worker first listed it. */
   reportedSince?: Milliseconds;
 }
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -306,6 +306,7 @@
     const number = step.highestRun + 1;
     step.highestRun = number;
     const placedAt = now();
+    const { needsAdvice, maximumAttempts } = rulesOf(rules, step.job.spec);
     state.unsavedSteps.add(step);
     for (const [index, worker] of assignment) {
       addRun({
@@ -319,6 +320,7 @@
         percent: 0,
         percentAt: placedAt,
         checkpoint: step.checkpoints.get(step.spec.isGang ? 0 : index) ?? "",
+        ticket: needsAdvice ? step.advice?.tickets.get(worker.id) : undefined,
       });
     }
     const workers = [...new Set([...assignment.values()].map(({ id }) => id))];
@@ -333,7 +335,7 @@
         milliCores: step.spec.milliCores,
         workers,
         failedAttempts: failedAttemptsOf(step),
-        attemptLimit: rulesOf(rules, step.job.spec).maximumAttempts,
+        attemptLimit: maximumAttempts,
         waitedMs: Math.round(placedAt - step.job.waitingSince),
       },
       "tasks placed",
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -28,6 +28,7 @@
   type AdviceQuestion,
   dropTicket,
   recordAdvice,
+  renewTicket,
 } from "./advice.ts";
 import { createCrashBlame } from "./crash_blame.ts";
 import {
@@ -386,7 +387,7 @@
       worker.noPlacementBefore = now() +
         (answer === "unhealthy" ? SILENCE_BACKOFF_MS : REFUSAL_BACKOFF_MS);
       releaseRun(state, run);
-      if (reason === "noTicket") dropTicket(step, worker);
+      if (reason === "noTicket") dropTicket(run);
       if (!step.spec.isGang) return;
       for (const member of [...step.runs.values()]) {
         stop(member, "a member of the gang was not started");
@@ -421,7 +422,12 @@
   /** Sends the start commands of runs whose placement is stored. */
   function startRuns(runs: readonly Run[]): void {
     for (const run of runs) {
-      if (run.phase !== RunPhase.storing || mayStart(run)) continue;
+      if (run.phase !== RunPhase.storing) continue;
+      if (mayStart(run) && renewTicket(run, now())) continue;
+      log.info(
+        { ...describeRun(run), ticketUntil: run.ticket?.sendUntil },
+        "start not sent: its worker or ticket changed meanwhile",
+      );
       const { step } = run;
       releaseRun(state, run);
       for (const member of step.spec.isGang ? step.runs.values() : []) {
