fix(scheduler): a job with advice that cannot be placed keeps no other waiting

Cause: the key of steps that fit on the same workers left advice out. After one step that could not be placed, the pass skipped all later ones of its needs, of any queue, without asking the policy.

Change: a step with advice has no such key.

The new test failed before: no question about the second job.

--- a/packages/scheduler/__tests__/advice.test.ts
+++ b/packages/scheduler/__tests__/advice.test.ts
@@ -185,3 +185,17 @@
   cell.settle();
   expect(cell.runs("a")).to.have.length(1);
 });
+
+// Guards against a job with advice that cannot be placed and that keeps others
+// of the same needs from being asked about.
+it("advice: a job that waits for its workers keeps no other waiting", () => {
+  const cell = createAdvisedCell();
+  cell.submit(job("blocked"));
+  cell.settle();
+  answer(cell, []);
+  cell.submit(job("a"));
+  cell.settle();
+  answer(cell, ["w2"]);
+  cell.settle();
+  expect(cell.runs("a")).to.have.length(1);
+});
--- a/packages/scheduler/src/placement_shape.ts
+++ b/packages/scheduler/src/placement_shape.ts
@@ -6,16 +6,16 @@
  * same workers. When a step could not be placed in full, the pass skips later
  * steps of its shape.
  *
- * @returns the shape; undefined for a step with a guarantee or with constraints
- * that the key does not cover
+ * @returns the shape; undefined for a step with a guarantee, with advice or with
+ * constraints that the key does not cover
  */
 export function placementShapeOf(
-  { step, rank }: WaitingStep,
+  { step, rank, rules }: WaitingStep,
 ): string | undefined {
   const { spec } = step;
   const isSpecial = spec.isGang || spec.dataRack !== undefined ||
     spec.maximumPerWorker !== undefined || step.avoidedWorkers.size > 0 ||
-    rank.tier === Tier.guaranteed;
+    rank.tier === Tier.guaranteed || rules.needsAdvice;
   if (isSpecial) return undefined;
   const { milliCores, memoryMegabytes, accelerators } = needsOf(spec);
   return [
