fix(scheduler): a step may use the workers again that it failed on, if others never will

Cause: a step avoids the workers on which a run of it failed, unless it could not do without them. That looked at all listed workers of the service: also at those that the queue's policy has refused, that have never answered this lead, or that drain. So it waited for workers that would never get it.

Change: only workers that answer, do not drain and are not refused by the policy count as others.

The three new tests failed before (no run after the failure).

--- a/packages/scheduler/__tests__/advice.test.ts
+++ b/packages/scheduler/__tests__/advice.test.ts
@@ -199,3 +199,16 @@
   cell.settle();
   expect(cell.runs("a")).to.have.length(1);
 });
+
+// Guards against a step that may run nowhere any more: it avoids the workers on
+// which it failed, and the policy allows no other.
+it("advice: a step that failed on all its workers may use them again", () => {
+  const cell = createAdvisedCell();
+  cell.submit(job("a"));
+  cell.settle();
+  answer(cell, ["w2"]);
+  cell.settle();
+  cell.end("a", "failed");
+  cell.settle();
+  expect(cell.runs("a").map(({ worker }) => worker)).to.deep.equal(["w2"]);
+});
--- a/packages/scheduler/__tests__/placement.test.ts
+++ b/packages/scheduler/__tests__/placement.test.ts
@@ -94,3 +94,24 @@
   cell.settle();
   expect(cell.runs("g").map(({ number }) => number)).to.deep.equal([2, 2]);
 });
+
+// Guards against a step that waits for workers that are listed but will never
+// run it, since it failed on the only one that can.
+for (
+  const [name, changes] of [
+    ["that never answered", { id: "silent" }],
+    ["that drains", { id: "w1", isDraining: true }],
+  ] as const
+) {
+  it(`placement: a step does not avoid its last worker for one ${name}`, () => {
+    const cell = createCell({ workers: 2 });
+    cell.entries[1] = { ...cell.entries[1], ...changes };
+    if (changes.id !== "w1") cell.fleet.delete("w1");
+    cell.updateListing();
+    cell.submit(job("a"));
+    cell.settle();
+    cell.end("a", "failed");
+    cell.settle();
+    expect(cell.runs("a").map(({ worker }) => worker)).to.deep.equal(["w0"]);
+  });
+}
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -1,6 +1,11 @@
 import type { Isolate, Logger, Milliseconds } from "@rattanhill/shared";
 import type { Quarantine, RunTimeEstimator } from "@rattanhill/core";
-import { type AdviceQuestion, chooseQuestion, ticketFor } from "./advice.ts";
+import {
+  type AdviceQuestion,
+  chooseQuestion,
+  isRefused,
+  ticketFor,
+} from "./advice.ts";
 import {
   addRun,
   type CellState,
@@ -144,8 +149,11 @@
     const serviceWorkers = [...state.workers.values()].filter((worker) =>
       worker.isListed && worker.service === queueRules.service
     );
+    const mayBeUsed = (worker: WorkerState) =>
+      worker.hasAnswered && !worker.isDraining && !isRefused(step, worker);
     if (
-      step.avoidedWorkers.size > 0 && !canAvoidWorkers(step, serviceWorkers)
+      step.avoidedWorkers.size > 0 &&
+      !canAvoidWorkers(step, serviceWorkers.filter(mayBeUsed))
     ) {
       log.info(
         { step: step.key, avoided: step.avoidedWorkers.size },
