fix(scheduler): advice is asked for where there is room, a few questions at a time

Seen by callers: not yet; both parts keep accepted jobs with advice from starting while workers that the policy would allow are idle (LOST).

Cause: a step asked about no more workers once it had as many tickets as tasks, whether or not these workers had room for it. And any number of questions was open at once, on one connection with a time limit of 5 s each, at a service that decides one at a time: 50 jobs asked 50 questions, the last of which waits behind 49. The first timeout closes the connection for all the others.

Change: tickets count only where there is room; workers with room are asked about first, also by a step that has tickets for others. At most two questions are open in a cell, of which one for a step without room anywhere, so renewing tickets of waiting jobs leaves the other to those that can start. They go out in planning order.

--- a/packages/scheduler/__tests__/advice.test.ts
+++ b/packages/scheduler/__tests__/advice.test.ts
@@ -3,8 +3,8 @@
 import { createCell, job, queueRules, step } from "./cell_fixture.ts";
 
 /** Creates a cell with a queue whose policy restricts the workers of a step. */
-function createAdvisedCell() {
-  const cell = createCell({ workers: 4 });
+function createAdvisedCell({ workers = 4 } = {}) {
+  const cell = createCell({ workers });
   cell.scheduler.setRules({
     queues: new Map([["normal", {
       ...queueRules("normal", 1),
@@ -212,3 +212,57 @@
   cell.settle();
   expect(cell.runs("a").map(({ worker }) => worker)).to.deep.equal(["w2"]);
 });
+
+// Guards against a step that waits for busy workers although the policy might
+// allow idle ones.
+it("advice: without room on the allowed workers, others are asked about", () => {
+  const cell = createAdvisedCell({ workers: 40 });
+  cell.submit(job("full", { steps: [step({ accelerators: 8 })] }));
+  cell.settle();
+  answer(cell, ["w0"]);
+  cell.settle();
+  cell.submit(job("a"));
+  cell.settle();
+  while (cell.questions.length > 0) {
+    answer(cell, ["w0", "w39"]);
+    cell.settle();
+  }
+  expect(cell.runs("a").map(({ worker }) => worker)).to.deep.equal(["w39"]);
+});
+
+// Guards against questions that wait for each other at the advice service, which
+// handles one at a time, until all of them time out.
+it("advice: few questions are open at a time, for the first jobs in rank", () => {
+  const cell = createAdvisedCell();
+  for (let index = 0; index < 50; index++) cell.submit(job(`j${index}`));
+  cell.settle();
+  const askedJobs = () => cell.questions.map(({ step }) => step.job.spec.id);
+  expect(askedJobs()).to.deep.equal(["j0", "j1"]);
+  for (let answers = 0; answers < 50; answers++) {
+    answer(cell, cell.entries.map(({ id }) => id));
+    cell.settle();
+  }
+  const waiting = [...cell.scheduler.state.jobs.values()].filter((one) =>
+    !one.hasStarted
+  );
+  expect(waiting.map(({ spec }) => spec.id)).to.have.length.below(20);
+});
+
+// Guards against jobs that wait for room and whose tickets are renewed again and
+// again, while a job that could start is not asked about.
+it("advice: jobs that wait for room leave a question for one that need not", () => {
+  const cell = createAdvisedCell();
+  cell.submit(
+    job("full", { steps: [step({ accelerators: 5, taskCount: 4 })] }),
+  );
+  cell.settle();
+  answer(cell, cell.entries.map(({ id }) => id));
+  cell.settle();
+  for (let index = 0; index < 5; index++) {
+    cell.submit(job(`big${index}`, { steps: [step({ accelerators: 8 })] }));
+  }
+  cell.submit(job("late"));
+  cell.settle();
+  const askedJobs = cell.questions.map(({ step: { job } }) => job.spec.id);
+  expect(askedJobs).to.deep.equal(["big0", "late"]);
+});
--- a/packages/scheduler/src/advice.ts
+++ b/packages/scheduler/src/advice.ts
@@ -59,21 +59,39 @@
 // Largest part of a ticket's time that a margin takes.
 const MAXIMUM_MARGIN_SHARE = 0.25;
 
+// Number of open questions of a cell. The policy decides one at a time; another
+// one keeps it busy while the answer to the first is on its way.
+const MAXIMUM_OPEN_QUESTIONS = 2;
+// Of these, the number for steps that have no room on any worker yet.
+const MAXIMUM_EARLY_QUESTIONS = 1;
+
+/** Options of {@link chooseQuestion}. */
+export interface QuestionOptions {
+  /** Monotonic time. */
+  now: Milliseconds;
+  /** Number of questions of the cell that are unanswered. */
+  openQuestions: number;
+  /** @returns whether a task of the step would fit on the worker now */
+  hasRoom(worker: WorkerState): boolean;
+}
+
 /**
- * Chooses the workers to ask about next: first those that the policy allows but
- * for which there is no valid ticket, then those that it has not judged yet. The caller must ask the
- * returned question, since the step is marked as having an unanswered one.
+ * Chooses the workers to ask about next: those with room first; among these, the
+ * ones that the policy allows but for which there is no valid ticket, then those
+ * that it has not judged yet. A step with enough tickets asks only about workers
+ * with room. The caller must ask the returned question, since the step is marked
+ * as having an unanswered one.
  *
  * @param step the step
  * @param candidates workers that may get new runs
- * @param now monotonic time
- * @returns the question; undefined while another one is unanswered, or when the
- * step has enough allowed workers or none is left to ask about
+ * @param options time, number of open questions, and which workers have room
+ * @returns the question; undefined while too many are unanswered, or when the
+ * step has enough workers with room and a ticket, or none is left to ask about
  */
 export function chooseQuestion(
   step: StepState,
   candidates: readonly WorkerState[],
-  now: Milliseconds,
+  { now, openQuestions, hasRoom }: QuestionOptions,
 ): AdviceQuestion | undefined {
   step.advice ??= {
     allowed: new Set(),
@@ -81,21 +99,29 @@
     tickets: new Map(),
     isAsking: false,
   };
-  const { advice } = step;
-  if (advice.isAsking) return undefined;
+  const { advice, spec: { taskCount } } = step;
+  if (advice.isAsking || openQuestions >= MAXIMUM_OPEN_QUESTIONS) {
+    return undefined;
+  }
   const fitting = candidates.filter((worker) => isEligible(step, worker));
-  const withoutTicket = fitting.filter((worker) =>
-    ticketFor(step, worker, now) === undefined
+  const holders = new Set(
+    fitting.filter((worker) => ticketFor(step, worker, now) !== undefined),
+  );
+  if ([...holders].filter(hasRoom).length >= taskCount) return undefined;
+  const askable = fitting.filter((worker) =>
+    !holders.has(worker) && !isRefused(step, worker)
   );
-  if (fitting.length - withoutTicket.length >= step.spec.taskCount) {
+  const withRoom = askable.filter(hasRoom);
+  if (withRoom.length === 0 && openQuestions >= MAXIMUM_EARLY_QUESTIONS) {
     return undefined;
   }
-  const chosen = [
-    ...withoutTicket.filter(({ id }) => advice.allowed.has(id)),
-    ...withoutTicket.filter((worker) =>
-      !advice.allowed.has(worker.id) && !isRefused(step, worker)
-    ),
-  ].slice(0, MAXIMUM_WORKERS_PER_QUESTION);
+  const withoutRoom = holders.size >= taskCount
+    ? []
+    : askable.filter((worker) => !hasRoom(worker));
+  const chosen = [withRoom, withoutRoom].flatMap((workers) => [
+    ...workers.filter(({ id }) => advice.allowed.has(id)),
+    ...workers.filter(({ id }) => !advice.allowed.has(id)),
+  ]).slice(0, MAXIMUM_WORKERS_PER_QUESTION);
   if (chosen.length === 0) return undefined;
   advice.isAsking = true;
   return {
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -10,6 +10,7 @@
   addRun,
   type CellState,
   isEntryCurrent,
+  needsOf,
   type Resources,
   type Run,
   RunPhase,
@@ -23,6 +24,7 @@
 import {
   type Assignment,
   canAvoidWorkers,
+  fits,
   type PlacementView,
   placeStep,
 } from "./placement.ts";
@@ -119,6 +121,8 @@
   /** Services of all queues. */
   let services = new Set<string>();
   let waitingSteps: WaitingStep[] = [];
+  /** Number of waiting steps with an unanswered question to their policy. */
+  let openQuestions = 0;
 
   /** Returns whether a worker may get new runs now. */
   const isOpen = (worker: WorkerState): boolean =>
@@ -233,8 +237,18 @@
     step: StepState,
     workers: readonly WorkerState[],
   ): WorkerState[] => {
-    const question = chooseQuestion(step, workers, now());
-    if (question !== undefined) options.askAdvice(question);
+    const needs = needsOf(step.spec);
+    const question = chooseQuestion(step, workers, {
+      now: now(),
+      openQuestions,
+      hasRoom: (worker) =>
+        !step.avoidedWorkers.has(worker.id) &&
+        fits(needs, ledger.freeOn(worker)),
+    });
+    if (question !== undefined) {
+      openQuestions += 1;
+      options.askAdvice(question);
+    }
     return workers.filter((worker) =>
       ticketFor(step, worker, now()) !== undefined
     );
@@ -442,6 +456,8 @@
         wallTime: wallTime(),
         isolate,
       });
+      openQuestions = waitingSteps.filter(({ step }) => step.advice?.isAsking)
+        .length;
       for (const waitingStep of waitingSteps) {
         const shape = isolate(
           { operation: "step.shape", item: waitingStep.step.key },
