fix(cell): without an advice service, a question fails with a pause and a word

Not seen by callers; found on the way.

Cause: where the settings name no advice service, a question of a queue that needs one was answered at once with nothing, logged as "advice received", and asked again in the next pass, each few milliseconds.

Change: it fails like one that the service does not answer, five times a second at most for each open question, with the reason in the line.

The new test failed before (no line that a question failed, one "advice received" after the other).

--- a/packages/cell/__tests__/cell_lead.test.ts
+++ b/packages/cell/__tests__/cell_lead.test.ts
@@ -3,7 +3,6 @@
   createSystemClock,
   ErrorCode,
   pause,
-  silentLogger,
   UncertainError,
 } from "@rattanhill/shared";
 import {
@@ -60,6 +59,10 @@
   const book = createJobBook();
   const calls: string[] = [];
   const connectedIds: string[] = [];
+  const lines: string[] = [];
+  const writeLine = (_fields: unknown, event: string) => {
+    lines.push(event);
+  };
   let running: HoldAnswer["running"] = [];
   /** Addresses at which a worker answers, with its lifetime. */
   const answering = new Map([["a1", 1]]);
@@ -96,7 +99,7 @@
     term: 1,
     book,
     clock,
-    log: silentLogger,
+    log: { info: writeLine, warn: writeLine, error: writeLine },
     connect,
     isLeading: () => true,
     waitForBook: async () => {},
@@ -152,6 +155,7 @@
     lead,
     calls,
     connectedIds,
+    lines,
     answering,
     waitFor,
     loseRuns: () => running = [],
@@ -244,3 +248,18 @@
   lead.close();
   expect(connectedIds).to.deep.equal(["w", "x"]);
 });
+
+// Guards against a lead that asks a service without end, and logs each time,
+// where the deployment has none.
+it("cell lead: without an advice service, questions fail now and then", async () => {
+  const { lead, lines } = await startLead();
+  lead.updateRules(rulesWith({ ...QUEUE, needsAdvice: true }));
+  const { jobs } = lead.scheduler()!.state;
+  lead.submitJob({ ...jobs.get("j")!.spec, id: "k" });
+  await pause(1_000);
+  lead.close();
+  expect(lines.filter((event) => event === "advice request failed").length).to
+    .be
+    .within(1, 10);
+  expect(lines).to.not.include("advice received");
+});
--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -145,12 +145,15 @@
     const { step, workers } = question;
     let answer: AdviceAnswer | undefined;
     try {
-      answer = await options.advise?.(step.key, workers);
+      if (options.advise === undefined) {
+        throw new Error("the deployment has no advice service");
+      }
+      answer = await options.advise(step.key, workers);
       log.info(
         {
           step: step.key,
           asked: workers.length,
-          allowed: answer?.allowed.length,
+          allowed: answer.allowed.length,
         },
         "advice received",
       );
