fix(scheduler): runs of a job whose outcome is stored are stopped after a takeover

A task that lasts would never end.

Cause: restore() took the outcome over from the store and then called cancel(), which returns at once for a job that is over. The earlier lead repeats its stops until they are acknowledged, but no one does after it. So for failed jobs, and for completed ones.

--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -315,7 +315,9 @@
           roster.restoreRun(step, run, leasesEndBy);
         }
       }
-      if (isCancelled) cancel(spec.id);
+      // The stops of the earlier lead may have been lost with it.
+      if (outcome !== undefined) stopRuns(job, "its job has ended");
+      else if (isCancelled) cancel(spec.id);
       completeJobIfDone(state, job);
       checkAttempts(job);
     },
@@ -453,9 +455,13 @@
     const job = state.jobs.get(id);
     if (job === undefined || isOver(job)) return;
     job.isCancelled = true;
+    stopRuns(job, "job cancelled");
+    setJobOutcome(state, job, "cancelled");
+  }
+
+  function stopRuns(job: ActiveJob, reason: string): void {
     for (const step of job.steps.values()) {
-      for (const run of [...step.runs.values()]) stop(run, "job cancelled");
+      for (const run of [...step.runs.values()]) stop(run, reason);
     }
-    setJobOutcome(state, job, "cancelled");
   }
 }
