fix(scheduler): a step avoids the workers on which it failed for 5 s, not for good

Cause: the set of avoided workers of a step only grew. It was cleared only if the step would not fit on the others were these empty, which counts neither what runs there nor the tasks of the step that use up its limit per worker.

Change: a worker is avoided for 5 s from the last failure of the step on it.

--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -86,8 +86,11 @@
   checkpoints: Map<number, string>;
   /** Crashes of workers by the index of a task that they ran. */
   crashes: Map<number, TaskCrashes>;
-  /** Workers on which a run of the step failed or made no progress. */
-  avoidedWorkers: Set<string>;
+  /**
+   * Workers on which a run of the step failed or made no progress, with the
+   * monotonic time of the last one.
+   */
+  avoidedWorkers: Map<string, Milliseconds>;
   /**
    * Advice of the policy of the job's queue; undefined until the policy is
    * first asked.
@@ -260,7 +263,7 @@
       failedRuns: new Map(),
       checkpoints: new Map(),
       crashes: new Map(),
-      avoidedWorkers: new Set(),
+      avoidedWorkers: new Map(),
     };
     job.steps.set(key, step);
   }
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -102,6 +102,10 @@
 // Penalty on the placement score of a worker that is quarantined for recent
 // failures. It is above any score that a worker gets for its free capacity.
 const FAILURE_PENALTY = 10;
+// A waiting step avoids a worker on which it failed for this long. A faulty
+// worker mostly recovers within that time, and a lasting task may be missing for
+// little longer.
+const AVOIDANCE_MS: Milliseconds = 5_000;
 // A run is stopped early only if it would end more than this long after its
 // draining worker has left.
 const DRAIN_MARGIN_MS: Milliseconds = 300;
@@ -153,6 +157,9 @@
     const serviceWorkers = [...state.workers.values()].filter((worker) =>
       worker.isListed && worker.service === queueRules.service
     );
+    for (const [worker, at] of step.avoidedWorkers) {
+      if (now() - at >= AVOIDANCE_MS) step.avoidedWorkers.delete(worker);
+    }
     const mayBeUsed = (worker: WorkerState) =>
       worker.hasAnswered && !worker.isDraining && !isRefused(step, worker);
     if (
@@ -445,7 +452,7 @@
           request: step.key,
           hasFailed: true,
         }, now());
-        step.avoidedWorkers.add(worker.id);
+        step.avoidedWorkers.set(worker.id, now());
         stop(run, "no progress although its worker answers");
       }
       const failedShapes = new Set<string>();
--- a/packages/scheduler/src/run_ends.ts
+++ b/packages/scheduler/src/run_ends.ts
@@ -232,7 +232,7 @@
   options: ApplyReportOptions,
 ): void {
   const { job, spec } = step;
-  step.avoidedWorkers.add(worker.id);
+  step.avoidedWorkers.set(worker.id, options.now);
   if (spec.isLongRunning || step.done.has(index)) return;
   if (!countFailedRun(step, index, number)) return;
   options.state.unsavedSteps.add(step);
