--- a/packages/scheduler/src/mod.ts
+++ b/packages/scheduler/src/mod.ts
@@ -1,4 +1,5 @@
 export * from "./advice.ts";
+export * from "./cell_load.ts";
 export * from "./cell_state.ts";
 export * from "./crash_blame.ts";
 export * from "./durations.ts";
@@ -20,4 +21,5 @@
 export * from "./stored_progress.ts";
 export * from "./stuck_runs.ts";
 export * from "./waiting_work.ts";
+export * from "./worker_commands.ts";
 export * from "./worker_roster.ts";
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -1,30 +1,25 @@
 import type { Isolate, Logger, Milliseconds } from "@rattanhill/shared";
 import type { Quarantine, RunTimeEstimator } from "@rattanhill/core";
-import {
-  type AdviceQuestion,
-  chooseQuestion,
-  isRefused,
-  ticketFor,
-} from "./advice.ts";
+import { type AdviceQuestion, isRefused } from "./advice.ts";
+import { createAdvisedWorkers } from "./advised_workers.ts";
 import {
   addRun,
   type CellState,
   isEntryCurrent,
-  needsOf,
-  type Resources,
   type Run,
   RunPhase,
   type StepState,
   type WorkerState,
 } from "./cell_state.ts";
 import type { CrashBlame } from "./crash_blame.ts";
+import { type CellLoad, computeLoad } from "./cell_load.ts";
 import { createDurationEstimator } from "./durations.ts";
+import { evacuateIfDraining } from "./draining.ts";
 import { failedAttemptsOf } from "./failed_attempts.ts";
 import { Tier, type WaitingStep } from "./step_ranking.ts";
 import {
   type Assignment,
   canAvoidWorkers,
-  fits,
   type PlacementView,
   placeStep,
 } from "./placement.ts";
@@ -63,20 +58,6 @@
   load(): CellLoad;
 }
 
-/** Utilization of a cell. */
-export interface CellLoad {
-  /** Number of listed workers. */
-  workers: number;
-  /** Occupied share of the accelerators of all listed workers, 0 to 1. */
-  accelerators: number;
-  /** Occupied share of the processor cores of all listed workers, 0 to 1. */
-  cores: number;
-  /** Occupied share of the memory of all listed workers, 0 to 1. */
-  memory: number;
-  /** Number of unfinished tasks without a run, by queue. */
-  waiting: Record<string, number>;
-}
-
 /** Options of {@link createPlanner}. */
 export interface PlannerOptions {
   state: CellState;
@@ -106,10 +87,6 @@
 // worker mostly recovers within that time, and a lasting task may be missing for
 // little longer.
 const AVOIDANCE_MS: Milliseconds = 5_000;
-// A run is stopped early only if it would end more than this long after its
-// draining worker has left.
-const DRAIN_MARGIN_MS: Milliseconds = 300;
-
 /**
  * Creates the planner of a cell.
  *
@@ -125,8 +102,6 @@
   /** Services of all queues. */
   let services = new Set<string>();
   let waitingSteps: WaitingStep[] = [];
-  /** Number of waiting steps with an unanswered question to their policy. */
-  let openQuestions = 0;
 
   /** Returns whether a worker may get new runs now. */
   const isOpen = (worker: WorkerState): boolean =>
@@ -142,6 +117,11 @@
     isOpen,
     stopMs: () => rules.deployment.stopMs,
   });
+  const advisedWorkers = createAdvisedWorkers({
+    now,
+    freeOn: ledger.freeOn,
+    askAdvice: options.askAdvice,
+  });
   const durations = createDurationEstimator({
     runTimes,
     now,
@@ -178,7 +158,7 @@
       expectedMs,
     );
     const candidates = queueRules.needsAdvice
-      ? filterByAdvice(step, openWorkers)
+      ? advisedWorkers.select(step, openWorkers)
       : openWorkers;
     const view = {
       candidates,
@@ -234,33 +214,6 @@
     else ledger.reserve(step, reservation);
   };
 
-  /**
-   * Selects the workers for which the step has a valid ticket. Asks the policy
-   * of the queue about others if the step needs more workers.
-   *
-   * @returns the selected workers
-   */
-  const filterByAdvice = (
-    step: StepState,
-    workers: readonly WorkerState[],
-  ): WorkerState[] => {
-    const needs = needsOf(step.spec);
-    const question = chooseQuestion(step, workers, {
-      now: now(),
-      openQuestions,
-      hasRoom: (worker) =>
-        !step.avoidedWorkers.has(worker.id) &&
-        fits(needs, ledger.freeOn(worker)),
-    });
-    if (question !== undefined) {
-      openQuestions += 1;
-      options.askAdvice(question);
-    }
-    return workers.filter((worker) =>
-      ticketFor(step, worker, now()) !== undefined
-    );
-  };
-
   /**
    * Computes the time that a step waits for capacity on a single rack, or on
    * the rack of its data, before it may use any rack.
@@ -371,27 +324,16 @@
     );
   };
 
-  /**
-   * Stops checkpointing runs of a draining worker, except those of gangs, that
-   * would not end before it leaves.
-   */
-  const evacuateIfDraining = (worker: WorkerState): void => {
-    if (!worker.isDraining || worker.remainingSince === undefined) return;
-    const leavesInMs = worker.remainingSince + worker.remainingMs - now();
-    for (const run of worker.runs) {
-      if (run.phase !== RunPhase.running) continue;
-      if (!run.step.spec.isCheckpointing || run.step.spec.isGang) continue;
-      const endsTooLate =
-        durations.remainingTime(run) > leavesInMs + DRAIN_MARGIN_MS;
-      if (endsTooLate) stop(run, "its draining worker leaves too soon");
-    }
-  };
-
   const evacuateDrainingWorkers = (): void => {
     for (const worker of state.workers.values()) {
       isolate(
         { operation: "worker.evacuate", item: worker.id },
-        () => evacuateIfDraining(worker),
+        () =>
+          evacuateIfDraining(worker, {
+            now: now(),
+            remainingOf: durations.remainingTime,
+            stop,
+          }),
       );
     }
   };
@@ -409,37 +351,7 @@
       ),
     attemptLimitOf: (spec) => rulesOf(rules, spec).maximumAttempts,
     slowdownOf: durations.slowdownFactor,
-    load: () => {
-      const listedWorkers = [...state.workers.values()].filter(({ isListed }) =>
-        isListed
-      );
-      const utilizationOf = (name: keyof Resources): number => {
-        const total = listedWorkers.reduce(
-          (sum, worker) => sum + worker.capacity[name],
-          0,
-        );
-        const used = listedWorkers.reduce(
-          (sum, worker) => sum + worker.used[name],
-          0,
-        );
-        return total === 0 ? 0 : Math.round(1000 * used / total) / 1000;
-      };
-      const waitingCounts: Record<string, number> = {};
-      for (const { step, rules: { name } } of waitingSteps) {
-        const waitingCount = step.spec.taskCount - step.done.size -
-          step.runs.size;
-        if (waitingCount > 0) {
-          waitingCounts[name] = (waitingCounts[name] ?? 0) + waitingCount;
-        }
-      }
-      return {
-        workers: listedWorkers.length,
-        accelerators: utilizationOf("accelerators"),
-        cores: utilizationOf("milliCores"),
-        memory: utilizationOf("memoryMegabytes"),
-        waiting: waitingCounts,
-      };
-    },
+    load: () => computeLoad(state, waitingSteps),
     plan: () => {
       ledger.beginPass();
       crashBlame.beginPass();
@@ -463,8 +375,7 @@
         wallTime: wallTime(),
         isolate,
       });
-      openQuestions = waitingSteps.filter(({ step }) => step.advice?.isAsking)
-        .length;
+      advisedWorkers.beginPass(waitingSteps);
       for (const waitingStep of waitingSteps) {
         const shape = isolate(
           { operation: "step.shape", item: waitingStep.step.key },
--- /dev/null
+++ b/packages/scheduler/src/restored_progress.ts
@@ -0,0 +1,52 @@
+import {
+  type ActiveJob,
+  type CellState,
+  getOrCreateStep,
+  type StepState,
+} from "./cell_state.ts";
+import type { StoredJob } from "./job_book.ts";
+import type { StepRecord } from "./records.ts";
+
+/** Options of {@link restoreProgress}. */
+export interface RestoreOptions {
+  state: CellState;
+  /** Restores a run that may exist. */
+  restoreRun(step: StepState, run: StepRecord["runs"][number]): void;
+}
+
+/**
+ * Restores the progress of a job that earlier leads have stored.
+ *
+ * @param job the job, without progress
+ * @param stored its records
+ * @param options the cell and how to restore a run
+ */
+export function restoreProgress(
+  job: ActiveJob,
+  { steps }: StoredJob,
+  { state, restoreRun }: RestoreOptions,
+): void {
+  for (const [key, record] of steps) {
+    const [, occurrence, index] = key.split(".").map(Number);
+    const step = getOrCreateStep(job, occurrence, index);
+    step.highestRun = record.highestRun;
+    step.done = new Set(record.done);
+    step.failedRuns = new Map(
+      record.failedRuns.map(([task, runs]) => [task, new Set(runs)]),
+    );
+    step.checkpoints = new Map(record.checkpoints);
+    for (const [task, met, suspected] of record.crashes) {
+      step.crashes.set(task, {
+        met: new Set(met),
+        suspected: new Set(suspected),
+      });
+    }
+    // The earlier lead may have ended between the two appends.
+    if (!job.hasStarted && step.highestRun > 0) {
+      state.unsavedSteps.add(step);
+    }
+    for (const run of record.runs) {
+      restoreRun(step, run);
+    }
+  }
+}
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -14,7 +14,6 @@
   deleteJobIfFinished,
   describeRun,
   failJob,
-  getOrCreateStep,
   isOver,
   releaseRun,
   type Run,
@@ -38,37 +37,17 @@
 } from "./record_batch.ts";
 import { failedAttemptsOf, isOutOfAttempts } from "./failed_attempts.ts";
 import type { StoredJob } from "./job_book.ts";
-import type { JobSpec, RunEnd, TaskName } from "./job_types.ts";
-import { type CellLoad, createPlanner } from "./planner.ts";
+import type { JobSpec, RunEnd } from "./job_types.ts";
+import type { CellLoad } from "./cell_load.ts";
+import { createPlanner } from "./planner.ts";
 import type { PlanningPolicy } from "./planning_policy.ts";
+import { restoreProgress } from "./restored_progress.ts";
 import type { Rules } from "./rules.ts";
 import { applyReport, type WorkerReport } from "./run_ends.ts";
 import { findIncompleteGangs } from "./stuck_runs.ts";
+import type { StartAnswer, WorkerCommand } from "./worker_commands.ts";
 import { createWorkerRoster, type WorkerListing } from "./worker_roster.ts";
 
-/** A command to a worker. */
-export type WorkerCommand =
-  | { kind: "start"; run: Run }
-  | {
-    kind: "stop";
-    worker: WorkerState;
-    task: TaskName;
-    /** Number of the run to stop; the worker rejects starts up to it. */
-    number: number;
-    /** The run; undefined for a run that this lead does not know. */
-    run?: Run;
-  };
-
-/** Answer of a worker to a start command, after all attempts to send it. */
-export type StartAnswer =
-  | "started"
-  /** The worker rejected the command and will not carry it out later. */
-  | "refused"
-  /** Like `refused`, because the worker is unhealthy. */
-  | "unhealthy"
-  /** No clear answer: the command may have been executed or may still be. */
-  | "uncertain";
-
 /**
  * Decides where and when the tasks of a cell run. It does no I/O itself: the
  * lead of the cell calls it for each event, stores its batches and sends its
@@ -292,29 +271,10 @@
       const job = addJob(state, spec, waitingSince);
       job.outcome = outcome;
       job.hasStarted = storedJob.hasStarted;
-      for (const [key, record] of steps) {
-        const [, occurrence, index] = key.split(".").map(Number);
-        const step = getOrCreateStep(job, occurrence, index);
-        step.highestRun = record.highestRun;
-        step.done = new Set(record.done);
-        step.failedRuns = new Map(
-          record.failedRuns.map(([task, runs]) => [task, new Set(runs)]),
-        );
-        step.checkpoints = new Map(record.checkpoints);
-        for (const [task, met, suspected] of record.crashes) {
-          step.crashes.set(task, {
-            met: new Set(met),
-            suspected: new Set(suspected),
-          });
-        }
-        // The earlier lead may have ended between the two appends.
-        if (!job.hasStarted && step.highestRun > 0) {
-          state.unsavedSteps.add(step);
-        }
-        for (const run of record.runs) {
-          roster.restoreRun(step, run, leasesEndBy);
-        }
-      }
+      restoreProgress(job, storedJob, {
+        state,
+        restoreRun: (step, run) => roster.restoreRun(step, run, leasesEndBy),
+      });
       // The stops of the earlier lead may have been lost with it.
       if (outcome !== undefined) stopRuns(job, "its job has ended");
       else if (isCancelled) cancel(spec.id);
