fix(scheduler): a job whose progress cannot be restored is not started anew

Cause: a job was added before its progress was restored. When that threw, the lead logged that the job was skipped and went on, but planned it, without the runs and ends that it had.

The new test failed before: the task was running as number 2.

--- a/packages/scheduler/__tests__/faulty_items.test.ts
+++ b/packages/scheduler/__tests__/faulty_items.test.ts
@@ -58,3 +58,22 @@
   cell.settle();
   expect(cell.runs("good")).to.have.length(1);
 });
+
+// Guards against a job that is run anew, since its progress could not be read.
+it("faulty items: a job that cannot be restored is not started", () => {
+  const cell = createCell();
+  cell.submit(job("a"));
+  cell.settle();
+  const stored = cell.book.find("a")!;
+  const next = createCell();
+  const steps = new Map([...stored.steps, [
+    "a.0.5",
+    stored.steps.get("a.0.0")!,
+  ]]);
+  expect(() => next.scheduler.restore({ ...stored, steps }, 200_000)).to.throw(
+    "step a.0.5: the job has 1 steps",
+  );
+  next.clock.advance(20_000);
+  next.settle();
+  expect(next.runs("a")).to.deep.equal([]);
+});
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -61,7 +61,10 @@
   /**
    * Restores a job and its progress from the store after a change of lead. Its
    * stored runs are assumed to exist until a report proves otherwise or
-   * `leasesEndBy` has passed.
+   * `leasesEndBy` has passed. A job whose progress cannot be restored is not
+   * added.
+   *
+   * @throws RangeError when the progress names a step that the job does not have
    */
   restore(job: StoredJob, leasesEndBy: Milliseconds): void;
   /** Deletes the stored progress of steps whose job no longer exists. */
@@ -271,10 +274,16 @@
       const job = addJob(state, spec, waitingSince);
       job.outcome = outcome;
       job.hasStarted = storedJob.hasStarted;
-      restoreProgress(job, storedJob, {
-        state,
-        restoreRun: (step, run) => roster.restoreRun(step, run, leasesEndBy),
-      });
+      try {
+        restoreProgress(job, storedJob, {
+          state,
+          restoreRun: (step, run) => roster.restoreRun(step, run, leasesEndBy),
+        });
+      } catch (error) {
+        // Without all of its progress, tasks of the job would run again.
+        state.jobs.delete(spec.id);
+        throw error;
+      }
       // The stops of the earlier lead may have been lost with it.
       if (outcome !== undefined) stopRuns(job, "its job has ended");
       else if (isCancelled) cancel(spec.id);
