--- a/packages/bench/src/cell_simulation.ts
+++ b/packages/bench/src/cell_simulation.ts
@@ -1,6 +1,7 @@
 import {
   createManualClock,
   type Milliseconds,
+  noIsolation,
   silentLogger,
 } from "@rattanhill/shared";
 import {
@@ -100,6 +101,7 @@
     wallTime: now,
     sendCommand: (command) =>
       runAfter(NETWORK_DELAY_MS, () => executeCommand(command)),
+    isolate: noIsolation,
     log: silentLogger,
     policy: options.policy,
   });
--- a/packages/scheduler/__tests__/cell_fixture.ts
+++ b/packages/scheduler/__tests__/cell_fixture.ts
@@ -1,4 +1,9 @@
-import { createManualClock, silentLogger } from "@rattanhill/shared";
+import {
+  createManualClock,
+  type Isolate,
+  noIsolation,
+  silentLogger,
+} from "@rattanhill/shared";
 import {
   type AdviceQuestion,
   createJobBook,
@@ -75,13 +80,16 @@
  * commands at once.
  *
  * @param options number of workers, of which each rack has 2, and changes of the
- * rules
+ * rules, and what keeps the failure of an item from the others; none by default
  * @returns the scheduler, its workers, the kinds of records, the questions and
  * the commands that it produced, and functions to operate the cell
  */
 export function createCell(
-  { workers = 2, rules = {} }: { workers?: number; rules?: Partial<Rules> } =
-    {},
+  { workers = 2, rules = {}, isolate = noIsolation }: {
+    workers?: number;
+    rules?: Partial<Rules>;
+    isolate?: Isolate;
+  } = {},
 ) {
   const clock = createManualClock(100_000);
   const fleet = new Map<string, FakeWorker>();
@@ -112,6 +120,7 @@
     wallTime: clock.wallTime,
     sendCommand: (command) => commands.push(command),
     askAdvice: (question) => questions.push(question),
+    isolate,
     log: silentLogger,
   });
   scheduler.setRules({ ...RULES, ...rules });
--- a/packages/scheduler/__tests__/faulty_items.test.ts
+++ b/packages/scheduler/__tests__/faulty_items.test.ts
@@ -1,13 +1,26 @@
 // Guards against one job, step or worker whose handling throws and that keeps
 // all others from being planned.
 import { expect } from "chai";
+import {
+  createIsolation,
+  createManualClock,
+  silentLogger,
+} from "@rattanhill/shared";
 import { createCell, job, step } from "./cell_fixture.ts";
 
+const createIsolatedCell = ({ workers = 2 } = {}) =>
+  createCell({
+    workers,
+    isolate: createIsolation({
+      clock: createManualClock(),
+      log: silentLogger,
+    }),
+  });
 /** A job that no caller can submit, but that may have been stored before. */
 const UNPLANNABLE = job("bad", { steps: [step({ after: [7] })] });
 
 it("faulty items: a job that cannot be planned stops no other", () => {
-  const cell = createCell();
+  const cell = createIsolatedCell();
   cell.submit(UNPLANNABLE);
   cell.submit(job("good"));
   cell.settle();
@@ -19,7 +32,7 @@
 });
 
 it("faulty items: a guaranteed job without steps stops no other", () => {
-  const cell = createCell();
+  const cell = createIsolatedCell();
   cell.submit(
     job("bad", { queue: "urgent", steps: undefined as unknown as [] }),
   );
@@ -29,7 +42,7 @@
 });
 
 it("faulty items: an entry that cannot be applied stops no other", () => {
-  const cell = createCell({ workers: 3 });
+  const cell = createIsolatedCell({ workers: 3 });
   const good = cell.entries[2];
   cell.entries[1] = { ...cell.entries[1] };
   Object.defineProperty(cell.entries[1], "labels", {
@@ -46,7 +59,7 @@
 });
 
 it("faulty items: a step that cannot be placed stops no other", () => {
-  const cell = createCell();
+  const cell = createIsolatedCell();
   const bad = job("bad");
   cell.submit(bad);
   Object.defineProperty(bad.steps[0], "milliCores", {
@@ -61,11 +74,11 @@
 
 // Guards against a job that is run anew, since its progress could not be read.
 it("faulty items: a job that cannot be restored is not started", () => {
-  const cell = createCell();
+  const cell = createIsolatedCell();
   cell.submit(job("a"));
   cell.settle();
   const stored = cell.book.find("a")!;
-  const next = createCell();
+  const next = createIsolatedCell();
   const steps = new Map([...stored.steps, [
     "a.0.5",
     stored.steps.get("a.0.0")!,
--- a/packages/scheduler/__tests__/takeover_model.ts
+++ b/packages/scheduler/__tests__/takeover_model.ts
@@ -1,4 +1,8 @@
-import { createManualClock, silentLogger } from "@rattanhill/shared";
+import {
+  createManualClock,
+  noIsolation,
+  silentLogger,
+} from "@rattanhill/shared";
 import {
   type CellRecord,
   createJobBook,
@@ -81,6 +85,7 @@
       now: clock.now,
       wallTime: clock.wallTime,
       sendCommand: (command) => commands.push(command),
+      isolate: noIsolation,
       log: silentLogger,
     });
     scheduler.setRules({
--- a/packages/shared/src/isolation.ts
+++ b/packages/shared/src/isolation.ts
@@ -23,6 +23,9 @@
   action: () => Result,
 ) => Result | undefined;
 
+/** Lets every error pass, for tests and simulations that must not hide one. */
+export const noIsolation: Isolate = (_item, action) => action();
+
 /** Options of {@link createIsolation}. */
 export interface IsolationOptions {
   clock: Pick<Clock, "now">;
