--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -428,6 +428,7 @@
     setJobOutcome(state, job, "cancelled");
   }
 
+  /** Stops all runs of a job. */
   function stopRuns(job: ActiveJob, reason: string): void {
     for (const step of job.steps.values()) {
       for (const run of [...step.runs.values()]) stop(run, reason);
--- a/packages/scheduler/src/worker_roster.ts
+++ b/packages/scheduler/src/worker_roster.ts
@@ -187,6 +187,7 @@
     }
   };
 
+  /** Applies an entry of the list, unless it belongs to an earlier lifetime. */
   const applyEntry = (entry: WorkerEntry): void => {
     const knownWorker = state.workers.get(entry.id);
     const worker = knownWorker ?? createWorker(entry.id);
