feat(scheduler): learn the speeds of workers and use them

Cause: workers of one deployment run the same task in 0.57 to 1.36 times the usual time. The scheduler has no notion of it, so an urgent gang is as slow as the slowest worker that it happens to get.

Change: worker_speeds.ts estimates a duration factor for each VM from the durations of runs, as the sum of terms of queue, step and worker in the logarithm. run_observations.ts derives the observations from reports. Urgent work and racks of urgent gangs prefer fast workers, other work slow ones (speed_preference.ts). Remaining times include the factor of the worker, and learned run times exclude it. The end of a run is recorded in run_statistics.ts instead of scheduler.ts. The dump of the lead lists the factors; a change of class is logged, with a limit, and counted. The planning parameter workerSpeeds=0 turns the part off.

Not measured yet: the value earned under a load.

--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -297,6 +297,8 @@
         askAdvice: (question) => void requestAdvice(question),
         onUnknownRunEnd: (end) =>
           metrics.incrementCounter(`run.unknown.${end}`),
+        onSpeedChange: (speed) =>
+          metrics.incrementCounter(`worker.speed.${speed}`),
         isolate,
         log,
       });
--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -314,12 +314,13 @@
       bookAgeMs: journalFollower.ageMs(),
       jobs: [...book.jobs()].length,
       workers: [...lead?.scheduler()?.state.workers.values() ?? []].map(
-        ({ id, used, capacity, isDraining, runs }) => ({
-          id,
-          used,
-          capacity,
-          isDraining,
-          runs: runs.size,
+        (worker) => ({
+          id: worker.id,
+          used: worker.used,
+          capacity: worker.capacity,
+          isDraining: worker.isDraining,
+          runs: worker.runs.size,
+          speed: lead?.scheduler()?.speedOf(worker),
         }),
       ),
     }),
--- /dev/null
+++ b/packages/scheduler/__tests__/unequal_workers.test.ts
@@ -0,0 +1,151 @@
+import { expect } from "chai";
+import { createCell, job, step } from "./cell_fixture.ts";
+
+type Cell = ReturnType<typeof createCell>;
+
+const ROUND_MS = 100;
+
+/**
+ * Plays the work on the workers: runs advance by their worker's factor, the
+ * members of a gang together with their slowest one.
+ */
+function playRounds(
+  cell: Cell,
+  factors: Readonly<Record<string, number>>,
+  rounds: number,
+): void {
+  for (let round = 0; round < rounds; round++) {
+    cell.settle();
+    cell.clock.advance(ROUND_MS - 10);
+    for (const [id, worker] of cell.fleet) {
+      for (const run of [...worker.running.values()]) {
+        const spec = cell.scheduler.state.jobs.get(run.task.job)?.spec;
+        const workMs = Number(spec?.payload);
+        const points = 100 * ROUND_MS / workMs / factors[id];
+        run.percent = Math.min(100, run.percent + points);
+      }
+    }
+    endFinished(cell);
+  }
+}
+
+/** Ends runs at 100 percent; those of a gang once all members are there. */
+function endFinished(cell: Cell): void {
+  const runs = [...cell.fleet.values()].flatMap((worker) =>
+    [...worker.running.values()].map((run) => ({ worker, run }))
+  );
+  for (const { worker, run } of runs) {
+    const { job: id, step: index } = run.task;
+    const isGang = cell.scheduler.state.jobs.get(id)?.spec.steps[index].isGang;
+    const isDone = isGang
+      ? runs.every((other) =>
+        other.run.task.job !== id || other.run.percent >= 100
+      )
+      : run.percent >= 100;
+    if (isDone) worker.end(run.task, "done");
+  }
+}
+
+const FACTORS = {
+  w0: 1.4,
+  w1: 1,
+  w2: 1.4,
+  w3: 0.6,
+  w4: 1,
+  w5: 0.6,
+  w6: 0.6,
+  w7: 0.6,
+};
+
+/** Runs batch work on all workers, from which their speeds are learned. */
+function learn(cell: Cell, jobs = 6): void {
+  for (let index = 0; index < jobs; index++) {
+    cell.submit(job(`learn${index}`, {
+      queue: "batch",
+      payload: "1000",
+      steps: [step({ taskCount: 8, maximumPerWorker: 1 })],
+    }));
+    playRounds(cell, FACTORS, 15);
+  }
+}
+
+const workersOf = (cell: Cell, id: string) =>
+  cell.runs(id).map(({ worker }) => worker).sort();
+
+const GANG = step({
+  taskCount: 2,
+  accelerators: 8,
+  isGang: true,
+  needsOneRack: true,
+});
+
+// Load: unequal workers. Guards against an urgent gang that waits for its
+// slowest member although a fast rack is free.
+it("unequal workers: an urgent gang gets the rack of the fastest", () => {
+  const cell = createCell({ workers: 8 });
+  learn(cell);
+  cell.submit(job("gang", { queue: "urgent", steps: [GANG] }));
+  cell.settle();
+  expect(workersOf(cell, "gang")).to.deep.equal(["w6", "w7"]);
+});
+
+it("unequal workers: work with slack leaves the fast workers free", () => {
+  const cell = createCell({ workers: 8 });
+  learn(cell);
+  cell.submit(job("slack", {
+    queue: "batch",
+    steps: [step({ taskCount: 2, accelerators: 8 })],
+  }));
+  cell.settle();
+  expect(workersOf(cell, "slack")).to.deep.equal(["w0", "w2"]);
+});
+
+// Guards against durations that mix the speed of the worker into the learned
+// run times, or leave it out of the remaining time.
+it("unequal workers: speeds are learned from runs and their progress", () => {
+  const cell = createCell({ workers: 8 });
+  learn(cell);
+  for (const worker of cell.scheduler.state.workers.values()) {
+    const factor = FACTORS[worker.id as keyof typeof FACTORS];
+    expect(cell.scheduler.speedOf(worker)).to.be.within(
+      factor / 1.3,
+      factor * 1.3,
+      worker.id,
+    );
+  }
+});
+
+// Guards against workers that stay unknown for ever, because the known ones are
+// preferred.
+it("unequal workers: unknown workers are used when room is scarce", () => {
+  const cell = createCell({ workers: 4 });
+  const factors = { w0: 0.6, w1: 0.6, w2: 1, w3: 1 };
+  for (let index = 0; index < 4; index++) {
+    for (const id of ["a", "b"]) {
+      cell.submit(job(`${id}${index}`, {
+        queue: "urgent",
+        payload: "1000",
+        steps: [step({ taskCount: 16, accelerators: 2 })],
+      }));
+    }
+    playRounds(cell, factors, 30);
+  }
+  for (const { id, started } of cell.fleet.values()) {
+    expect(started.length, id).to.be.above(0);
+  }
+});
+
+// Failure: the lead is lost with what it has learned. Guards against a new lead
+// that keeps placing gangs on slow workers.
+it("unequal workers: a new lead learns the speeds again", () => {
+  const cell = createCell({ workers: 8 });
+  learn(cell);
+  const next = createCell({ workers: 8 });
+  for (const worker of next.scheduler.state.workers.values()) {
+    expect(next.scheduler.speedOf(worker)).to.equal(1);
+  }
+  learn(next, 3);
+  next.submit(job("gang", { queue: "urgent", steps: [GANG] }));
+  next.settle();
+  expect(workersOf(next, "gang")).to.deep.equal(["w6", "w7"]);
+});
--- a/packages/scheduler/src/durations.ts
+++ b/packages/scheduler/src/durations.ts
@@ -3,12 +3,14 @@
 import type { Run } from "./cell_state.ts";
 import type { JobSpec } from "./job_types.ts";
 import type { Deployment } from "./rules.ts";
+import { speedKeyOf } from "./run_observations.ts";
+import type { WorkerSpeeds } from "./worker_speeds.ts";
 
 /** Estimates the durations of tasks. */
 export interface DurationEstimator {
   /**
-   * @returns the expected duration of a task, from its declared estimate and
-   * earlier runs of its account and queue
+   * @returns the expected duration of a task on a worker of usual speed, from
+   * its declared estimate and earlier runs of its account and queue
    */
   expectedDuration(spec: JobSpec, estimateMs: Milliseconds): Milliseconds;
   /** @returns the factor by which a run is slowed by its placement */
@@ -17,7 +19,7 @@
    * @returns the expected time until a run ends. For a run that is being
    * stopped, this is the longest time that a stop takes. For others, it is
    * extrapolated from the reported progress, or computed from the expected
-   * duration while no rate of progress is known.
+   * duration and the speed of its worker while no rate of progress is known.
    */
   remainingTime(run: Run): Milliseconds;
 }
@@ -25,6 +27,7 @@
 /** Options of {@link createDurationEstimator}. */
 export interface DurationEstimatorOptions {
   runTimes: RunTimeEstimator;
+  speeds: Pick<WorkerSpeeds, "factorOf">;
   now(): Milliseconds;
   deployment(): Deployment;
 }
@@ -32,13 +35,14 @@
 /**
  * Creates the estimator of task durations.
  *
- * @param options learned run times, a clock and the deployment
+ * @param options learned run times and worker speeds, a clock and the
+ * deployment
  * @returns the estimator
  */
 export function createDurationEstimator(
   options: DurationEstimatorOptions,
 ): DurationEstimator {
-  const { runTimes, now, deployment } = options;
+  const { runTimes, speeds, now, deployment } = options;
 
   const expectedDuration = (
     spec: JobSpec,
@@ -71,8 +75,27 @@
         return Math.max(0, (100 - percent) / rate - (now() - percentAt));
       }
       const totalMs = expectedDuration(step.job.spec, step.spec.estimateMs) *
-        slowdownFactor(run);
+        slowdownFactor(run) * workerFactorOf(run, speeds);
       return Math.max(0, totalMs - (now() - placedAt));
     },
   };
 }
+
+/**
+ * Computes the factor by which a run is slowed by its worker. A gang is as slow
+ * as its slowest member.
+ *
+ * @param run the run, with the other runs of its step
+ * @param speeds the learned speeds
+ * @returns the factor; 1 on a worker of usual or unknown speed
+ */
+export function workerFactorOf(
+  run: Run,
+  speeds: Pick<WorkerSpeeds, "factorOf">,
+): number {
+  const { isGang } = run.step.spec;
+  const members = isGang ? [run, ...run.step.runs.values()] : [run];
+  return Math.max(
+    ...members.map(({ worker }) => speeds.factorOf(speedKeyOf(worker))),
+  );
+}
--- a/packages/scheduler/src/placement.ts
+++ b/packages/scheduler/src/placement.ts
@@ -4,6 +4,7 @@
   type StepState,
   type WorkerState,
 } from "./cell_state.ts";
+import type { SpeedPreference } from "./speed_preference.ts";
 
 /** Workers, free capacity and constraints for the placement of a step. */
 export interface PlacementView {
@@ -21,6 +22,8 @@
    * likely to fail are used last; workers with lower scores are used first
    */
   penaltyOf(worker: WorkerState): number;
+  /** Changes of scores by the learned speeds of workers. */
+  speed: SpeedPreference;
   /**
    * Whether a step that needs one rack may span several, and a step with data
    * on a rack may run on others.
@@ -128,7 +131,8 @@
         countFitting(needs, free),
         limit - (ownRunCounts.get(worker) ?? 0),
       );
-      const score = view.penaltyOf(worker) + freeShareOf(worker, free);
+      const score = view.penaltyOf(worker) + freeShareOf(worker, free) +
+        view.speed.scoreOf(worker);
       return { worker, slots, score };
     })
     .filter(({ slots }) => slots > 0)
@@ -146,8 +150,8 @@
 }
 
 /**
- * Places a gang on the rack with the least free capacity on which it fits as a
- * whole. It spans racks only if the view allows it, or if it would not fit on
+ * Places a gang on the rack with the lowest score on which it fits as a whole:
+ * one with little free capacity and, for an urgent gang, fast workers. It spans racks only if the view allows it, or if it would not fit on
  * any rack even if the workers were empty.
  */
 function placeOnOneRack(
@@ -163,6 +167,7 @@
     if (assignment.size < tasks.length) continue;
     // A rack other than that of the step's data is penalized by 5.
     const score = rackScore(members, view) +
+      view.speed.gangScoreOf(assignment.values()) +
       Math.max(...[...assignment.values()].map(view.penaltyOf)) +
       (step.spec.dataRack !== undefined && step.spec.dataRack !== rack ? 5 : 0);
     if (score >= bestScore) continue;
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -30,8 +30,10 @@
 import { createCapacityLedger } from "./capacity_ledger.ts";
 import type { JobSpec } from "./job_types.ts";
 import { NO_RULES, type Rules, rulesOf } from "./rules.ts";
+import { createSpeedPreference } from "./speed_preference.ts";
 import { findStuckRuns } from "./stuck_runs.ts";
 import { collectWaitingSteps } from "./waiting_work.ts";
+import type { WorkerSpeeds } from "./worker_speeds.ts";
 
 /** Assigns waiting tasks to workers, one planning pass at a time. */
 export interface Planner {
@@ -64,6 +66,7 @@
   quarantine: Quarantine;
   crashBlame: CrashBlame;
   runTimes: RunTimeEstimator;
+  speeds: WorkerSpeeds;
   now(): Milliseconds;
   wallTime(): Milliseconds;
   /** Stops a run. Its capacity is free once the worker reports its end. */
@@ -95,7 +98,7 @@
  * @returns the planner
  */
 export function createPlanner(options: PlannerOptions): Planner {
-  const { state, quarantine, crashBlame, runTimes } = options;
+  const { state, quarantine, crashBlame, runTimes, speeds } = options;
   const { now, wallTime, stop, isolate, log } = options;
   const policy = { ...PLANNING_POLICY, ...options.policy };
   let rules = NO_RULES;
@@ -124,6 +127,7 @@
   });
   const durations = createDurationEstimator({
     runTimes,
+    speeds,
     now,
     deployment: () => rules.deployment,
   });
@@ -164,6 +168,7 @@
       candidates,
       serviceWorkers,
       penaltyOf: (worker: WorkerState) => penaltyOf(step, worker),
+      speed: createSpeedPreference(speeds, queueRules.priority === 0),
       freeOn: ledger.freeOn,
       mayUseAnyRack: waiting.waitedMs > rackWaitLimitMs(waiting),
     };
--- a/packages/scheduler/src/planning_policy.ts
+++ b/packages/scheduler/src/planning_policy.ts
@@ -29,6 +29,11 @@
    * that other racks would add.
    */
   rackPatience: number;
+  /**
+   * Scale of the logarithms of the learned worker speeds; 0 makes all workers
+   * count as usual.
+   */
+  workerSpeeds: number;
 }
 
 /** Default parameters; `npm run bench -- cell` compares them with others. */
@@ -44,4 +49,5 @@
    * become free.
    */
   rackPatience: 0.5,
+  workerSpeeds: 1,
 };
--- a/packages/scheduler/src/run_ends.ts
+++ b/packages/scheduler/src/run_ends.ts
@@ -53,6 +53,8 @@
   now: Milliseconds;
   /** Fails a job if one of its tasks has failed as often as it may. */
   checkAttempts(job: ActiveJob): void;
+  /** Called for each reported progress of a known run. */
+  onProgress(run: Run): void;
   /** Called for each reported end of a known run. */
   onRunEnd(run: Run, end: RunEnd): void;
   /** Stops a run on its worker. */
@@ -248,7 +250,7 @@
 function updateRunningRun(
   run: Run,
   reported: ReportedRun,
-  { state, now }: ApplyReportOptions,
+  { state, now, onProgress }: ApplyReportOptions,
 ): void {
   if (run.phase === RunPhase.ordered) run.phase = RunPhase.running;
   run.absenceProvableFrom ??= now;
@@ -264,6 +266,7 @@
     run.percentAt = now;
     run.firstPercent ??= { percent: reported.percent, at: now };
   }
+  onProgress(run);
   saveCheckpoint(run, reported.checkpoint);
 }
 
--- /dev/null
+++ b/packages/scheduler/src/run_statistics.ts
@@ -0,0 +1,79 @@
+import type { Logger, Milliseconds } from "@rattanhill/shared";
+import type { Quarantine, RunTimeEstimator } from "@rattanhill/core";
+import { describeRun, type Run } from "./cell_state.ts";
+import type { RunEnd } from "./job_types.ts";
+import type { RunObservations } from "./run_observations.ts";
+
+/** Options of {@link createRunStatistics}. */
+export interface RunStatisticsOptions {
+  quarantine: Quarantine;
+  runTimes: RunTimeEstimator;
+  observations: Pick<RunObservations, "recordCompletion">;
+  now(): Milliseconds;
+  /** @returns the factor by which a run is slowed by its placement */
+  slowdownOf(run: Run): number;
+  /** @returns the factor by which a run is slowed by its workers */
+  workerFactorOf(run: Run): number;
+  log: Logger;
+}
+
+/**
+ * Creates the function that logs the end of a run, records its duration for
+ * later estimates and updates the quarantine.
+ *
+ * @param options receivers of the records, a clock and factors of a run
+ * @returns the function, to be called before the run is released
+ */
+export function createRunStatistics(
+  options: RunStatisticsOptions,
+): (run: Run, end: RunEnd) => void {
+  const { quarantine, runTimes, observations, now, log } = options;
+  // Factors of gangs by their runs' number, as of the first end of a member:
+  // later, the slowest member may be released.
+  const gangFactors = new WeakMap<
+    Run["step"],
+    { number: number; factor: number }
+  >();
+  const factorOf = (run: Run): number => {
+    if (!run.step.spec.isGang) return options.workerFactorOf(run);
+    const known = gangFactors.get(run.step);
+    if (known?.number === run.number) return known.factor;
+    const factor = options.workerFactorOf(run);
+    gangFactors.set(run.step, { number: run.number, factor });
+    return factor;
+  };
+
+  return (run, end) => {
+    const { step, worker, percent, stopReason } = run;
+    const { spec } = step.job;
+    const ranMs = Math.round(now() - run.placedAt);
+    log.info(
+      { ...describeRun(run), end, ranMs, percent, stopReason },
+      "run ended",
+    );
+    const declared = {
+      account: spec.account,
+      class: spec.queue,
+      expectedMs: step.spec.estimateMs,
+    };
+    if (end === "done") {
+      // The duration of a run that was slowed by its placement would distort
+      // the learned run times.
+      if (options.slowdownOf(run) === 1) {
+        runTimes.recordRun(declared, ranMs / factorOf(run));
+      }
+      observations.recordCompletion(run);
+    }
+    if (end !== "done" && end !== "failed") return;
+    const task = {
+      worker: worker.id,
+      class: spec.queue,
+      request: spec.id,
+      hasFailed: end === "failed",
+    };
+    if (quarantine.recordTaskEnd(task, now())) {
+      const isOpen = quarantine.isEligible(worker.id, now());
+      log.warn({ worker: worker.id, isOpen }, "worker quarantine changed");
+    }
+  };
+}
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -39,14 +39,19 @@
 import type { StoredJob } from "./job_book.ts";
 import type { JobSpec, RunEnd } from "./job_types.ts";
 import type { CellLoad } from "./cell_load.ts";
+import { workerFactorOf } from "./durations.ts";
 import { createPlanner } from "./planner.ts";
-import type { PlanningPolicy } from "./planning_policy.ts";
+import { PLANNING_POLICY, type PlanningPolicy } from "./planning_policy.ts";
 import { restoreProgress } from "./restored_progress.ts";
 import type { Rules } from "./rules.ts";
 import { applyReport, type WorkerReport } from "./run_ends.ts";
+import { createRunObservations, speedKeyOf } from "./run_observations.ts";
+import { createRunStatistics } from "./run_statistics.ts";
+import { createSpeedChangeLog } from "./speed_change_log.ts";
 import { findIncompleteGangs } from "./stuck_runs.ts";
 import type { StartAnswer, WorkerCommand } from "./worker_commands.ts";
 import { createWorkerRoster, type WorkerListing } from "./worker_roster.ts";
+import { createWorkerSpeeds, type SpeedClass } from "./worker_speeds.ts";
 
 /**
  * Decides where and when the tasks of a cell run. It does no I/O itself: the
@@ -84,6 +89,8 @@
     lifetime: number,
     report: WorkerReport,
   ): void;
+  /** @returns the learned duration factor of a worker; 1 when it is usual */
+  speedOf(worker: WorkerState): number;
   /** See {@link Planner.isUsed}. */
   isUsed(worker: WorkerState): boolean;
   /** Records that a poll of a worker failed or got no answer. */
@@ -138,6 +145,8 @@
   askAdvice?(question: AdviceQuestion): void;
   /** Called for each reported end of a run that this scheduler does not know. */
   onUnknownRunEnd?(end: RunEnd): void;
+  /** Called for each worker whose learned speed changes its class. */
+  onSpeedChange?(speed: SpeedClass): void;
   /** Planning parameters that override the defaults. */
   policy?: Partial<PlanningPolicy>;
   /**
@@ -168,6 +177,15 @@
   const batches = createRecordBatches(state, wallTime);
   const quarantine = createQuarantine();
   const runTimes = createRunTimeEstimator();
+  const logSpeedChange = createSpeedChangeLog({ now, log });
+  const speeds = createWorkerSpeeds({
+    now,
+    scale: options.policy?.workerSpeeds ?? PLANNING_POLICY.workerSpeeds,
+    onClassChange: (change) => {
+      logSpeedChange(change);
+      options.onSpeedChange?.(change.speed);
+    },
+  });
   const crashBlame = createCrashBlame({ state, now, stop, log });
   const roster = createWorkerRoster({
     state,
@@ -182,6 +200,7 @@
     quarantine,
     crashBlame,
     runTimes,
+    speeds,
     now,
     wallTime,
     stop,
@@ -191,6 +210,18 @@
     log,
   });
 
+  const { slowdownOf } = planner;
+  const observations = createRunObservations({ speeds, now, slowdownOf });
+  const handleRunEnd = createRunStatistics({
+    quarantine,
+    runTimes,
+    observations,
+    now,
+    slowdownOf,
+    workerFactorOf: (run) => workerFactorOf(run, speeds),
+    log,
+  });
+
   /** Stops a run once; later reasons are ignored. */
   function stop(run: Run, reason: string): void {
     if (run.phase === RunPhase.stopping || run.stopReason !== undefined) return;
@@ -216,43 +247,6 @@
     failJob(state, job, stop);
   }
 
-  /**
-   * Logs the end of a run, records its duration for later estimates and updates
-   * the quarantine.
-   */
-  function handleRunEnd(run: Run, end: RunEnd): void {
-    const { step, worker } = run;
-    const { spec } = step.job;
-    const ranMs = Math.round(now() - run.placedAt);
-    const { percent, stopReason } = run;
-    log.info(
-      { ...describeRun(run), end, ranMs, percent, stopReason },
-      "run ended",
-    );
-    const declared = {
-      account: spec.account,
-      class: spec.queue,
-      expectedMs: step.spec.estimateMs,
-    };
-    if (end === "done") {
-      // The duration of a run that was slowed by its placement would distort
-      // the learned run times.
-      const factor = planner.slowdownOf(run);
-      if (factor === 1) runTimes.recordRun(declared, ranMs);
-    }
-    if (end !== "done" && end !== "failed") return;
-    const task = {
-      worker: worker.id,
-      class: spec.queue,
-      request: spec.id,
-      hasFailed: end === "failed",
-    };
-    if (quarantine.recordTaskEnd(task, now())) {
-      const isOpen = quarantine.isEligible(worker.id, now());
-      log.warn({ worker: worker.id, isOpen }, "worker quarantine changed");
-    }
-  }
-
   return {
     state,
     setRules: (rules) => {
@@ -318,6 +312,7 @@
         state,
         now: now(),
         checkAttempts,
+        onProgress: observations.recordProgress,
         onRunEnd: handleRunEnd,
         onUnknownRunEnd: (end) => options.onUnknownRunEnd?.(end),
         stop,
@@ -331,6 +326,7 @@
         log,
       });
     },
+    speedOf: (worker) => speeds.factorOf(speedKeyOf(worker)),
     isUsed: planner.isUsed,
     recordNoAnswer: (worker) => {
       worker.silentSince ??= now();
@@ -341,6 +337,7 @@
       if (!run.worker.runs.has(run)) return;
       if (answer === "started") {
         run.absenceProvableFrom ??= now();
+        observations.recordStart(run);
         if (run.phase === RunPhase.ordered) run.phase = RunPhase.running;
         return;
       }
