feat(scheduler): start nothing in zones that the operators evacuate

Change: entries keep the zones that `evacuate/ZONE` records of the operators' topic name. Workers of these zones are closed to placement, claims, reservations and advice. A run that is placed but not sent is released with its gang, and a start command is not repeated. A new lead reads the topic to its end before it starts anything. Where `bounds.evacuate_ms` is set, a lead whose view of the topic is older than the bound minus 1.5 s places and sends nothing. Workers of a zone that returns reopen one after the other over 3 s; cold workers are used last.

Measured: unit tests of the scheduler, the cell and the decoding pass. In one run of all unit tests beside other runs on this machine 450 passed and 5 failed: four of callers_interface.test.ts and occupied_port.test.ts, which start processes on fixed ports.

--- a/packages/cell/__tests__/cell_lead.test.ts
+++ b/packages/cell/__tests__/cell_lead.test.ts
@@ -105,6 +105,9 @@
     waitForBook: async () => {},
     listWorkers: () => Promise.resolve({ entries, left: new Set() }),
     rules: () => rulesWith(QUEUE),
+    catchUpOperators: async () => {},
+    evacuatedZones: () => new Set(),
+    areRequestsCurrent: () => true,
     keepEndedMs: 60_000,
     metrics: createMetrics(),
   });
--- a/packages/cell/__tests__/worker_link.test.ts
+++ b/packages/cell/__tests__/worker_link.test.ts
@@ -72,6 +72,7 @@
   const answers: [StartAnswer, string?][] = [];
   const warnings: string[] = [];
   let isLeading = true;
+  let mayStart = true;
   let reports = 0;
   let replacements = 0;
   let silences = 0;
@@ -94,6 +95,7 @@
       warn: (_fields: unknown, message: string) => warnings.push(message),
     },
     isLeading: () => isLeading,
+    mayStart: () => mayStart,
     onReport: () => reports += 1,
     onNoAnswer: () => silences += 1,
     onReplacement: () => replacements += 1,
@@ -110,6 +112,7 @@
     replacements: () => replacements,
     silences: () => silences,
     loseLead: () => isLeading = false,
+    forbidStarts: () => mayStart = false,
     sendStop: () => {
       const task = { job: "job", occurrence: 0, step: 0, index: 0 };
       link.sendCommand({ kind: "stop", worker, task, number: 1, run });
@@ -189,6 +192,49 @@
   expect(await start()).to.deep.equal([["uncertain", undefined]]);
 });
 
+// Guards against a start in a zone that the operators evacuate after the command
+// was queued, or between its attempts.
+it("worker link: a start that is not allowed any more is not sent", async () => {
+  let attempts = 0;
+  const { start, forbidStarts } = await openLink({
+    start: () => {
+      attempts += 1;
+      return Promise.resolve(STARTED);
+    },
+  });
+  forbidStarts();
+  expect(await start()).to.deep.equal([["refused", "not sent"]]);
+  expect(attempts).to.equal(0);
+});
+
+for (
+  const { name, error, answer } of [
+    {
+      name: "unanswered",
+      error: unanswered,
+      answer: ["uncertain", undefined],
+    },
+    {
+      name: "undelivered",
+      error: undelivered,
+      answer: ["unhealthy", "undelivered"],
+    },
+  ]
+) {
+  it(`worker link: an ${name} start that is not allowed any more is not repeated`, async () => {
+    let attempts = 0;
+    const { start, forbidStarts } = await openLink({
+      start: () => {
+        attempts += 1;
+        forbidStarts();
+        return Promise.reject(error);
+      },
+    });
+    expect(await start()).to.deep.equal([answer]);
+    expect(attempts).to.equal(1);
+  });
+}
+
 it("worker link: an unanswered start is uncertain when the link closes", async () => {
   const { start, link } = await openLink({
     start: () => {
--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -41,6 +41,8 @@
   cancelJob(job: string): void;
   /** Applies a new list of workers. */
   updateWorkers(listing: WorkerListing): void;
+  /** Applies a new set of zones in which no runs may be started. */
+  updateEvacuations(zones: ReadonlySet<string>): void;
   /** Applies the rules of a new configuration. */
   updateRules(rules: Rules): void;
   /**
@@ -80,6 +82,16 @@
    */
   listWorkers(): Promise<WorkerListing>;
   rules(): Rules;
+  /**
+   * Waits until the operators' topic has been applied up to its present end.
+   *
+   * @throws UnavailableError, UncertainError when it was not read to its end
+   */
+  catchUpOperators(): Promise<void>;
+  /** @returns the zones in which no runs may be started */
+  evacuatedZones(): ReadonlySet<string>;
+  /** @returns whether the operators' topic was read recently enough for starts */
+  areRequestsCurrent(): boolean;
   /** Time for which the state of an ended job can be queried. */
   keepEndedMs: Milliseconds;
   metrics: Metrics;
@@ -96,6 +108,7 @@
 const PLANNING_INTERVAL_MS: Milliseconds = 100;
 // The advice service's queue of 32 calls drains in this time.
 const ADVICE_RETRY_DELAY_MS: Milliseconds = 200;
+const OPERATORS_RETRY_DELAY_MS: Milliseconds = 200;
 const LOAD_LOG_INTERVAL_MS: Milliseconds = 1_000;
 const REMOVAL_INTERVAL_MS: Milliseconds = 10_000;
 // Ended jobs stay stored for this long after their retention time, so that a
@@ -280,20 +293,38 @@
     }
   };
 
+  /** Waits until the requests of the operators are known, or the term ends. */
+  const waitForOperators = async (): Promise<void> => {
+    while (isLeading()) {
+      try {
+        return await options.catchUpOperators();
+      } catch (error) {
+        log.warn(
+          { term, error: describeError(error) },
+          "operators' topic was not read to its end; trying again",
+        );
+        await pause(OPERATORS_RETRY_DELAY_MS);
+      }
+    }
+  };
+
   return {
     start: async () => {
       const takenOverAt = clock.now();
+      const operatorsKnown = waitForOperators();
       const journalEnd = await journal.open();
       if (journalEnd === undefined) return;
       const progress = await journal.readProgress();
       await options.waitForBook(journalEnd);
       if (progress === undefined) return;
       const listing = await options.listWorkers();
+      await operatorsKnown;
       if (!isLeading()) return;
       scheduler = createScheduler({
         now: clock.now,
         wallTime: clock.wallTime,
         sendCommand: links.sendCommand,
+        areRequestsCurrent: options.areRequestsCurrent,
         askAdvice: (question) => void requestAdvice(question),
         onUnknownRunEnd: (end) =>
           metrics.incrementCounter(`run.unknown.${end}`),
@@ -301,6 +332,7 @@
         log,
       });
       scheduler.setRules(options.rules());
+      scheduler.evacuation.setZones(options.evacuatedZones());
       scheduler.updateWorkers(listing);
       for (const job of book.jobs()) {
         const stored = progress.get(job.spec.id);
@@ -339,6 +371,10 @@
       scheduler?.updateWorkers(listing);
       schedulePlanning();
     },
+    updateEvacuations: (zones) => {
+      scheduler?.evacuation.setZones(zones);
+      schedulePlanning();
+    },
     updateRules: (rules) => {
       scheduler?.setRules(rules);
       schedulePlanning();
--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -22,6 +22,10 @@
   createJobService,
 } from "./job_service.ts";
 import { createLeadLease } from "./lead_lease.ts";
+import {
+  createEvacuationRequests,
+  evacuationTimingOf,
+} from "./evacuation_requests.ts";
 import type { Metrics } from "./metrics.ts";
 import {
   journalTopic,
@@ -45,6 +49,11 @@
   visibleMs: Milliseconds;
   /** Time for which the state of an ended job can be queried. */
   keepEndedMs: Milliseconds;
+  /**
+   * Time after which no run may start in a zone that the operators evacuate;
+   * undefined in deployments without this bound.
+   */
+  evacuateMs?: Milliseconds;
 }
 
 /** Options of {@link createCellEntry}. */
@@ -82,6 +91,11 @@
   decodeConfig(text: string): ClusterConfig;
   /** Key of the configuration's record in the operators' topic. */
   configKey: string;
+  /**
+   * @returns the zone whose evacuation a record with this key in the operators'
+   * topic requests; undefined for other keys
+   */
+  evacuatedZoneOf(key: string): string | undefined;
   /**
    * Decodes a worker's entry in the list of workers.
    *
@@ -168,14 +182,27 @@
     readIntervalMs: chooseJournalReadInterval,
     apply: (records) => records.forEach(applyJournalRecord),
   });
+  const evacuationTiming = evacuationTimingOf(
+    limits.evacuateMs,
+    CONFIG_READ_WAIT_MS,
+  );
+  const evacuations = createEvacuationRequests({
+    zoneOf: options.evacuatedZoneOf,
+    onChange: (zones) => lead?.updateEvacuations(zones),
+    metrics,
+    log,
+  });
   const configFollower = createTopicFollower({
     store,
     topic: PlatformTopic.operators,
     clock,
     log,
-    waitMs: CONFIG_READ_WAIT_MS,
+    waitMs: evacuationTiming.readWaitMs,
     readIntervalMs: () => CONFIG_READ_INTERVAL_MS,
-    apply: (records) => records.forEach(applyConfigRecord),
+    apply: (records, read) => {
+      evacuations.apply(records, read);
+      records.forEach(applyConfigRecord);
+    },
   });
   const workers = createWorkerList({
     store,
@@ -212,6 +239,10 @@
         waitForBook: journalFollower.waitForOffset,
         listWorkers: workers.follow,
         rules: () => config!.rules,
+        catchUpOperators: configFollower.catchUp,
+        evacuatedZones: evacuations.zones,
+        areRequestsCurrent: () =>
+          configFollower.ageMs() < evacuationTiming.maximumAgeMs,
         keepEndedMs: limits.keepEndedMs,
         metrics,
       });
@@ -313,6 +344,9 @@
       configAgeMs: configFollower.ageMs(),
       bookAgeMs: journalFollower.ageMs(),
       jobs: [...book.jobs()].length,
+      evacuatedZones: [...evacuations.zones()],
+      evacuatedWorkers: [...lead?.scheduler()?.state.workers.values() ?? []]
+        .filter(({ zone }) => evacuations.zones().has(zone)).length,
       workers: [...lead?.scheduler()?.state.workers.values() ?? []].map(
         ({ id, used, capacity, isDraining, runs }) => ({
           id,
--- a/packages/cell/src/mod.ts
+++ b/packages/cell/src/mod.ts
@@ -4,6 +4,7 @@
 export * from "./cell_lead.ts";
 export * from "./cluster_config.ts";
 export * from "./entry.ts";
+export * from "./evacuation_requests.ts";
 export * from "./job_service.ts";
 export * from "./journal.ts";
 export * from "./lead_lease.ts";
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -43,6 +43,11 @@
   log: Logger;
   /** @returns whether this process still leads; if not, nothing is sent */
   isLeading(): boolean;
+  /**
+   * @returns whether the start command of a run may be sent now; checked before
+   * each attempt
+   */
+  mayStart(run: Run): boolean;
   /** Called with the worker's answer to each poll. */
   onReport(lifetime: number, report: WorkerReport): void;
   /** Called when the worker gave no usable answer to a poll. */
@@ -250,7 +255,8 @@
       const isExpired = run.ticket !== undefined &&
         clock.now() >= run.ticket.sendUntil;
       if (
-        isClosed || !isLeading() || leaseUntil === undefined || isExpired
+        isClosed || !isLeading() || leaseUntil === undefined || isExpired ||
+        !options.mayStart(run)
       ) {
         if (attempt > 1) break;
         return options.onStartAnswer(run, "refused", "not sent");
--- a/packages/cell/src/worker_links.ts
+++ b/packages/cell/src/worker_links.ts
@@ -66,6 +66,8 @@
       clock,
       log,
       isLeading,
+      mayStart: (run) =>
+        scheduler()?.evacuation.mayStartOn(run.worker) ?? false,
       onReport: (lifetime, report) => {
         scheduler()?.applyWorkerReport(worker, lifetime, report);
         onChange();
--- a/packages/scheduler/__tests__/cell_fixture.ts
+++ b/packages/scheduler/__tests__/cell_fixture.ts
@@ -80,15 +80,25 @@
  * commands at once.
  *
  * @param options number of workers, of which each rack has 2, and changes of the
- * rules, and what keeps the failure of an item from the others; none by default
- * @returns the scheduler, its workers, the kinds of records, the questions and
- * the commands that it produced, and functions to operate the cell
+ * rules, and what keeps the failure of an item from the others; none by default;
+ * the zone of each worker by its index, and whether the operators' requests are
+ * known well enough to start runs
+ * @returns the scheduler, its workers, the kinds of records, the questions, the
+ * commands and the warnings that it produced, and functions to operate the cell
  */
 export function createCell(
-  { workers = 2, rules = {}, isolate = noIsolation }: {
+  {
+    workers = 2,
+    rules = {},
+    isolate = noIsolation,
+    zoneOf = () => "z",
+    areRequestsCurrent,
+  }: {
     workers?: number;
     rules?: Partial<Rules>;
     isolate?: Isolate;
+    zoneOf?(index: number): string;
+    areRequestsCurrent?(): boolean;
   } = {},
 ) {
   const clock = createManualClock(100_000);
@@ -97,6 +107,7 @@
   const commands: WorkerCommand[] = [];
   const records: string[] = [];
   const questions: AdviceQuestion[] = [];
+  const warnings: string[] = [];
   const book = createJobBook();
   const TERM = 1;
   for (let index = 0; index < workers; index++) {
@@ -107,7 +118,7 @@
       lifetime: 1,
       service: "planner",
       address: id,
-      zone: "z",
+      zone: zoneOf(index),
       labels: ["a", rackOf(index)],
       rack: rackOf(index),
       capacity: CAPACITY,
@@ -121,7 +132,11 @@
     sendCommand: (command) => commands.push(command),
     askAdvice: (question) => questions.push(question),
     isolate,
-    log: silentLogger,
+    areRequestsCurrent,
+    log: {
+      ...silentLogger,
+      warn: (_fields: unknown, event: string) => warnings.push(event),
+    },
   });
   scheduler.setRules({ ...RULES, ...rules });
 
@@ -233,6 +248,7 @@
     commands,
     records,
     questions,
+    warnings,
     book,
     updateListing,
     pollWorkers,
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -132,6 +132,8 @@
   isDraining: boolean;
   /** Shortest time for which a draining worker remains. */
   remainingMs: Milliseconds;
+  /** Time for which runs on the worker are still slow after its start. */
+  coldRemainingMs?: Milliseconds;
 }
 
 /** A worker as the lead of its cell knows it. */
@@ -152,6 +154,8 @@
    * Monotonic time at which `remainingMs` of a draining worker was first read.
    */
   remainingSince?: Milliseconds;
+  /** Monotonic time until which runs on it are slow after its start. */
+  coldUntil?: Milliseconds;
   /** Whether the platform's list of workers contains it. */
   isListed: boolean;
   /** Whether its process has certainly ended, and with it all of its runs. */
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -13,6 +13,7 @@
 } from "./cell_state.ts";
 import type { CrashBlame } from "./crash_blame.ts";
 import { type CellLoad, computeLoad } from "./cell_load.ts";
+import { COLD_PENALTY, isCold, placeOnWarmFirst } from "./cold_workers.ts";
 import { createDurationEstimator } from "./durations.ts";
 import { evacuateIfDraining } from "./draining.ts";
 import { failedAttemptsOf } from "./failed_attempts.ts";
@@ -32,6 +33,7 @@
 import { NO_RULES, type Rules, rulesOf } from "./rules.ts";
 import { findStuckRuns } from "./stuck_runs.ts";
 import { collectWaitingSteps } from "./waiting_work.ts";
+import type { ZoneEvacuation } from "./zone_evacuation.ts";
 
 /** Assigns waiting tasks to workers, one planning pass at a time. */
 export interface Planner {
@@ -63,6 +65,7 @@
   state: CellState;
   quarantine: Quarantine;
   crashBlame: CrashBlame;
+  evacuation: ZoneEvacuation;
   runTimes: RunTimeEstimator;
   now(): Milliseconds;
   wallTime(): Milliseconds;
@@ -95,7 +98,7 @@
  * @returns the planner
  */
 export function createPlanner(options: PlannerOptions): Planner {
-  const { state, quarantine, crashBlame, runTimes } = options;
+  const { state, quarantine, crashBlame, evacuation, runTimes } = options;
   const { now, wallTime, stop, isolate, log } = options;
   const policy = { ...PLANNING_POLICY, ...options.policy };
   let rules = NO_RULES;
@@ -107,10 +110,11 @@
   const isOpen = (worker: WorkerState): boolean =>
     worker.isListed && isEntryCurrent(worker) && !worker.hasEnded &&
     worker.hasAnswered && worker.silentSince === undefined &&
-    !worker.isDraining &&
+    !worker.isDraining && !evacuation.isClosed(worker) &&
     worker.noPlacementBefore <= now();
   const penaltyOf = (step: StepState, worker: WorkerState): number =>
     (quarantine.isEligible(worker.id, now()) ? 0 : FAILURE_PENALTY) +
+    (isCold(worker, now()) ? COLD_PENALTY : 0) +
     crashBlame.penaltyOf(step, worker);
   const ledger = createCapacityLedger({
     now,
@@ -135,7 +139,8 @@
   const placeTasks = (waiting: WaitingStep): void => {
     const { step, tasks, rules: queueRules, expectedMs } = waiting;
     const serviceWorkers = [...state.workers.values()].filter((worker) =>
-      worker.isListed && worker.service === queueRules.service
+      worker.isListed && worker.service === queueRules.service &&
+      !evacuation.isEvacuated(worker)
     );
     for (const [worker, at] of step.avoidedWorkers) {
       if (now() - at >= AVOIDANCE_MS) step.avoidedWorkers.delete(worker);
@@ -177,7 +182,7 @@
         });
       const chosenAssignment = assignmentOnClaim.size === tasks.length
         ? assignmentOnClaim
-        : placeStep(step, tasks, view);
+        : placeOnWarmFirst(step, tasks, view, now());
       if (chosenAssignment.size > 0) createRuns(step, chosenAssignment);
       if (chosenAssignment.size === tasks.length) ledger.dropClaim(step);
       return chosenAssignment;
@@ -353,6 +358,7 @@
     slowdownOf: durations.slowdownFactor,
     load: () => computeLoad(state, waitingSteps),
     plan: () => {
+      evacuation.review(state.workers.values());
       ledger.beginPass();
       crashBlame.beginPass();
       evacuateDrainingWorkers();
@@ -376,6 +382,7 @@
         isolate,
       });
       advisedWorkers.beginPass(waitingSteps);
+      if (!evacuation.isCurrent()) return;
       for (const waitingStep of waitingSteps) {
         const shape = isolate(
           { operation: "step.shape", item: waitingStep.step.key },
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -27,14 +27,9 @@
   type AdviceQuestion,
   dropTicket,
   recordAdvice,
-  renewTicket,
 } from "./advice.ts";
 import { createCrashBlame } from "./crash_blame.ts";
-import {
-  createRecordBatches,
-  mayStart,
-  type RecordBatch,
-} from "./record_batch.ts";
+import { createRecordBatches, type RecordBatch } from "./record_batch.ts";
 import { failedAttemptsOf, isOutOfAttempts } from "./failed_attempts.ts";
 import type { StoredJob } from "./job_book.ts";
 import type { JobSpec, RunEnd } from "./job_types.ts";
@@ -42,11 +37,16 @@
 import { createPlanner } from "./planner.ts";
 import type { PlanningPolicy } from "./planning_policy.ts";
 import { restoreProgress } from "./restored_progress.ts";
+import { startStoredRuns } from "./run_starts.ts";
 import type { Rules } from "./rules.ts";
 import { applyReport, type WorkerReport } from "./run_ends.ts";
 import { findIncompleteGangs } from "./stuck_runs.ts";
 import type { StartAnswer, WorkerCommand } from "./worker_commands.ts";
 import { createWorkerRoster, type WorkerListing } from "./worker_roster.ts";
+import {
+  createZoneEvacuation,
+  type ZoneEvacuation,
+} from "./zone_evacuation.ts";
 
 /**
  * Decides where and when the tasks of a cell run. It does no I/O itself: the
@@ -56,6 +56,8 @@
 export interface Scheduler {
   /** State of the cell, for worker connections and state dumps. */
   readonly state: CellState;
+  /** Zones in which no runs may be started, for updates and start commands. */
+  readonly evacuation: ZoneEvacuation;
   /** Replaces the rules that the operators configured. */
   setRules(rules: Rules): void;
   /**
@@ -134,6 +136,8 @@
   wallTime(): Milliseconds;
   /** Sends a command to a worker. */
   sendCommand(command: WorkerCommand): void;
+  /** See {@link ZoneEvacuationOptions.isCurrent}; always by default. */
+  areRequestsCurrent?(): boolean;
   /** Asks the policy of a queue which workers may run a step. */
   askAdvice?(question: AdviceQuestion): void;
   /** Called for each reported end of a run that this scheduler does not know. */
@@ -169,6 +173,11 @@
   const quarantine = createQuarantine();
   const runTimes = createRunTimeEstimator();
   const crashBlame = createCrashBlame({ state, now, stop, log });
+  const evacuation = createZoneEvacuation({
+    now,
+    isCurrent: options.areRequestsCurrent ?? (() => true),
+    log,
+  });
   const roster = createWorkerRoster({
     state,
     now,
@@ -181,6 +190,7 @@
     state,
     quarantine,
     crashBlame,
+    evacuation,
     runTimes,
     now,
     wallTime,
@@ -255,6 +265,7 @@
 
   return {
     state,
+    evacuation,
     setRules: (rules) => {
       planner.setRules(rules);
       for (const job of state.jobs.values()) {
@@ -379,7 +390,8 @@
     takeBatch: batches.take,
     handleBatchStored: (batch) => {
       if (!batches.confirm(batch)) return;
-      startRuns(batch.starting);
+      const { starting } = batch;
+      startStoredRuns(starting, { ...options, state, evacuation, stop });
       for (const job of batch.outcomes) {
         log.info(
           { job: job.spec.id, outcome: job.outcome },
@@ -390,32 +402,6 @@
     },
   };
 
-  /** Sends the start commands of runs whose placement is stored. */
-  function startRuns(runs: readonly Run[]): void {
-    for (const run of runs) {
-      if (run.phase !== RunPhase.storing) continue;
-      if (mayStart(run) && renewTicket(run, now())) continue;
-      log.info(
-        { ...describeRun(run), ticketUntil: run.ticket?.sendUntil },
-        "start not sent: its worker or ticket changed meanwhile",
-      );
-      const { step } = run;
-      releaseRun(state, run);
-      for (const member of step.spec.isGang ? step.runs.values() : []) {
-        stop(member, "a member of the gang was not started");
-      }
-    }
-    for (const run of runs) {
-      if (run.phase !== RunPhase.storing || !run.worker.runs.has(run)) continue;
-      if (run.stopReason !== undefined) {
-        releaseRun(state, run);
-        continue;
-      }
-      run.phase = RunPhase.ordered;
-      sendCommand({ kind: "start", run });
-    }
-  }
-
   function removeProgress(steps: Iterable<string>): void {
     for (const step of steps) state.removedSteps.add(step);
   }
--- a/packages/scheduler/src/worker_roster.ts
+++ b/packages/scheduler/src/worker_roster.ts
@@ -10,6 +10,7 @@
   type WorkerEntry,
   type WorkerState,
 } from "./cell_state.ts";
+import { coldUntilOf } from "./cold_workers.ts";
 import type { StepRecord } from "./records.ts";
 
 /** The platform's current list of workers. */
@@ -219,8 +220,10 @@
       );
     }
     const { vm, service, address, zone, labels, rack, capacity } = entry;
-    const { isDraining, remainingMs } = entry;
+    const { isDraining, remainingMs, coldRemainingMs } = entry;
     Object.assign(worker, {
+      coldUntil: coldUntilOf(worker, entry, now()),
+      coldRemainingMs,
       vm,
       service,
       address,
