fix(cell): restrict access to a job to its account and queue

Cause: a call was checked for a valid key, but not for the job that it addresses. Any account could read and cancel any job by its ID, by every queue, and a submission with a known ID was answered as accepted whoever sent it.

Change: job_access.ts decides by the account stored with the job and by its queue. A foreign call to read or cancel takes the steps of a call to a job that does not exist (410, or 503 while the book is out of date). A submission of a known ID is a repetition or a conflict (409), by a digest stored with the job; jobs without one count as repetitions. Before that the lead on the entry took its own submission, also when another one came first.

--- a/packages/cell/__tests__/job_service.test.ts
+++ b/packages/cell/__tests__/job_service.test.ts
@@ -13,6 +13,7 @@
   type CallerCall,
   createJobService,
   createMetrics,
+  decodeStoredRecords,
   indexConfig,
   type Store,
 } from "../src/mod.ts";
@@ -65,6 +66,7 @@
   } = {},
 ) {
   const memory = createMemoryStore(faults);
+  const { recordsOf } = memory;
   const book = createJobBook();
   const service = createJobService({
     store: { ...memory.store, append: append ?? memory.store.append },
@@ -76,6 +78,13 @@
     configAgeMs: () => configAgeMs,
     bookAgeMs: () => bookAgeMs,
     catchUpBook: () => catchUpBook(book),
+    // Reads the journal as the entry's follower does.
+    waitForBook: () => {
+      for (const record of decodeStoredRecords(recordsOf("t"), silentLogger)) {
+        book.apply(record);
+      }
+      return Promise.resolve();
+    },
     maximumConfigAgeMs: 4_000,
     maximumBookAgeMs: 2_500,
     storeOutageMs: () => outageMs,
--- a/packages/cell/src/batch_writer.ts
+++ b/packages/cell/src/batch_writer.ts
@@ -17,10 +17,11 @@
    * @param value the record
    * @param timeoutMs time from this call, also while the record waits behind
    * others
+   * @returns end offset of the append; the record is before it
    * @throws UnavailableError when the record was certainly not appended
    * @throws UncertainError when it may have been appended, or may still be
    */
-  append(value: KeyedValue, timeoutMs: Milliseconds): Promise<void>;
+  append(value: KeyedValue, timeoutMs: Milliseconds): Promise<number>;
 }
 
 /** Options of {@link createBatchWriter}. */
@@ -42,7 +43,7 @@
   value: KeyedValue;
   /** Monotonic time at which its caller stops waiting. */
   expiresAt: Milliseconds;
-  resolve(): void;
+  resolve(endOffset: number): void;
   reject(error: unknown): void;
 }
 
@@ -72,10 +73,16 @@
     const expiresAt = Math.max(...batch.map((pending) => pending.expiresAt));
     callsInFlight += 1;
     try {
-      await store.append(topic, batch.map(({ value }) => value), {
-        timeoutMs: Math.max(1, expiresAt - clock.now()),
-      });
-      for (const { resolve } of batch) resolve();
+      const result = await store.append(
+        topic,
+        batch.map(({ value }) => value),
+        {
+          timeoutMs: Math.max(1, expiresAt - clock.now()),
+        },
+      );
+      // An append without conditions is not rejected by one.
+      if (result.kind !== "appended") throw new Error(result.kind);
+      for (const { resolve } of batch) resolve(result.endOffset);
     } catch (error) {
       for (const { reject } of batch) reject(error);
     } finally {
@@ -105,15 +112,15 @@
   };
 
   return {
-    append: (value: KeyedValue, timeoutMs: Milliseconds): Promise<void> =>
+    append: (value: KeyedValue, timeoutMs: Milliseconds): Promise<number> =>
       new Promise((resolve, reject) => {
         const timer = setTimeout(() => expireAppend(pending), timeoutMs);
         const pending: PendingAppend = {
           value,
           expiresAt: clock.now() + timeoutMs,
-          resolve: () => {
+          resolve: (endOffset) => {
             clearTimeout(timer);
-            resolve();
+            resolve(endOffset);
           },
           reject: (error) => {
             clearTimeout(timer);
--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -242,6 +242,7 @@
     configAgeMs: configFollower.ageMs,
     bookAgeMs: journalFollower.ageMs,
     catchUpBook: journalFollower.catchUp,
+    waitForBook: journalFollower.waitForOffset,
     maximumConfigAgeMs: limits.revocationMs - REVOCATION_MARGIN_MS,
     maximumBookAgeMs: limits.visibleMs - VISIBILITY_MARGIN_MS,
     storeOutageMs: () =>
--- a/packages/cell/src/job_service.ts
+++ b/packages/cell/src/job_service.ts
@@ -15,8 +15,16 @@
   type StoredJob,
 } from "@rattanhill/scheduler";
 import { sizeOfRecord } from "./append_limits.ts";
+import { createAccessRefusals } from "./access_refusals.ts";
 import { createBatchWriter } from "./batch_writer.ts";
 import type { ActiveConfig, Queue } from "./cluster_config.ts";
+import {
+  createBodyDigest,
+  type JobBody,
+  type JobCaller,
+  judgeSubmission,
+  mayAccessJob,
+} from "./job_access.ts";
 import type { Metrics } from "./metrics.ts";
 import type { Store } from "./store.ts";
 
@@ -38,7 +46,7 @@
 }
 
 /** Part of a job that the caller provides; the entry adds the rest. */
-export type SubmittedJob = Pick<JobSpec, "payload" | "steps" | "repetition">;
+export type SubmittedJob = JobBody;
 
 /** Reply to a call. Its kind is logged and is part of metric names. */
 export type CallerReply =
@@ -55,6 +63,8 @@
   | { kind: "uncertain" }
   | { kind: "unknownQueue" }
   | { kind: "unknownJob" }
+  /** The ID belongs to another job; this submission was not accepted. */
+  | { kind: "conflict"; reason: string }
   | { kind: "unknownKey" }
   | { kind: "invalid"; reason: string };
 
@@ -95,6 +105,11 @@
    * @throws when the store cannot be read
    */
   catchUpBook(): Promise<void>;
+  /**
+   * Waits until the book contains the journal up to an offset, without a call
+   * to the store.
+   */
+  waitForBook(offset: number): Promise<void>;
   /** Maximum age of the configuration at which API keys are still accepted. */
   maximumConfigAgeMs: Milliseconds;
   /**
@@ -107,6 +122,11 @@
 }
 
 const BOOK_OUTDATED_REASON = "the list of stored jobs may be out of date";
+const KEY_UNCHECKED_REASON = "the configuration is too old to accept keys";
+const CONFLICT_REASON = {
+  foreign: "not accepted: the job ID is already in use",
+  otherBody: "not accepted: the job ID was used before with another body",
+} as const;
 const JOB_ID_PATTERN = /^[0-9a-f]{16}$/;
 // Client programs of the deployment sites wait this long for a reply.
 const DEFAULT_DEADLINE_MS: Milliseconds = 3_000;
@@ -143,6 +163,10 @@
 export function createJobService(options: JobServiceOptions): JobService {
   const { book, clock, log, metrics } = options;
   const writer = createBatchWriter(options);
+  const recordRefusal = createAccessRefusals(options);
+  const refusals = new WeakSet<CallerReply>();
+  /** Submissions whose writes are not finished, by job ID. */
+  const writing = new Map<string, { spec: JobSpec; count: number }>();
 
   const unavailable = (reason: string): CallerReply => ({
     kind: "unavailable",
@@ -153,13 +177,14 @@
   });
 
   /**
-   * Appends a record, with retries until the deadline. Returns `refused` only
-   * when no attempt can have stored the record.
+   * Appends a record, with retries until the deadline. Returns the end offset
+   * of the append, and `refused` only when no attempt can have stored the
+   * record.
    */
   const storeRecord = async (
     value: KeyedValue,
     deadline: Milliseconds,
-  ): Promise<"stored" | "refused" | "uncertain"> => {
+  ): Promise<number | "refused" | "uncertain"> => {
     // The call fails fast, so that the caller can retry at another entry, which
     // may be able to reach the store.
     if (options.storeOutageMs() > FAIL_FAST_OUTAGE_MS) return "refused";
@@ -168,11 +193,10 @@
     while (true) {
       const remainingMs = deadline - clock.now();
       try {
-        await writer.append(
+        return await writer.append(
           value,
           Math.max(0, Math.min(remainingMs, APPEND_TIMEOUT_MS)),
         );
-        return "stored";
       } catch (error) {
         if (error instanceof UnavailableError) refusals += 1;
         else isUncertain = true;
@@ -184,24 +208,97 @@
     }
   };
 
+  /** Counts and logs a call that was refused access to a job. */
+  const refuseAccess = (
+    target: JobTarget,
+    cause: string,
+    reply: CallerReply,
+  ): CallerReply => {
+    const { action, id, queue, account } = target;
+    recordRefusal({
+      action,
+      job: id,
+      queue: queue.name,
+      account,
+      outcome: reply.kind,
+      cause,
+    });
+    refusals.add(reply);
+    return reply;
+  };
+
+  /**
+   * Waits until the journal has confirmed or replaced a job that this entry has
+   * stored. Returns undefined when the deadline comes first.
+   */
+  const waitUntilConfirmed = async (
+    { spec, unconfirmedUntil }: StoredJob,
+    deadline: Milliseconds,
+  ): Promise<StoredJob | undefined> => {
+    if (unconfirmedUntil !== undefined) {
+      const remainingMs = Math.max(0, deadline - clock.now());
+      await Promise.race([
+        options.waitForBook(unconfirmedUntil),
+        pause(remainingMs),
+      ]);
+    }
+    const job = book.find(spec.id);
+    return job?.unconfirmedUntil === undefined ? job : undefined;
+  };
+
+  /**
+   * Answers a submission whose ID is known. A conflict is only reported against
+   * a job that the journal has confirmed.
+   */
+  const answerKnown = async (
+    known: StoredJob,
+    target: JobTarget,
+    { bodyDigest, deadline }: { bodyDigest: string; deadline: Milliseconds },
+  ): Promise<CallerReply> => {
+    const submission = { caller: callerOf(target), bodyDigest };
+    if (judgeSubmission(known.spec, submission) === "repetition") {
+      return { kind: "accepted" };
+    }
+    const job = await waitUntilConfirmed(known, deadline);
+    if (job === undefined) return unavailable(BOOK_OUTDATED_REASON);
+    const verdict = judgeSubmission(job.spec, submission);
+    if (verdict === "repetition") return { kind: "accepted" };
+    if (verdict === "foreign" && target.account === undefined) {
+      return unavailable(KEY_UNCHECKED_REASON);
+    }
+    const reason = CONFLICT_REASON[verdict];
+    return refuseAccess(target, verdict, { kind: "conflict", reason });
+  };
+
   const submit = async (
     call: CallerCall,
-    { queue, id, account }: JobTarget,
+    target: JobTarget,
   ): Promise<CallerReply> => {
-    if (book.find(id) !== undefined) return { kind: "accepted" };
+    const { queue, id } = target;
+    const deadline = deadlineOf(call);
+    const known = book.find(id);
+    const isStoredWithoutDigest = known !== undefined &&
+      known.spec.bodyDigest === undefined &&
+      mayAccessJob(known.spec, callerOf(target));
+    if (isStoredWithoutDigest) return { kind: "accepted" };
     let job: SubmittedJob;
     try {
       job = call.readJob!();
     } catch (error) {
       return { kind: "invalid", reason: describeError(error) };
     }
+    const bodyDigest = createBodyDigest(job);
+    if (known !== undefined) {
+      return await answerKnown(known, target, { bodyDigest, deadline });
+    }
     const spec: JobSpec = {
       id,
       queue: queue.name,
-      account,
+      account: queue.isPublic ? "" : target.account ?? "",
       service: queue.service,
       maximumAttempts: queue.maximumAttempts,
       submittedAt: clock.wallTime(),
+      bodyDigest,
       ...job,
     };
     const [value] = encodeRecord({ kind: "submission", spec });
@@ -212,11 +309,46 @@
           "the job or its progress exceeds the record size limit of the store",
       };
     }
-    const outcome = await storeRecord(value, deadlineOf(call));
-    if (outcome === "uncertain") return { kind: "uncertain" };
-    if (outcome === "refused") return unavailable("the store refuses writes");
-    book.apply({ kind: "submission", spec });
-    return { kind: "accepted" };
+    if (!beginWriting(spec)) {
+      return unavailable("another job with the same ID is being stored");
+    }
+    try {
+      const outcome = await storeRecord(value, deadline);
+      if (outcome === "refused") return unavailable("the store refuses writes");
+      // The journal may already have shown an earlier submission with the ID.
+      const first = book.find(id);
+      const reply: CallerReply = first === undefined
+        ? { kind: "accepted" }
+        : await answerKnown(first, target, { bodyDigest, deadline });
+      if (reply.kind === "conflict") return reply;
+      if (outcome === "uncertain") return { kind: "uncertain" };
+      if (first === undefined) book.addUnconfirmed(spec, outcome);
+      // The submission was stored, so it may count although it is not known yet.
+      return reply.kind === "unavailable" ? { kind: "uncertain" } : reply;
+    } finally {
+      endWriting(id);
+    }
+  };
+
+  /**
+   * Notes that a submission is being written. Two that differ are not written
+   * at the same time, since either could be the first in the journal.
+   */
+  const beginWriting = (spec: JobSpec): boolean => {
+    const other = writing.get(spec.id);
+    const isSame = other === undefined ||
+      (other.spec.account === spec.account &&
+        other.spec.queue === spec.queue &&
+        other.spec.bodyDigest === spec.bodyDigest);
+    if (!isSame) return false;
+    writing.set(spec.id, { spec, count: (other?.count ?? 0) + 1 });
+    return true;
+  };
+
+  const endWriting = (id: string): void => {
+    const { spec, count } = writing.get(id)!;
+    if (count === 1) writing.delete(id);
+    else writing.set(id, { spec, count: count - 1 });
   };
 
   /**
@@ -233,23 +365,59 @@
 
   const cancel = async (
     call: CallerCall,
-    { id }: JobTarget,
+    target: JobTarget,
   ): Promise<CallerReply> => {
-    const job = book.find(id) ?? await findAfterCatchUp(id);
-    if (job === undefined) return { kind: "unknownJob" };
-    if (job === "unclear") return unavailable(BOOK_OUTDATED_REASON);
+    const { id } = target;
+    const deadline = deadlineOf(call);
+    const found = await findAccessible(target);
+    if ("reply" in found) return found.reply;
+    // An unconfirmed job may be replaced by one of another account.
+    const job = await waitUntilConfirmed(found.job, deadline);
+    if (job === undefined) return unavailable(BOOK_OUTDATED_REASON);
+    if (!mayAccessJob(job.spec, callerOf(target))) {
+      return refuseAccess(target, "foreign", { kind: "unknownJob" });
+    }
     if (job.isCancelled || job.outcome !== undefined) {
       return { kind: "cancelled" };
     }
     const record = { kind: "cancellation", job: id } as const;
     const [value] = encodeRecord(record);
-    const outcome = await storeRecord(value, deadlineOf(call));
+    const outcome = await storeRecord(value, deadline);
     if (outcome === "uncertain") return { kind: "uncertain" };
     if (outcome === "refused") return unavailable("the store refuses writes");
     book.apply(record);
     return { kind: "cancelled" };
   };
 
+  /**
+   * Finds the job of a call, or the reply when there is none that the call may
+   * access. A job of another caller takes the same steps as one that does not
+   * exist, so that neither the reply nor its delay tells them apart.
+   */
+  const findAccessible = async (
+    target: JobTarget,
+  ): Promise<{ job: StoredJob } | { reply: CallerReply }> => {
+    const caller = callerOf(target);
+    const known = book.find(target.id);
+    if (known !== undefined && mayAccessJob(known.spec, caller)) {
+      return { job: known };
+    }
+    const job = await findAfterCatchUp(target.id);
+    const isFound = job !== undefined && job !== "unclear";
+    if (isFound && mayAccessJob(job.spec, caller)) return { job };
+    const reply = ((): CallerReply => {
+      if (job === "unclear") return unavailable(BOOK_OUTDATED_REASON);
+      if (target.account === undefined) {
+        return unavailable(KEY_UNCHECKED_REASON);
+      }
+      return { kind: "unknownJob" };
+    })();
+    const isForeign = known !== undefined || isFound;
+    return {
+      reply: isForeign ? refuseAccess(target, "foreign", reply) : reply,
+    };
+  };
+
   /**
    * Updates the book and looks up a job that another entry may just have
    * accepted. Returns `unclear` when the book cannot be brought up to date.
@@ -270,13 +438,10 @@
     return book.find(id);
   };
 
-  const queryState = async ({ id }: JobTarget): Promise<CallerReply> => {
-    if (book.find(id) === undefined) {
-      const job = await findAfterCatchUp(id);
-      if (job === "unclear") return unavailable(BOOK_OUTDATED_REASON);
-      if (job === undefined) return { kind: "unknownJob" };
-    }
-    const state = book.stateOf(id);
+  const queryState = async (target: JobTarget): Promise<CallerReply> => {
+    const found = await findAccessible(target);
+    if ("reply" in found) return found.reply;
+    const state = book.stateOf(target.id);
     return state === undefined
       ? { kind: "unknownJob" }
       : { kind: "state", state };
@@ -297,15 +462,17 @@
     if (config === undefined) return unavailable("no configuration yet");
     const queue = config.findQueue(call.host, call.path);
     if (queue === undefined) return { kind: "unknownQueue" };
-    let account = "";
+    const isConfigCurrent = options.configAgeMs() <= options.maximumConfigAgeMs;
+    const foundAccount = config.findAccount(call.key ?? "");
     if (!queue.isPublic) {
-      if (options.configAgeMs() > options.maximumConfigAgeMs) {
-        return unavailable("the configuration is too old to accept keys");
-      }
-      const found = config.findAccount(call.key ?? "");
-      if (found === undefined) return { kind: "unknownKey" };
-      account = found;
+      if (!isConfigCurrent) return unavailable(KEY_UNCHECKED_REASON);
+      if (foundAccount === undefined) return { kind: "unknownKey" };
     }
+    // A public queue needs no key, but one still proves the account of a job
+    // that was submitted before the queue became public.
+    const account = isConfigCurrent || call.key === undefined
+      ? foundAccount ?? ""
+      : undefined;
     const id = call.path.slice(queue.pathPrefix.length);
     if (id === "" && call.action === "ask") {
       if (options.bookAgeMs() > options.maximumBookAgeMs) {
@@ -314,7 +481,7 @@
       return { kind: "pending", count: book.pending(queue.name) };
     }
     if (!JOB_ID_PATTERN.test(id)) return { kind: "unknownQueue" };
-    const target = { queue, id, account };
+    const target = { action: call.action, queue, id, account };
     if (call.action === "submit") return await submit(call, target);
     if (call.action === "cancel") return await cancel(call, target);
     return await queryState(target);
@@ -327,6 +494,8 @@
       const tookMs = clock.now() - startedAt;
       metrics.incrementCounter(`calls.${call.action}.${reply.kind}`);
       metrics.recordDuration(`call.${call.action}`, tookMs);
+      // Refusals of access have a bounded number of lines of their own.
+      if (refusals.has(reply)) return reply;
       if (call.action === "ask" && reply.kind !== "unavailable") return reply;
       log.info(
         {
@@ -347,8 +516,16 @@
 
 /** The job that a call addresses, and the authorization of the call. */
 interface JobTarget {
+  action: CallerCall["action"];
   queue: Queue;
   id: string;
-  /** Client account that the API key belongs to; empty for public queues. */
-  account: string;
+  /**
+   * Client account that the API key belongs to; empty without one, undefined
+   * while the key cannot be checked.
+   */
+  account: string | undefined;
+}
+
+function callerOf({ queue, account }: JobTarget): JobCaller {
+  return { queue: queue.name, account };
 }
--- a/packages/scheduler/__tests__/job_book.test.ts
+++ b/packages/scheduler/__tests__/job_book.test.ts
@@ -87,3 +87,38 @@
   ]);
   expect(counts).to.deep.equal([[0, 2], [3, 1]]);
 });
+
+// Guards against an entry, and the lead on it, that takes its own submission
+// for the job while an earlier one with the same ID comes first in the journal.
+it("job book: the first submission in the journal replaces an unconfirmed one", () => {
+  const submitted: string[] = [];
+  const book = createJobBook({
+    submitted: ({ account }) => submitted.push(account),
+  });
+  book.addUnconfirmed({ ...job("a"), account: "late", queue: "other" }, 2);
+  expect(book.find("a")!.spec.account).to.equal("late");
+  expect([...book.jobs()]).to.deep.equal([]);
+  expect(submitted).to.deep.equal([]);
+  const first = { ...job("a"), account: "first" };
+  book.apply({ kind: "submission", spec: first });
+  book.apply({ kind: "submission", spec: { ...first, account: "late" } });
+  expect(book.find("a")!.spec.account).to.equal("first");
+  expect([...book.jobs()]).to.have.length(1);
+  expect(submitted).to.deep.equal(["first"]);
+  expect(book.pending("other")).to.equal(0);
+  expect(book.pending(first.queue)).to.equal(1);
+});
+
+// Guards against a cancellation that the lead misses because it was applied
+// before the submission was confirmed.
+it("job book: a job cancelled before its confirmation is reported after it", () => {
+  const events: string[] = [];
+  const book = createJobBook({
+    submitted: ({ id }) => events.push(`submitted ${id}`),
+    cancelled: (id) => events.push(`cancelled ${id}`),
+  });
+  book.addUnconfirmed(job("a"), 1);
+  book.apply({ kind: "cancellation", job: "a" });
+  book.apply({ kind: "submission", spec: job("a") });
+  expect(events).to.deep.equal(["submitted a", "cancelled a"]);
+});
--- a/packages/scheduler/src/job_book.ts
+++ b/packages/scheduler/src/job_book.ts
@@ -16,6 +16,12 @@
   steps: Map<string, StepRecord>;
   /** Whether a run of any of its steps was ever placed. */
   hasStarted: boolean;
+  /**
+   * End offset of the append that stored the job; set until its submission has
+   * been read from the journal. Until then, an earlier submission with the same
+   * ID may still replace it.
+   */
+  unconfirmedUntil?: number;
 }
 
 /** All stored jobs of a cell, reconstructed from the records in the store. */
@@ -25,6 +31,14 @@
    * than once.
    */
   apply(record: CellRecord): void;
+  /**
+   * Adds a job whose submission was stored but not read from the journal yet.
+   * The first submission with its ID that is applied confirms or replaces it.
+   *
+   * @param spec the submission
+   * @param endOffset end offset of the append that stored it
+   */
+  addUnconfirmed(spec: JobSpec, endOffset: number): void;
   /** @returns the job; undefined if it was not submitted or has been removed */
   find(id: string): StoredJob | undefined;
   /**
@@ -37,6 +51,7 @@
    * that have not been cancelled or ended
    */
   pending(queue: string): number;
+  /** @returns the jobs whose submissions have been read from the journal */
   jobs(): Iterable<StoredJob>;
 }
 
@@ -76,7 +91,9 @@
     if (record.kind === "cancellation") {
       if (job.isCancelled) return;
       applyChange(job, () => job.isCancelled = true);
-      listener.cancelled?.(job.spec.id);
+      if (job.unconfirmedUntil === undefined) {
+        listener.cancelled?.(job.spec.id);
+      }
     } else if (record.kind === "start") {
       applyChange(job, () => job.hasStarted = true);
     } else if (record.kind === "progress") {
@@ -88,21 +105,46 @@
     }
   };
 
-  const addSubmittedJob = (spec: JobSpec): void => {
-    if (jobs.has(spec.id)) return;
+  const addJob = (spec: JobSpec, unconfirmedUntil?: number): StoredJob => {
     const job: StoredJob = {
       spec,
       isCancelled: false,
       steps: new Map(),
       hasStarted: false,
+      unconfirmedUntil,
     };
     jobs.set(spec.id, job);
     pendingCounts.set(spec.queue, (pendingCounts.get(spec.queue) ?? 0) + 1);
-    listener.submitted?.(spec);
-    for (const record of earlyRecords.get(spec.id) ?? []) {
-      applyToJob(job, record);
+    return job;
+  };
+
+  const applyEarlyRecords = (job: StoredJob): void => {
+    const { id } = job.spec;
+    for (const record of earlyRecords.get(id) ?? []) applyToJob(job, record);
+    earlyRecords.delete(id);
+  };
+
+  /** Replaces an unconfirmed submission by the first one in the journal. */
+  const confirmJob = (job: StoredJob, spec: JobSpec): void => {
+    if (isPending(job)) {
+      const { queue } = job.spec;
+      pendingCounts.set(queue, (pendingCounts.get(queue) ?? 0) - 1);
+      pendingCounts.set(spec.queue, (pendingCounts.get(spec.queue) ?? 0) + 1);
     }
-    earlyRecords.delete(spec.id);
+    job.spec = spec;
+    job.unconfirmedUntil = undefined;
+    listener.submitted?.(spec);
+    if (job.isCancelled) listener.cancelled?.(spec.id);
+    applyEarlyRecords(job);
+  };
+
+  const addSubmittedJob = (spec: JobSpec): void => {
+    const known = jobs.get(spec.id);
+    if (known?.unconfirmedUntil !== undefined) return confirmJob(known, spec);
+    if (known !== undefined) return;
+    const job = addJob(spec);
+    listener.submitted?.(spec);
+    applyEarlyRecords(job);
   };
 
   return {
@@ -123,6 +165,9 @@
       if (job !== undefined) return applyToJob(job, record);
       earlyRecords.set(id, [...earlyRecords.get(id) ?? [], record]);
     },
+    addUnconfirmed: (spec, endOffset) => {
+      if (!jobs.has(spec.id)) addJob(spec, endOffset);
+    },
     find: (id) => jobs.get(id),
     stateOf: (id) => {
       const job = jobs.get(id);
@@ -132,6 +177,10 @@
       return job.hasStarted ? "running" : "queued";
     },
     pending: (queue) => pendingCounts.get(queue) ?? 0,
-    jobs: () => jobs.values(),
+    jobs: function* () {
+      for (const job of jobs.values()) {
+        if (job.unconfirmedUntil === undefined) yield job;
+      }
+    },
   };
 }
--- a/packages/scheduler/src/job_types.ts
+++ b/packages/scheduler/src/job_types.ts
@@ -67,6 +67,11 @@
    * removed. Jobs that earlier versions stored have none.
    */
   maximumAttempts?: number;
+  /**
+   * Digest of the submitter's part, by which repeated submissions are
+   * recognized. Jobs that earlier versions stored have none.
+   */
+  bodyDigest?: string;
 }
 
 /** How a job ended. */
