--- a/packages/cell/src/mod.ts
+++ b/packages/cell/src/mod.ts
@@ -1,3 +1,4 @@
+export * from "./access_refusals.ts";
 export * from "./append_limits.ts";
 export * from "./batch_writer.ts";
 export * from "./cell_journal.ts";
@@ -5,6 +6,7 @@
 export * from "./cluster_config.ts";
 export * from "./entry.ts";
 export * from "./evacuation_requests.ts";
+export * from "./job_access.ts";
 export * from "./job_service.ts";
 export * from "./journal.ts";
 export * from "./lead_lease.ts";
