refactor(scheduler): capacity reclaim is a module of its own

Cause: the planner held the rule that decides preemptions, which the cost-benefit rule is about to replace. Change: secureCapacity, maximumLostWork and reclaimCapacity move unchanged from planner.ts to capacity_reclaim.ts. Conclusion: no change of behaviour.

--- a/packages/scheduler/src/mod.ts
+++ b/packages/scheduler/src/mod.ts
@@ -15,6 +15,7 @@
 export * from "./records.ts";
 export * from "./reservation.ts";
 export * from "./capacity_ledger.ts";
+export * from "./capacity_reclaim.ts";
 export * from "./rules.ts";
 export * from "./run_ends.ts";
 export * from "./scheduler.ts";
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -17,17 +17,11 @@
 import { evacuateIfDraining } from "./draining.ts";
 import { failedAttemptsOf } from "./failed_attempts.ts";
 import { Tier, type WaitingStep } from "./step_ranking.ts";
-import {
-  type Assignment,
-  canAvoidWorkers,
-  type PlacementView,
-  placeStep,
-} from "./placement.ts";
+import { type Assignment, canAvoidWorkers, placeStep } from "./placement.ts";
 import { placementShapeOf } from "./placement_shape.ts";
 import { PLANNING_POLICY, type PlanningPolicy } from "./planning_policy.ts";
-import { chooseVictims, lostWorkOf, workOf } from "./preemption.ts";
-import { findEarliestReservation } from "./reservation.ts";
 import { createCapacityLedger } from "./capacity_ledger.ts";
+import { createCapacityReclaim } from "./capacity_reclaim.ts";
 import type { JobSpec } from "./job_types.ts";
 import { NO_RULES, type Rules, rulesOf } from "./rules.ts";
 import { findStuckRuns } from "./stuck_runs.ts";
@@ -127,6 +121,14 @@
     now,
     deployment: () => rules.deployment,
   });
+  const capacityReclaim = createCapacityReclaim({
+    ledger,
+    durations,
+    policy,
+    now,
+    rules: () => rules,
+    stop,
+  });
 
   /**
    * Places the waiting tasks of a step, and secures capacity for those that
@@ -183,35 +185,9 @@
       return chosenAssignment;
     });
     const unplacedTasks = tasks.filter((task) => !assignment.has(task));
-    if (unplacedTasks.length > 0) secureCapacity(waiting, unplacedTasks, view);
-  };
-
-  /**
-   * Secures capacity for tasks that could not be placed. Urgent tasks preempt
-   * runs of lower priority, or else hold the capacity that becomes free
-   * earliest. A gang that is not urgent gets a reservation, so that smaller
-   * steps do not starve it.
-   */
-  const secureCapacity = (
-    waiting: WaitingStep,
-    tasks: readonly number[],
-    view: PlacementView,
-  ): void => {
-    const { step, rules: queueRules } = waiting;
-    if (ledger.hasClaim(step)) return;
-    const isUrgent = queueRules.priority === 0;
-    if (isUrgent && reclaimCapacity(waiting, tasks, view)) return;
-    const mayReserve = step.spec.isGang &&
-      ledger.reservationCount() < policy.maximumReservations;
-    if (!isUrgent && !mayReserve) return;
-    const reservation = findEarliestReservation(step, tasks.length, {
-      candidates: view.candidates,
-      remainingOf: durations.remainingTime,
-      freeOn: ledger.freeOn,
-    });
-    if (reservation === undefined) return;
-    if (isUrgent) ledger.hold(reservation.slots, step);
-    else ledger.reserve(step, reservation);
+    if (unplacedTasks.length > 0) {
+      capacityReclaim.secureCapacity(waiting, unplacedTasks, view);
+    }
   };
 
   /**
@@ -225,61 +201,6 @@
       : policy.rackPatience * (remoteFactor - 1) * expectedMs;
   };
 
-  /**
-   * Computes the largest loss of work, in core milliseconds, that preemption
-   * for a step may cause. The loss is unlimited for guaranteed work close to
-   * its start deadline, and 0 for work that is overdue or has waited for less
-   * than `cheapReclaimMs`.
-   */
-  const maximumLostWork = (waiting: WaitingStep, count: number): number => {
-    const { step, waitedMs, expectedMs, rank: { tier } } = waiting;
-    const { reclaimMs, stopMs } = rules.deployment;
-    const reclaimAfterMs = reclaimMs - stopMs - policy.reclaimMarginMs;
-    if (tier === Tier.guaranteed && waitedMs > reclaimAfterMs) return Infinity;
-    if (tier === Tier.overdue || waitedMs < policy.cheapReclaimMs) return 0;
-    return policy.cheapShare * count * workOf(step.spec, expectedMs);
-  };
-
-  /**
-   * Preempts runs of lower priority for urgent tasks and claims the capacity
-   * for them.
-   *
-   * @returns whether capacity was claimed
-   */
-  const reclaimCapacity = (
-    waiting: WaitingStep,
-    tasks: readonly number[],
-    view: PlacementView,
-  ): boolean => {
-    const { step, rules: queueRules } = waiting;
-    const lostWorkLimit = maximumLostWork(waiting, tasks.length);
-    if (lostWorkLimit === 0) return false;
-    const viewAfterStops = { ...view, freeOn: ledger.freeAfterStops };
-    let assignment = placeStep(step, tasks, viewAfterStops);
-    if (assignment.size < tasks.length) {
-      const victims = chooseVictims(step, tasks.length, {
-        candidates: view.candidates,
-        freeOn: ledger.freeAfterStops,
-        now: now(),
-        isVictim: ({ stopReason, step: { job } }) =>
-          stopReason === undefined &&
-          rulesOf(rules, job.spec).priority > queueRules.priority,
-      });
-      const lostWork = lostWorkOf(victims, now());
-      if (victims.length === 0 || lostWork > lostWorkLimit) return false;
-      for (const run of victims) {
-        stop(run, `capacity reclaimed for ${step.key}`);
-      }
-      assignment = placeStep(step, tasks, {
-        ...viewAfterStops,
-        mayUseAnyRack: true,
-      });
-    }
-    if (assignment.size === 0) return false;
-    ledger.claim(step, assignment);
-    return true;
-  };
-
   /**
    * Creates runs and occupies their capacity. Their start commands are sent
    * once their placement is stored.
