feat(scheduler): preemption weighs the value at stake against its cost

Cause: urgent work beyond its guarantee stopped runs by a bound on lost work alone. It did not ask whether the urgent job would be in time, whether capacity becomes free by itself, what the victim's job loses, or how often it was stopped. Change: stopBenefit compares the value of the urgent job with and without the stop with the price of the lost work, the value that the victims' jobs are expected to lose and a surcharge for earlier stops (3 at most). All members of a gang count. Guaranteed work close to its start deadline stops runs as before. Decisions are logged and counted by outcome, discarded work by reason.

--- a/packages/bench/src/cell_simulation.ts
+++ b/packages/bench/src/cell_simulation.ts
@@ -39,6 +39,10 @@
   wasted: number;
   /** Mean share of the accelerators that were in use while jobs arrived. */
   utilization: number;
+  /** Number of decisions on preemption by outcome. */
+  reclaims: Record<string, number>;
+  /** Core seconds of discarded work by reason, as the scheduler counts it. */
+  discarded: Record<string, number>;
 }
 
 // Duration of a write to the store in the benchmark of the scheduler's users.
@@ -93,6 +97,8 @@
   const runAfter = (delay: Milliseconds, action: () => void) =>
     events.add(now() + delay, action);
   let wastedCoreSeconds = 0;
+  const reclaims: Record<string, number> = {};
+  const discarded: Record<string, number> = {};
   let isPlanningScheduled = false;
   let isStoring = false;
 
@@ -101,6 +107,12 @@
     wallTime: now,
     sendCommand: (command) =>
       runAfter(NETWORK_DELAY_MS, () => executeCommand(command)),
+    onReclaim: (outcome) => {
+      reclaims[outcome] = (reclaims[outcome] ?? 0) + 1;
+    },
+    onDiscardedWork: (reason, coreMs) => {
+      discarded[reason] = (discarded[reason] ?? 0) + coreMs / 1_000;
+    },
     isolate: noIsolation,
     log: silentLogger,
     policy: options.policy,
@@ -234,6 +246,8 @@
     endTimesByJob,
     wastedCoreSeconds,
     utilizedMs,
+    reclaims,
+    discarded,
   });
 }
 
@@ -268,6 +282,8 @@
     endTimesByJob: ReadonlyMap<string, Milliseconds>;
     wastedCoreSeconds: number;
     utilizedMs: number;
+    reclaims: Record<string, number>;
+    discarded: Record<string, number>;
   },
 ): CellResult {
   const uncancelledJobs = recorded.jobs.filter((job) =>
@@ -324,6 +340,8 @@
     worstWindows: (shares[0] + shares[1]) / 2,
     wasted: recorded.wastedCoreSeconds,
     utilization: recorded.utilizedMs / load.lengthMs,
+    reclaims: recorded.reclaims,
+    discarded: recorded.discarded,
   };
 }
 
--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -297,6 +297,11 @@
         askAdvice: (question) => void requestAdvice(question),
         onUnknownRunEnd: (end) =>
           metrics.incrementCounter(`run.unknown.${end}`),
+        onReclaim: (outcome) => metrics.incrementCounter(`reclaim.${outcome}`),
+        onDiscardedWork: (reason, coreMs) => {
+          metrics.incrementCounter(`run.discarded.${reason}`);
+          metrics.incrementCounter(`run.discarded.core.ms.${reason}`, coreMs);
+        },
         isolate,
         log,
       });
--- a/packages/cell/src/metrics.ts
+++ b/packages/cell/src/metrics.ts
@@ -3,8 +3,11 @@
 
 /** Counters and duration histograms of a process. */
 export interface Metrics {
-  /** Adds one to a counter; the name becomes part of the metric name. */
-  incrementCounter(name: string): void;
+  /**
+   * Adds an amount, 1 by default, to a counter; the name becomes part of the
+   * metric name.
+   */
+  incrementCounter(name: string, amount?: number): void;
   /**
    * Adds a duration to a histogram; the name becomes part of the metric name.
    */
@@ -27,8 +30,8 @@
   const histograms = new Map<string, Histogram>();
 
   return {
-    incrementCounter: (name) =>
-      counters.set(name, (counters.get(name) ?? 0) + 1),
+    incrementCounter: (name, amount = 1) =>
+      counters.set(name, (counters.get(name) ?? 0) + amount),
     recordDuration: (name, durationMs) => {
       const histogram = histograms.get(name) ?? build({
         lowestDiscernibleValue: 1,
--- a/packages/scheduler/__tests__/cell_fixture.ts
+++ b/packages/scheduler/__tests__/cell_fixture.ts
@@ -8,8 +8,10 @@
   type AdviceQuestion,
   createJobBook,
   createScheduler,
+  type DiscardReason,
   type JobSpec,
   type QueueRules,
+  type ReclaimOutcome,
   type Rules,
   type RunEnd,
   type StepSpec,
@@ -81,8 +83,9 @@
  *
  * @param options number of workers, of which each rack has 2, and changes of the
  * rules, and what keeps the failure of an item from the others; none by default
- * @returns the scheduler, its workers, the kinds of records, the questions and
- * the commands that it produced, and functions to operate the cell
+ * @returns the scheduler, its workers, the kinds of records, the questions, the
+ * commands and the preemption decisions that it produced, and functions to
+ * operate the cell
  */
 export function createCell(
   { workers = 2, rules = {}, isolate = noIsolation }: {
@@ -97,6 +100,8 @@
   const commands: WorkerCommand[] = [];
   const records: string[] = [];
   const questions: AdviceQuestion[] = [];
+  const reclaims: ReclaimOutcome[] = [];
+  const discarded: { reason: DiscardReason; coreMs: number }[] = [];
   const book = createJobBook();
   const TERM = 1;
   for (let index = 0; index < workers; index++) {
@@ -120,6 +125,8 @@
     wallTime: clock.wallTime,
     sendCommand: (command) => commands.push(command),
     askAdvice: (question) => questions.push(question),
+    onReclaim: (outcome) => reclaims.push(outcome),
+    onDiscardedWork: (reason, coreMs) => discarded.push({ reason, coreMs }),
     isolate,
     log: silentLogger,
   });
@@ -233,6 +240,8 @@
     commands,
     records,
     questions,
+    reclaims,
+    discarded,
     book,
     updateListing,
     pollWorkers,
--- a/packages/scheduler/src/capacity_reclaim.ts
+++ b/packages/scheduler/src/capacity_reclaim.ts
@@ -1,16 +1,27 @@
-import type { Milliseconds } from "@rattanhill/shared";
-import type { Run } from "./cell_state.ts";
+import type { Logger, Milliseconds } from "@rattanhill/shared";
+import type { ActiveJob, CellState, Run, StepState } from "./cell_state.ts";
 import type { CapacityLedger } from "./capacity_ledger.ts";
 import type { DurationEstimator } from "./durations.ts";
-import { type PlacementView, placeStep } from "./placement.ts";
+import { createJobProspects } from "./job_prospects.ts";
+import {
+  type Assignment,
+  type PlacementView,
+  placeStep,
+  slotsWhenEmpty,
+} from "./placement.ts";
 import type { PlanningPolicy } from "./planning_policy.ts";
-import { chooseVictims, lostWorkOf, workOf } from "./preemption.ts";
-import { findEarliestReservation } from "./reservation.ts";
+import { chooseVictims } from "./preemption.ts";
+import { findEarliestReservation, type Reservation } from "./reservation.ts";
 import { type Rules, rulesOf } from "./rules.ts";
+import { stopBenefit, StopOutcome } from "./stop_benefit.ts";
+import { RECLAIM_REASON } from "./stop_reasons.ts";
 import { Tier, type WaitingStep } from "./step_ranking.ts";
+import { createVictimCosts } from "./victim_costs.ts";
 
 /** Secures capacity for steps that cannot be placed now. */
 export interface CapacityReclaim {
+  /** Starts a planning pass. */
+  beginPass(): void;
   /**
    * Secures capacity for tasks that could not be placed. Urgent tasks preempt
    * runs of lower priority, or else hold the capacity that becomes free
@@ -24,104 +35,256 @@
   ): void;
 }
 
+/** Results of decisions on preemption. */
+export const ReclaimOutcome = {
+  ...StopOutcome,
+  /** Stopped at any cost, for guaranteed work close to its start deadline. */
+  guaranteed: "guaranteed",
+} as const;
+
+/** One of the values of {@link ReclaimOutcome}. */
+export type ReclaimOutcome = typeof ReclaimOutcome[keyof typeof ReclaimOutcome];
+
 /** Options of {@link createCapacityReclaim}. */
 export interface CapacityReclaimOptions {
+  state: CellState;
   ledger: CapacityLedger;
   durations: DurationEstimator;
   policy: PlanningPolicy;
   now(): Milliseconds;
+  wallTime(): Milliseconds;
   rules(): Rules;
   /** Stops a run. Its capacity is free once the worker reports its end. */
   stop(run: Run, reason: string): void;
+  /**
+   * Called for each decision to stop runs, and once per step and outcome for
+   * decisions against it.
+   */
+  onReclaim(outcome: ReclaimOutcome): void;
+  log: Logger;
 }
 
+// Time from the end of a stopped run to the start of the urgent task: a report,
+// a planning pass, a store write and a start command.
+const START_OVERHEAD_MS: Milliseconds = 50;
+// Number of jobs that a log line names.
+const MAXIMUM_LOGGED_JOBS = 8;
+
 /**
  * Creates the component that secures capacity by preemption and reservation.
+ * The numbers of stops by job are kept in memory only; a new lead starts with
+ * none.
  *
- * @param options capacity, estimates, rules and how to stop a run
+ * @param options the cell, capacity, estimates, rules and how to stop a run
  * @returns the component
  */
 export function createCapacityReclaim(
   options: CapacityReclaimOptions,
 ): CapacityReclaim {
-  const { ledger, durations, policy, now, rules, stop } = options;
+  const { ledger, durations, policy, now, rules, stop, log } = options;
+  const prospects = createJobProspects(options);
+  const stopCounts = new WeakMap<ActiveJob, number>();
+  const stopCountOf = (job: ActiveJob): number => stopCounts.get(job) ?? 0;
+  /** Outcomes without a stop that were logged, by step. */
+  const loggedOutcomes = new WeakMap<StepState, Set<ReclaimOutcome>>();
 
-  /**
-   * Computes the largest loss of work, in core milliseconds, that preemption
-   * for a step may cause. The loss is unlimited for guaranteed work close to
-   * its start deadline, and 0 for work that is overdue or has waited for less
-   * than `cheapReclaimMs`.
-   */
-  const maximumLostWork = (waiting: WaitingStep, count: number): number => {
-    const { step, waitedMs, expectedMs, rank: { tier } } = waiting;
+  /** Returns whether the step must start at any cost to keep its guarantee. */
+  const isGuaranteeDue = ({ waitedMs, rank: { tier } }: WaitingStep) => {
     const { reclaimMs, stopMs } = rules().deployment;
     const reclaimAfterMs = reclaimMs - stopMs - policy.reclaimMarginMs;
-    if (tier === Tier.guaranteed && waitedMs > reclaimAfterMs) return Infinity;
-    if (tier === Tier.overdue || waitedMs < policy.cheapReclaimMs) return 0;
-    return policy.cheapShare * count * workOf(step.spec, expectedMs);
+    return tier === Tier.guaranteed && waitedMs > reclaimAfterMs;
+  };
+
+  const findReservation = (
+    { step }: WaitingStep,
+    tasks: readonly number[],
+    view: PlacementView,
+  ): Reservation | undefined =>
+    findEarliestReservation(step, tasks.length, {
+      candidates: view.candidates,
+      remainingOf: durations.remainingTime,
+      freeOn: ledger.freeOn,
+    });
+
+  const recordDecision = (
+    step: StepState,
+    outcome: ReclaimOutcome,
+    victims: readonly Run[],
+    fields: { lostWork?: number; atStake?: number; cost?: number },
+  ): void => {
+    if (victims.length === 0 || outcome === ReclaimOutcome.tooCostly) {
+      const logged = loggedOutcomes.get(step) ?? new Set();
+      if (logged.has(outcome)) return;
+      loggedOutcomes.set(step, logged.add(outcome));
+    }
+    options.onReclaim(outcome);
+    const jobs = [...new Set(victims.map((run) => run.step.job.spec.id))];
+    log.info(
+      {
+        step: step.key,
+        outcome,
+        victims: victims.length,
+        victimJobs: jobs.slice(0, MAXIMUM_LOGGED_JOBS),
+        victimJobCount: jobs.length,
+        lostCoreMs: Math.round(fields.lostWork ?? 0),
+        atStake: roundToThousandths(fields.atStake ?? 0),
+        cost: roundToThousandths(fields.cost ?? 0),
+      },
+      "preemption decided",
+    );
   };
 
   /**
-   * Preempts runs of lower priority for urgent tasks and claims the capacity
-   * for them.
+   * Decides whether runs are stopped for an urgent step, and stops them.
    *
-   * @returns whether capacity was claimed
+   * @returns whether runs were stopped
    */
-  const reclaimCapacity = (
+  const stopVictims = (
     waiting: WaitingStep,
     tasks: readonly number[],
     view: PlacementView,
+    reservation: Reservation | undefined,
   ): boolean => {
-    const { step, rules: queueRules } = waiting;
-    const lostWorkLimit = maximumLostWork(waiting, tasks.length);
-    if (lostWorkLimit === 0) return false;
-    const viewAfterStops = { ...view, freeOn: ledger.freeAfterStops };
-    let assignment = placeStep(step, tasks, viewAfterStops);
-    if (assignment.size < tasks.length) {
-      const victims = chooseVictims(step, tasks.length, {
-        candidates: view.candidates,
-        freeOn: ledger.freeAfterStops,
-        now: now(),
-        isVictim: ({ stopReason, step: { job } }) =>
-          stopReason === undefined &&
-          rulesOf(rules(), job.spec).priority > queueRules.priority,
-      });
-      const lostWork = lostWorkOf(victims, now());
-      if (victims.length === 0 || lostWork > lostWorkLimit) return false;
-      for (const run of victims) {
-        stop(run, `capacity reclaimed for ${step.key}`);
-      }
-      assignment = placeStep(step, tasks, {
-        ...viewAfterStops,
-        mayUseAnyRack: true,
-      });
+    const { step, rules: queueRules, expectedMs } = waiting;
+    const { stopMs, remoteFactor } = rules().deployment;
+    const isDue = isGuaranteeDue(waiting);
+    const question = {
+      urgent: prospects.prospectsOf(step),
+      startAfterStopMs: stopMs + START_OVERHEAD_MS,
+      startWithoutStopMs: policy.waitUncertainty *
+        (reservation?.startsInMs ?? Infinity),
+      valuePerWork: prospects.valuePerWorkOf(step.job.spec),
+      victims: [],
+    };
+    const urgentEndsInMs = question.startAfterStopMs + expectedMs;
+    const { outcome, atStake } = stopBenefit(question, policy);
+    if (!isDue && outcome !== StopOutcome.noVictims) {
+      recordDecision(step, outcome, [], { atStake });
+      return false;
+    }
+    const costs = createVictimCosts({
+      prospects,
+      durations,
+      policy,
+      now: now(),
+      stopMs,
+      freeInMs: urgentEndsInMs,
+      valuePerWork: question.valuePerWork,
+      stopCountOf,
+    });
+    const isPreemptible = ({ stopReason, step: { job } }: Run): boolean =>
+      stopReason === undefined &&
+      rulesOf(rules(), job.spec).priority > queueRules.priority;
+    // A run that ends before its stop would be complete frees its capacity
+    // without a loss.
+    const isWorthStopping = (run: Run): boolean =>
+      stopCountOf(run.step.job) < policy.maximumJobStops &&
+      (run.step.spec.isLongRunning === true ||
+        durations.remainingTime(run) > stopMs);
+    const victims = chooseVictims(step, tasks.length, {
+      candidates: view.candidates,
+      freeOn: ledger.freeAfterStops,
+      isVictim: isDue
+        ? isPreemptible
+        : (run) => isPreemptible(run) && isWorthStopping(run),
+      costOf: costs.costOf,
+    });
+    // Across racks, the step would take `remoteFactor` times as long.
+    const isSplit = step.spec.needsOneRack === true &&
+      new Set(victims.map(({ worker }) => worker.rack)).size > 1 &&
+      !fitsOneRack(step, tasks.length, view);
+    const benefit = stopBenefit({
+      ...question,
+      startAfterStopMs: question.startAfterStopMs +
+        (isSplit ? (remoteFactor - 1) * expectedMs : 0),
+      victims: costs.victimJobsOf(victims),
+    }, policy);
+    const isWorthwhile = benefit.outcome === StopOutcome.worthwhile;
+    if (victims.length === 0 || !(isDue || isWorthwhile)) {
+      recordDecision(step, benefit.outcome, victims, benefit);
+      return false;
     }
+    recordDecision(
+      step,
+      isDue ? ReclaimOutcome.guaranteed : benefit.outcome,
+      victims,
+      benefit,
+    );
+    for (const job of new Set(victims.map((run) => run.step.job))) {
+      stopCounts.set(job, stopCountOf(job) + 1);
+    }
+    for (const run of victims) stop(run, `${RECLAIM_REASON} ${step.key}`);
+    return true;
+  };
+
+  /** Claims the capacity of an assignment for a step. */
+  const claim = (step: StepState, assignment: Assignment): boolean => {
     if (assignment.size === 0) return false;
     ledger.claim(step, assignment);
     return true;
   };
 
-  const secureCapacity = (
+  /**
+   * Preempts runs of lower priority for urgent tasks and claims the capacity
+   * for them.
+   *
+   * @returns whether capacity was claimed
+   */
+  const reclaimCapacity = (
     waiting: WaitingStep,
     tasks: readonly number[],
     view: PlacementView,
-  ): void => {
-    const { step, rules: queueRules } = waiting;
-    if (ledger.hasClaim(step)) return;
-    const isUrgent = queueRules.priority === 0;
-    if (isUrgent && reclaimCapacity(waiting, tasks, view)) return;
-    const mayReserve = step.spec.isGang &&
-      ledger.reservationCount() < policy.maximumReservations;
-    if (!isUrgent && !mayReserve) return;
-    const reservation = findEarliestReservation(step, tasks.length, {
-      candidates: view.candidates,
-      remainingOf: durations.remainingTime,
-      freeOn: ledger.freeOn,
-    });
-    if (reservation === undefined) return;
-    if (isUrgent) ledger.hold(reservation.slots, step);
-    else ledger.reserve(step, reservation);
+    reservation: Reservation | undefined,
+  ): boolean => {
+    const { step, waitedMs, rank: { tier } } = waiting;
+    const mayReclaim = isGuaranteeDue(waiting) ||
+      (tier !== Tier.overdue && waitedMs >= policy.cheapReclaimMs);
+    if (!mayReclaim) return false;
+    const viewAfterStops = { ...view, freeOn: ledger.freeAfterStops };
+    const assignment = placeStep(step, tasks, viewAfterStops);
+    if (assignment.size === tasks.length) return claim(step, assignment);
+    if (!stopVictims(waiting, tasks, view, reservation)) return false;
+    return claim(
+      step,
+      placeStep(step, tasks, { ...viewAfterStops, mayUseAnyRack: true }),
+    );
   };
 
-  return { secureCapacity };
+  return {
+    beginPass: prospects.beginPass,
+    secureCapacity: (waiting, tasks, view) => {
+      const { step, rules: queueRules } = waiting;
+      if (ledger.hasClaim(step)) return;
+      const isUrgent = queueRules.priority === 0;
+      const mayReserve = step.spec.isGang &&
+        ledger.reservationCount() < policy.maximumReservations;
+      if (!isUrgent && !mayReserve) return;
+      const reservation = findReservation(waiting, tasks, view);
+      if (isUrgent && reclaimCapacity(waiting, tasks, view, reservation)) {
+        return;
+      }
+      if (reservation === undefined) return;
+      if (isUrgent) ledger.hold(reservation.slots, step);
+      else ledger.reserve(step, reservation);
+    },
+  };
+}
+
+/** @returns whether the tasks would fit on one rack of empty workers */
+function fitsOneRack(
+  step: StepState,
+  count: number,
+  { candidates }: PlacementView,
+): boolean {
+  const racks = new Set(candidates.map(({ rack }) => rack));
+  return [...racks].some((rack) =>
+    slotsWhenEmpty(
+      step,
+      candidates.filter((worker) => worker.rack === rack),
+    ) >= count
+  );
+}
+
+function roundToThousandths(value: number): number {
+  return Math.round(value * 1_000) / 1_000;
 }
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -21,7 +21,10 @@
 import { placementShapeOf } from "./placement_shape.ts";
 import { PLANNING_POLICY, type PlanningPolicy } from "./planning_policy.ts";
 import { createCapacityLedger } from "./capacity_ledger.ts";
-import { createCapacityReclaim } from "./capacity_reclaim.ts";
+import {
+  createCapacityReclaim,
+  type ReclaimOutcome,
+} from "./capacity_reclaim.ts";
 import type { JobSpec } from "./job_types.ts";
 import { NO_RULES, type Rules, rulesOf } from "./rules.ts";
 import { findStuckRuns } from "./stuck_runs.ts";
@@ -64,6 +67,8 @@
   stop(run: Run, reason: string): void;
   /** Asks the policy of a queue which workers may run a step. */
   askAdvice(question: AdviceQuestion): void;
+  /** Called for decisions on preemption; see {@link CapacityReclaimOptions}. */
+  onReclaim(outcome: ReclaimOutcome): void;
   /** Parameters that override those of {@link PLANNING_POLICY}. */
   policy?: Partial<PlanningPolicy>;
   /** Keeps the failure of one job, step or worker from the others. */
@@ -122,12 +127,16 @@
     deployment: () => rules.deployment,
   });
   const capacityReclaim = createCapacityReclaim({
+    state,
     ledger,
     durations,
     policy,
     now,
+    wallTime,
     rules: () => rules,
     stop,
+    onReclaim: options.onReclaim,
+    log,
   });
 
   /**
@@ -275,6 +284,7 @@
     load: () => computeLoad(state, waitingSteps),
     plan: () => {
       ledger.beginPass();
+      capacityReclaim.beginPass();
       crashBlame.beginPass();
       evacuateDrainingWorkers();
       for (const run of findStuckRuns(state)) {
--- a/packages/scheduler/src/planning_policy.ts
+++ b/packages/scheduler/src/planning_policy.ts
@@ -7,17 +7,32 @@
    * deadline minus the longest stop and this margin.
    */
   reclaimMarginMs: Milliseconds;
+  /** Wait after which urgent work may preempt runs if this is worthwhile. */
+  cheapReclaimMs: Milliseconds;
+  /** Relative value of a job of mean work in a queue of priority 0. */
+  urgentValue: number;
+  /** Relative value of a job of mean work in a queue of priority 1. */
+  middleValue: number;
+  /** Relative value of a job of mean work in any other queue. */
+  lowValue: number;
+  /** Value of a late but useful result, as a share of that of one in time. */
+  lateValueShare: number;
   /**
-   * Wait after which urgent work may preempt runs that lose little work; see
-   * `cheapShare`.
+   * Price of lost work, as a share of the value of the same amount of the urgent
+   * job's work.
    */
-  cheapReclaimMs: Milliseconds;
+  lostWorkPrice: number;
+  /**
+   * Share by which each earlier stop of a job raises the cost of another one.
+   */
+  repeatedStopSurcharge: number;
+  /** Largest number of decisions, beyond guarantees, that stop a job. */
+  maximumJobStops: number;
   /**
-   * Largest amount of work that a preemption may discard before
-   * `reclaimMarginMs` applies, as a share of the expected work of the urgent
-   * tasks.
+   * Factor on the expected wait for capacity that becomes free by itself, since
+   * run times are known only roughly.
    */
-  cheapShare: number;
+  waitUncertainty: number;
   /**
    * Largest number of gangs with a reservation in a planning pass. Each
    * reservation withholds its workers from later steps that would still run
@@ -37,7 +52,25 @@
   reclaimMarginMs: 900,
   /** Most capacity becomes free without a preemption sooner than this. */
   cheapReclaimMs: 150,
-  cheapShare: 0.25,
+  /**
+   * Callers of urgent queues wait for the result and need it within seconds;
+   * those of the lowest queues collect it later. The ratios are those that users
+   * state for their queues.
+   */
+  urgentValue: 4,
+  middleValue: 3,
+  lowValue: 1,
+  /** Users value a late result at 0.1 to 0.5 of one in time. */
+  lateValueShare: 0.25,
+  /**
+   * Users deduct about a quarter of the value of urgent work for discarded work;
+   * twice that covers errors of the estimates.
+   */
+  lostWorkPrice: 0.5,
+  repeatedStopSurcharge: 1,
+  maximumJobStops: 3,
+  /** Declared estimates are off by up to 90%, mostly by half as much. */
+  waitUncertainty: 1.5,
   maximumReservations: 2,
   /**
    * Other work ends while a step waits for its rack, so capacity there may
--- a/packages/scheduler/src/preemption.ts
+++ b/packages/scheduler/src/preemption.ts
@@ -20,13 +20,19 @@
   freeOn(worker: WorkerState): Resources;
   /** @returns whether a run may be preempted for this step */
   isVictim(run: Run): boolean;
-  now: Milliseconds;
+  /**
+   * @returns the cost of stopping runs beside others that are already chosen;
+   * of runs that belong to gangs, including the other members
+   */
+  costOf(runs: readonly Run[], chosen: ReadonlySet<Run>): number;
 }
 
-// Time that a preempted checkpointing task loses by its stop, its wait for a
-// worker and the load of its checkpoint. Deployments specify 100 to 600 ms for
-// the load.
-const CHECKPOINT_RESTART_MS: Milliseconds = 300;
+/**
+ * Time that a preempted checkpointing task loses by its stop, its wait for a
+ * worker and the load of its checkpoint. Deployments specify 100 to 600 ms for
+ * the load.
+ */
+export const CHECKPOINT_RESTART_MS: Milliseconds = 300;
 
 // Number of processor cores that one accelerator counts as when lost work is
 // compared. Users price lost work by this ratio.
@@ -34,7 +40,7 @@
 
 /**
  * Chooses runs to preempt so that tasks of an urgent step fit, greedily by
- * least lost work. The capacity of runs that are already being stopped counts
+ * least cost. The capacity of runs that are already being stopped counts
  * as free.
  *
  * @param step the urgent step
@@ -55,14 +61,14 @@
     return chooseVictimsOn(step, count, workers, view) ?? [];
   }
   let best: Run[] | undefined;
-  let leastLostWork = Infinity;
+  let leastCost = Infinity;
   for (const members of groupByRack(workers).values()) {
     const victims = chooseVictimsOn(step, count, members, view);
     if (victims === undefined) continue;
-    const lostWork = lostWorkOf(victims, view.now);
-    if (lostWork >= leastLostWork) continue;
+    const cost = view.costOf(victims, new Set());
+    if (cost >= leastCost) continue;
     best = victims;
-    leastLostWork = lostWork;
+    leastCost = cost;
   }
   return best ?? chooseVictimsOn(step, count, workers, view) ?? [];
 }
@@ -126,14 +132,12 @@
     for (const worker of workers) {
       const runs = chooseCheapestVictimsOn(worker, needs, victims, view);
       if (runs === undefined) continue;
-      const cost = lostWorkOf(runs, view.now);
+      const cost = view.costOf(runs, victims);
       if (best === undefined || cost < best.cost) best = { worker, runs, cost };
     }
     if (best === undefined) return undefined;
     for (const run of best.runs) {
-      // A gang cannot continue without one of its members.
-      const group = run.step.spec.isGang ? run.step.runs.values() : [run];
-      for (const member of group) victims.add(member);
+      for (const member of stoppedWith(run)) victims.add(member);
     }
     totalSlots = 0;
     for (const worker of workers) {
@@ -146,7 +150,7 @@
 }
 
 /**
- * Chooses victims on one worker, by least lost work first, until one more task
+ * Chooses victims on one worker, by least cost first, until one more task
  * fits on it.
  *
  * @returns the runs to stop; undefined when no further task would fit even
@@ -164,7 +168,7 @@
   );
   const candidateRuns = [...worker.runs]
     .filter((run) => !alreadyChosen.has(run) && view.isVictim(run))
-    .map((run) => ({ run, cost: stopCostOf(run, view.now) }))
+    .map((run) => ({ run, cost: view.costOf([run], alreadyChosen) }))
     .sort((a, b) => a.cost - b.cost);
   const stoppedRuns = new Set(alreadyChosen);
   const victims: Run[] = [];
@@ -182,12 +186,12 @@
 }
 
 /**
- * Computes the work lost by stopping a run, in core milliseconds. Stopping a
- * member of a gang stops the whole gang.
+ * @returns the runs that end when a run is stopped: a gang cannot continue
+ * without one of its members
  */
-function stopCostOf(run: Run, now: Milliseconds): number {
+export function stoppedWith(run: Run): readonly Run[] {
   const { step } = run;
-  return lostWorkOf(step.spec.isGang ? step.runs.values() : [run], now);
+  return step.spec.isGang ? [...step.runs.values()] : [run];
 }
 
 /** @returns the free capacity of a worker once the given runs have ended */
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -29,6 +29,7 @@
   recordAdvice,
   renewTicket,
 } from "./advice.ts";
+import type { ReclaimOutcome } from "./capacity_reclaim.ts";
 import { createCrashBlame } from "./crash_blame.ts";
 import {
   createRecordBatches,
@@ -41,9 +42,11 @@
 import type { CellLoad } from "./cell_load.ts";
 import { createPlanner } from "./planner.ts";
 import type { PlanningPolicy } from "./planning_policy.ts";
+import { lostWorkOf } from "./preemption.ts";
 import { restoreProgress } from "./restored_progress.ts";
 import type { Rules } from "./rules.ts";
 import { applyReport, type WorkerReport } from "./run_ends.ts";
+import { type DiscardReason, discardReasonOf } from "./stop_reasons.ts";
 import { findIncompleteGangs } from "./stuck_runs.ts";
 import type { StartAnswer, WorkerCommand } from "./worker_commands.ts";
 import { createWorkerRoster, type WorkerListing } from "./worker_roster.ts";
@@ -138,6 +141,13 @@
   askAdvice?(question: AdviceQuestion): void;
   /** Called for each reported end of a run that this scheduler does not know. */
   onUnknownRunEnd?(end: RunEnd): void;
+  /** Called for decisions on preemption. */
+  onReclaim?(outcome: ReclaimOutcome): void;
+  /**
+   * Called when a run ends without success, with its discarded work in core
+   * milliseconds.
+   */
+  onDiscardedWork?(reason: DiscardReason, coreMs: number): void;
   /** Planning parameters that override the defaults. */
   policy?: Partial<PlanningPolicy>;
   /**
@@ -186,6 +196,7 @@
     wallTime,
     stop,
     askAdvice: (question) => options.askAdvice?.(question),
+    onReclaim: (outcome) => options.onReclaim?.(outcome),
     policy: options.policy,
     isolate,
     log,
@@ -225,10 +236,17 @@
     const { spec } = step.job;
     const ranMs = Math.round(now() - run.placedAt);
     const { percent, stopReason } = run;
+    const discardedCoreMs = end === "done"
+      ? 0
+      : Math.round(lostWorkOf([run], now()));
     log.info(
-      { ...describeRun(run), end, ranMs, percent, stopReason },
+      { ...describeRun(run), end, ranMs, percent, stopReason, discardedCoreMs },
       "run ended",
     );
+    if (end !== "done") {
+      const reason = discardReasonOf(stopReason, end);
+      options.onDiscardedWork?.(reason, discardedCoreMs);
+    }
     const declared = {
       account: spec.account,
       class: spec.queue,
--- a/packages/scheduler/src/step_ranking.ts
+++ b/packages/scheduler/src/step_ranking.ts
@@ -51,9 +51,11 @@
   overdue: 5,
 } as const;
 
-// The result of a job is useless if the job takes longer than this multiple of
-// its completion objective.
-const USEFUL_OBJECTIVE_FACTOR = 3;
+/**
+ * The result of a job is useless if the job takes longer than this multiple of
+ * its completion objective.
+ */
+export const USEFUL_OBJECTIVE_FACTOR = 3;
 
 /**
  * Ranks a waiting step by its {@link Tier}, then by the priority of its queue.
