--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -330,6 +330,11 @@
           metrics.incrementCounter(`run.unknown.${end}`),
         onSpeedChange: (speed) =>
           metrics.incrementCounter(`worker.speed.${speed}`),
+        onReclaim: (outcome) => metrics.incrementCounter(`reclaim.${outcome}`),
+        onDiscardedWork: (reason, coreMs) => {
+          metrics.incrementCounter(`run.discarded.${reason}`);
+          metrics.incrementCounter(`run.discarded.core.ms.${reason}`, coreMs);
+        },
         isolate,
         log,
       });
--- a/packages/scheduler/__tests__/cell_fixture.ts
+++ b/packages/scheduler/__tests__/cell_fixture.ts
@@ -8,8 +8,10 @@
   type AdviceQuestion,
   createJobBook,
   createScheduler,
+  type DiscardReason,
   type JobSpec,
   type QueueRules,
+  type ReclaimOutcome,
   type Rules,
   type RunEnd,
   type StepSpec,
@@ -84,7 +86,8 @@
  * the zone of each worker by its index, and whether the operators' requests are
  * known well enough to start runs
  * @returns the scheduler, its workers, the kinds of records, the questions, the
- * commands and the warnings that it produced, and functions to operate the cell
+ * commands, the warnings and the preemption decisions that it produced, and
+ * functions to operate the cell
  */
 export function createCell(
   {
@@ -108,6 +111,8 @@
   const records: string[] = [];
   const questions: AdviceQuestion[] = [];
   const warnings: string[] = [];
+  const reclaims: ReclaimOutcome[] = [];
+  const discarded: { reason: DiscardReason; coreMs: number }[] = [];
   const book = createJobBook();
   const TERM = 1;
   for (let index = 0; index < workers; index++) {
@@ -131,6 +136,8 @@
     wallTime: clock.wallTime,
     sendCommand: (command) => commands.push(command),
     askAdvice: (question) => questions.push(question),
+    onReclaim: (outcome) => reclaims.push(outcome),
+    onDiscardedWork: (reason, coreMs) => discarded.push({ reason, coreMs }),
     isolate,
     areRequestsCurrent,
     log: {
@@ -249,6 +256,8 @@
     records,
     questions,
     warnings,
+    reclaims,
+    discarded,
     book,
     updateListing,
     pollWorkers,
--- a/packages/scheduler/src/run_statistics.ts
+++ b/packages/scheduler/src/run_statistics.ts
@@ -2,7 +2,9 @@
 import type { Quarantine, RunTimeEstimator } from "@rattanhill/core";
 import { describeRun, type Run } from "./cell_state.ts";
 import type { RunEnd } from "./job_types.ts";
+import { lostWorkOf } from "./preemption.ts";
 import type { RunObservations } from "./run_observations.ts";
+import { type DiscardReason, discardReasonOf } from "./stop_reasons.ts";
 
 /** Options of {@link createRunStatistics}. */
 export interface RunStatisticsOptions {
@@ -14,6 +16,11 @@
   slowdownOf(run: Run): number;
   /** @returns the factor by which a run is slowed by its workers */
   workerFactorOf(run: Run): number;
+  /**
+   * Called when a run ends without success, with its discarded work in core
+   * milliseconds.
+   */
+  onDiscardedWork(reason: DiscardReason, coreMs: number): void;
   log: Logger;
 }
 
@@ -47,10 +54,17 @@
     const { step, worker, percent, stopReason } = run;
     const { spec } = step.job;
     const ranMs = Math.round(now() - run.placedAt);
+    const discardedCoreMs = end === "done"
+      ? 0
+      : Math.round(lostWorkOf([run], now()));
     log.info(
-      { ...describeRun(run), end, ranMs, percent, stopReason },
+      { ...describeRun(run), end, ranMs, percent, stopReason, discardedCoreMs },
       "run ended",
     );
+    if (end !== "done") {
+      const reason = discardReasonOf(stopReason, end);
+      options.onDiscardedWork(reason, discardedCoreMs);
+    }
     const declared = {
       account: spec.account,
       class: spec.queue,
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -28,6 +28,7 @@
   dropTicket,
   recordAdvice,
 } from "./advice.ts";
+import type { ReclaimOutcome } from "./capacity_reclaim.ts";
 import { createCrashBlame } from "./crash_blame.ts";
 import { createRecordBatches, type RecordBatch } from "./record_batch.ts";
 import { failedAttemptsOf, isOutOfAttempts } from "./failed_attempts.ts";
@@ -44,6 +45,7 @@
 import { createRunObservations, speedKeyOf } from "./run_observations.ts";
 import { createRunStatistics } from "./run_statistics.ts";
 import { createSpeedChangeLog } from "./speed_change_log.ts";
+import type { DiscardReason } from "./stop_reasons.ts";
 import { findIncompleteGangs } from "./stuck_runs.ts";
 import type { StartAnswer, WorkerCommand } from "./worker_commands.ts";
 import { createWorkerRoster, type WorkerListing } from "./worker_roster.ts";
@@ -151,6 +153,13 @@
   onUnknownRunEnd?(end: RunEnd): void;
   /** Called for each worker whose learned speed changes its class. */
   onSpeedChange?(speed: SpeedClass): void;
+  /** Called for decisions on preemption. */
+  onReclaim?(outcome: ReclaimOutcome): void;
+  /**
+   * Called when a run ends without success, with its discarded work in core
+   * milliseconds.
+   */
+  onDiscardedWork?(reason: DiscardReason, coreMs: number): void;
   /** Planning parameters that override the defaults. */
   policy?: Partial<PlanningPolicy>;
   /**
@@ -215,6 +224,7 @@
     wallTime,
     stop,
     askAdvice: (question) => options.askAdvice?.(question),
+    onReclaim: (outcome) => options.onReclaim?.(outcome),
     policy: options.policy,
     isolate,
     log,
@@ -229,6 +239,8 @@
     now,
     slowdownOf,
     workerFactorOf: (run) => workerFactorOf(run, speeds),
+    onDiscardedWork: (reason, coreMs) =>
+      options.onDiscardedWork?.(reason, coreMs),
     log,
   });
 
