feat(bench): a load with workers of unequal speed

Cause: no load of the cell bench has unequal workers or stragglers, so it could not show what learned speeds change.

Change: the load unequal-workers has factors from 0.6 to 2.2 and 3% of tasks that take 7 times as long; the bound takes them into account. The scheduler now shrinks a logarithm smoothly by its uncertainty instead of by a dead band. The test of light load excludes unequal workers, since these are another cause of late jobs; its limit is unchanged and the new load takes part in it with equal workers.

--- a/packages/bench/__tests__/cell_simulation.test.ts
+++ b/packages/bench/__tests__/cell_simulation.test.ts
@@ -16,13 +16,15 @@
 });
 
 // Guards against delays that the simulation itself causes, for example by lost
-// commands or reports. With most workers free and no failures, there is no
-// other cause for late jobs.
+// commands or reports. With most workers free, no failures and equal workers,
+// there is no other cause for late jobs.
 it("cell simulation: nearly all value is earned under light load", () => {
   for (const heavyLoad of CELL_LOADS) {
     const load = {
       ...heavyLoad,
       lengthMs: 20_000,
+      workerFactors: undefined,
+      stragglers: undefined,
       kinds: heavyLoad.kinds.map((kind) => ({
         ...kind,
         rate: LIGHT_LOAD_SHARE * kind.rate,
@@ -48,3 +50,19 @@
     expect(bound).to.be.at.most(owed);
   }
 });
+
+// Load: workers of unequal speed. Guards against urgent gangs that are late
+// because one member runs on a slow worker although fast ones are free.
+it("cell simulation: learned speeds bring urgent gangs in time", () => {
+  const load = CELL_LOADS.find(({ name }) => name === "unequal-workers")!;
+  const meanUrgentShare = (workerSpeeds: number): number => {
+    const shares = [1, 2, 3, 4].map((seed) =>
+      simulateCell(load, {
+        random: createRandom(seed),
+        policy: { workerSpeeds },
+      }).byKind.draft
+    );
+    return shares.reduce((sum, share) => sum + share, 0) / shares.length;
+  };
+  expect(meanUrgentShare(1)).to.be.above(meanUrgentShare(0) + 0.05);
+});
--- a/packages/bench/src/capacity_bound.ts
+++ b/packages/bench/src/capacity_bound.ts
@@ -1,6 +1,10 @@
 import type { Milliseconds } from "@rattanhill/shared";
 import { countFitting } from "@rattanhill/scheduler";
-import type { CellLoadCase, DrawnJob } from "./cell_loads.ts";
+import {
+  type CellLoadCase,
+  type DrawnJob,
+  workerFactorOf,
+} from "./cell_loads.ts";
 
 /** A job with its values and its objective. */
 export interface ValuedJob {
@@ -38,7 +42,9 @@
  * In each time interval, the jobs in time that arrive and are due within it
  * cannot use more than the workers' capacity in the interval; the interval with
  * the largest loss of value gives the bound. A gang job that fits no rack
- * counts as late if the slowdown across racks alone makes it late.
+ * counts as late if the slowdown across racks alone makes it late. Workers of
+ * unequal speed count with the work that they do in a unit of time, and a job
+ * takes as long as on the fastest one.
  *
  * @param load the workers
  * @param jobs the jobs with their values and objectives
@@ -79,7 +85,8 @@
     const fitsRack = step.taskCount <= perWorker * load.workersPerRack;
     const isSlowed = step.needsOneRack === true && !fitsRack;
     return sum +
-      Math.max(...workMs[index]) * (isSlowed ? load.remoteFactor : 1);
+      Math.max(...workMs[index]) * (isSlowed ? load.remoteFactor : 1) *
+        (load.workerFactors?.fastest ?? 1);
   }, 0);
 }
 
@@ -98,7 +105,11 @@
   jobs: readonly FeasibleJob[],
   resource: Resource,
 ): number {
-  const capacity = load.workers * load.capacity[resource];
+  let speed = 0;
+  for (let index = 0; index < load.workers; index++) {
+    speed += 1 / workerFactorOf(load, index);
+  }
+  const capacity = speed * load.capacity[resource];
   const byDueTime = [...jobs].sort((a, b) => a.dueAt - b.dueAt);
   let largestLoss = 0;
   for (const { arrivesAt: from } of jobs) {
--- a/packages/bench/src/cell_loads.ts
+++ b/packages/bench/src/cell_loads.ts
@@ -65,6 +65,13 @@
   reclaimMs: Milliseconds;
   /** Factor by which a gang that needs one rack slows down across racks. */
   remoteFactor: number;
+  /**
+   * Duration factors of the fastest and the slowest workers; the others are
+   * spread evenly between them. Undefined when all workers are alike.
+   */
+  workerFactors?: { fastest: number; slowest: number };
+  /** Share of tasks that take `factor` times as long. */
+  stragglers?: { share: number; factor: number };
 }
 
 /**
@@ -76,7 +83,7 @@
   kind: JobKind;
   arrivesAt: Milliseconds;
   cancelledAt?: Milliseconds;
-  /** Actual work of each task, by step. */
+  /** Actual work of each task on a worker of factor 1, by step. */
   workMs: Milliseconds[][];
 }
 
@@ -90,6 +97,8 @@
 // a batch task runs.
 const MAXIMUM_CANCEL_DELAY_MS: Milliseconds = 6_000;
 
+const GOLDEN_RATIO = (Math.sqrt(5) - 1) / 2;
+
 /**
  * Draws the jobs of a load. Arrivals are a Poisson process with a varying rate,
  * which is drawn by thinning: candidates arrive at the peak rate, and each is
@@ -144,7 +153,9 @@
     work.push(
       Array.from(
         { length: taskCount },
-        () => meanWorkMs * (1 + kind.workDeviation * (2 * random() - 1)),
+        () =>
+          meanWorkMs * (1 + kind.workDeviation * (2 * random() - 1)) *
+          drawStragglerFactor(load, random),
       ),
     );
     specs.push({
@@ -180,6 +191,30 @@
   };
 }
 
+/** Draws no number for a load without stragglers, whose jobs stay the same. */
+function drawStragglerFactor(
+  { stragglers }: CellLoadCase,
+  random: () => number,
+): number {
+  if (stragglers === undefined) return 1;
+  return random() < stragglers.share ? stragglers.factor : 1;
+}
+
+/**
+ * Computes the duration factor of a worker. The factors are spread over the
+ * workers by multiples of the golden ratio, so that neighbours differ.
+ *
+ * @param load the load
+ * @param index number of the worker, from 0
+ * @returns the factor
+ */
+export function workerFactorOf(load: CellLoadCase, index: number): number {
+  if (load.workerFactors === undefined) return 1;
+  const { fastest, slowest } = load.workerFactors;
+  const share = (index * GOLDEN_RATIO) % 1;
+  return fastest * (slowest / fastest) ** share;
+}
+
 /** Draws a log-normal number by the Box-Muller transform. */
 function drawLogNormal(
   { mean, spread, maximum }: { mean: number; spread: number; maximum: number },
@@ -339,8 +374,24 @@
   ],
 };
 
+// Workers of unequal speed that are busy for less than half of the time, with
+// urgent gangs that are late if they get a slow worker.
+const UNEQUAL_WORKERS: CellLoadCase = {
+  ...WIDE_BATCHES,
+  name: "unequal-workers",
+  workers: 64,
+  workerFactors: { fastest: 0.6, slowest: 2.2 },
+  stragglers: { share: 0.03, factor: 7 },
+  kinds: [
+    { ...SUGGEST, rate: 0.4 },
+    { ...DRAFT, estimateError: 0.9, workDeviation: 0.3 },
+    { ...SCORE, rate: 0.3 },
+  ],
+};
+
 /** Loads of the bench, modelled on the platform's published data sheets. */
 export const CELL_LOADS: readonly CellLoadCase[] = [
   WIDE_BATCHES,
   LARGE_WORKERS,
+  UNEQUAL_WORKERS,
 ];
--- a/packages/bench/src/cell_simulation.ts
+++ b/packages/bench/src/cell_simulation.ts
@@ -14,7 +14,12 @@
   workOf,
 } from "@rattanhill/scheduler";
 import { computeValueBound, type ValuedJob } from "./capacity_bound.ts";
-import { type CellLoadCase, drawJobs, type DrawnJob } from "./cell_loads.ts";
+import {
+  type CellLoadCase,
+  drawJobs,
+  type DrawnJob,
+  workerFactorOf,
+} from "./cell_loads.ts";
 import { createEventQueue } from "./event_queue.ts";
 import { createSimulatedWorker } from "./simulated_worker.ts";
 
@@ -116,6 +121,20 @@
     entries: createWorkerEntries(load),
     left: new Set(),
   });
+  const factors = new Map(
+    [...scheduler.state.workers.values()].map((
+      state,
+      index,
+    ) => [state, workerFactorOf(load, index)]),
+  );
+  /** Returns the factor of the run's worker, or of the slowest of its gang. */
+  const gangFactorOf = ({ step, worker }: Run): number => {
+    const members = step.spec.isGang ? [...step.runs.values()] : [];
+    return Math.max(
+      factors.get(worker)!,
+      ...members.map((member) => factors.get(member.worker)!),
+    );
+  };
   const workers = new Map(
     [...scheduler.state.workers.values()].map((state) => [
       state,
@@ -129,7 +148,9 @@
           const work = jobsById.get(job.spec.id)!.workMs[index];
           return spec.isGang ? Math.max(...work) : work[run.index];
         },
-        slowdownOf: (run) => slowdownOf(run, load),
+        slowdownOf: (run) => slowdownOf(run, load) * gangFactorOf(run),
+        progressSlowdownOf: (run) =>
+          slowdownOf(run, load) * factors.get(run.worker)!,
         failureProbabilityOf: (run) =>
           jobsById.get(run.step.job.spec.id)!.kind.failureShare,
         onEnd: (run, runEnd, lostMs) => {
--- a/packages/bench/src/simulated_worker.ts
+++ b/packages/bench/src/simulated_worker.ts
@@ -44,8 +44,16 @@
   stopMs: Milliseconds;
   /** @returns the work of a run; the same for all members of a gang */
   workOf(run: Run): Milliseconds;
-  /** @returns the factor by which the run's placement slows it down */
+  /**
+   * @returns the factor by which the run's placement and its worker, or the
+   * slowest worker of its gang, slow it down
+   */
   slowdownOf(run: Run): number;
+  /**
+   * @returns the factor by which the run reports its progress more slowly than
+   * its work; a member of a gang reports its own work, and then stands at 100
+   */
+  progressSlowdownOf(run: Run): number;
   /** @returns the probability that the run fails */
   failureProbabilityOf(run: Run): number;
   /** Called when a run ends, with the time spent on work that is discarded. */
@@ -67,6 +75,9 @@
   startedAt: Milliseconds;
   /** Time at which the work starts; undefined until the gang is complete. */
   workStartsAt?: Milliseconds;
+  /** Factors by which its work, and its reported progress, are slowed. */
+  slowdown: number;
+  progressSlowdown: number;
   isStopping: boolean;
 }
 
@@ -90,11 +101,12 @@
     );
   /** @returns the completed work, including that of earlier attempts */
   const progressMsOf = (
-    { run, savedMs, workStartsAt }: ActiveRun,
+    { run, savedMs, workStartsAt, slowdown }: ActiveRun,
+    factor = slowdown,
   ): Milliseconds =>
     workStartsAt === undefined ? savedMs : Math.min(
       requiredMsOf(run),
-      savedMs + Math.max(0, now() - workStartsAt) / options.slowdownOf(run),
+      savedMs + Math.max(0, now() - workStartsAt) / factor,
     );
   const requiredMsOf = options.workOf;
 
@@ -128,8 +140,10 @@
     const { run, savedMs } = activeRun;
     const restoreMs = savedMs > 0 ? RESTORE_MS : 0;
     activeRun.workStartsAt = now() + restoreMs;
+    activeRun.slowdown = options.slowdownOf(run);
+    activeRun.progressSlowdown = options.progressSlowdownOf(run);
     const remainingMs = restoreMs +
-      (requiredMsOf(run) - savedMs) * options.slowdownOf(run);
+      (requiredMsOf(run) - savedMs) * activeRun.slowdown;
     if (random() < options.failureProbabilityOf(run)) {
       runAfter(random() * remainingMs, () => {
         if (!activeRun.isStopping) endRun(activeRun, "failed");
@@ -144,7 +158,14 @@
   return {
     start: (run) => {
       const savedMs = Number(run.checkpoint);
-      const activeRun = { run, savedMs, startedAt: now(), isStopping: false };
+      const activeRun = {
+        run,
+        savedMs,
+        startedAt: now(),
+        slowdown: 1,
+        progressSlowdown: 1,
+        isStopping: false,
+      };
       activeRuns.add(activeRun);
       if (!run.step.spec.isGang) startWork(activeRun);
     },
@@ -175,7 +196,8 @@
         number: activeRun.run.number,
         checkpoint: "",
         percent: Math.floor(
-          100 * progressMsOf(activeRun) / requiredMsOf(activeRun.run),
+          100 * progressMsOf(activeRun, activeRun.progressSlowdown) /
+            requiredMsOf(activeRun.run),
         ),
       }));
       return { running, ended: [...pendingEnds] };
--- a/packages/scheduler/__tests__/cell_fixture.ts
+++ b/packages/scheduler/__tests__/cell_fixture.ts
@@ -9,6 +9,7 @@
   createJobBook,
   createScheduler,
   type JobSpec,
+  type PlanningPolicy,
   type QueueRules,
   type Rules,
   type RunEnd,
@@ -80,14 +81,16 @@
  * commands at once.
  *
  * @param options number of workers, of which each rack has 2, and changes of the
- * rules, and what keeps the failure of an item from the others; none by default
+ * rules and of the planning parameters, and what keeps the failure of an item
+ * from the others; none by default
  * @returns the scheduler, its workers, the kinds of records, the questions and
  * the commands that it produced, and functions to operate the cell
  */
 export function createCell(
-  { workers = 2, rules = {}, isolate = noIsolation }: {
+  { workers = 2, rules = {}, policy, isolate = noIsolation }: {
     workers?: number;
     rules?: Partial<Rules>;
+    policy?: Partial<PlanningPolicy>;
     isolate?: Isolate;
   } = {},
 ) {
@@ -120,6 +123,7 @@
     wallTime: clock.wallTime,
     sendCommand: (command) => commands.push(command),
     askAdvice: (question) => questions.push(question),
+    policy,
     isolate,
     log: silentLogger,
   });
--- a/packages/scheduler/__tests__/unequal_workers.test.ts
+++ b/packages/scheduler/__tests__/unequal_workers.test.ts
@@ -149,3 +149,43 @@
   next.settle();
   expect(workersOf(next, "gang")).to.deep.equal(["w6", "w7"]);
 });
+
+/**
+ * Plays a load of urgent gangs beside batch work on unequal workers.
+ *
+ * @returns the number of gangs of 20 that end within 1.5 times their work plus
+ * 250 ms
+ */
+function playGangs(workerSpeeds: number): number {
+  const cell = createCell({ workers: 16, policy: { workerSpeeds } });
+  const shares = [2, 1, 0.6, 0.7, 1.8, 0.6, 1, 1];
+  const factors = Object.fromEntries(
+    [...cell.fleet.keys()].map((id, index) => [id, shares[index % 8]]),
+  );
+  let inTime = 0;
+  for (let index = 0; index < 20; index++) {
+    const id = `gang${index}`;
+    cell.submit(job(`batch${index}`, {
+      queue: "batch",
+      payload: "1000",
+      steps: [step({ taskCount: 32 })],
+    }));
+    cell.submit(job(id, { queue: "urgent", payload: "1000", steps: [GANG] }));
+    const submittedAt = cell.clock.now();
+    let endedAt = Infinity;
+    for (let round = 0; round < 25; round++) {
+      playRounds(cell, factors, 1);
+      if (cell.scheduler.state.jobs.has(id)) continue;
+      endedAt = Math.min(endedAt, cell.clock.now());
+    }
+    if (endedAt - submittedAt <= 1_750) inTime += 1;
+  }
+  return inTime;
+}
+
+// Load: unequal workers with room for each gang on a fast rack. Compares what
+// callers get with and without the learned speeds.
+it("unequal workers: urgent gangs end in time", () => {
+  expect(playGangs(1)).to.be.at.least(17);
+  expect(playGangs(0)).to.be.at.most(10);
+});
--- a/packages/scheduler/src/run_observations.ts
+++ b/packages/scheduler/src/run_observations.ts
@@ -118,8 +118,8 @@
       const timing = timingOf(run);
       const { percent } = run;
       if (!isTimed(run) || !(percent > 0 && percent < 100)) {
-        // The run has started its work again.
-        if (percent < (timing.last?.percent ?? 0)) {
+        // The run has started its work again, or its reports are unreliable.
+        if (!(percent >= (timing.last?.percent ?? 0))) {
           timing.freshSince = undefined;
         }
         timing.from = undefined;
--- a/packages/scheduler/src/worker_speeds.ts
+++ b/packages/scheduler/src/worker_speeds.ts
@@ -51,8 +51,8 @@
   /** @returns the duration factor of a worker; 1 for an unknown one */
   factorOf(worker: string): number;
   /**
-   * @returns the logarithm of the factor, reduced by its uncertainty; 0 while a
-   * difference from the usual speed may be noise
+   * @returns the logarithm of the factor, reduced by its uncertainty: close to 0
+   * while the difference from the usual speed may be noise
    */
   certainLogFactorOf(worker: string): number;
   /** @returns the estimates of all workers with observations */
@@ -103,15 +103,11 @@
  * one run, which corresponds to a factor of 1.42.
  */
 export const MAXIMUM_RUN_SHIFT = 0.35;
-// Differences below this multiple of the estimate's standard deviation, or
-// below the dead band, do not count as certain. The packing of small tasks
-// takes precedence over them.
-const CERTAIN_DEVIATIONS = 1;
-const DEAD_BAND = 0.08;
 // Logarithms of the factor at which a worker becomes slow or fast, and at which
 // it becomes usual again.
 const CLASS_ENTRY = Math.log(1.25);
 const CLASS_EXIT = Math.log(1.12);
+// Standard deviations by which an estimate has to differ from the usual speed.
 const CLASS_DEVIATIONS = 2;
 // Time without observations after which a worker is dropped; its estimate has
 // faded to less than 5% by then.
@@ -199,7 +195,7 @@
         CLIP_DEVIATIONS * Math.sqrt(varianceOf());
       if (isRepeatedSurprise(workerTerm, run, innovation, isSurprise)) {
         // Two runs in a row contradict the estimate, so the worker itself has
-        // probably changed. Without this, dozens of runs would be needed.
+        // probably changed. The small variance would make it take dozens of runs.
         workerTerm.variance = WORKER_PRIOR.variance;
       }
       const variance = varianceOf();
@@ -225,11 +221,7 @@
       const term = currentOf(worker);
       if (term === undefined) return 0;
       const { mean, variance } = term;
-      const margin = Math.max(
-        DEAD_BAND,
-        CERTAIN_DEVIATIONS * Math.sqrt(variance),
-      );
-      return scale * Math.sign(mean) * Math.max(0, Math.abs(mean) - margin);
+      return scale * mean * mean ** 2 / (mean ** 2 + variance);
     },
     dump: () =>
       [...workers].map(([worker, { speed }]) => describe(worker, speed)),
