perf(scheduler): keep the certain factor of a worker for a second

Cause: placement reads the factors of all workers for each step, and each read computed the fading of the estimate.

Change: the result is cached for a second, or until the next observation. A test shows that small tasks stay packed on equal workers after noisy runs.

--- a/packages/scheduler/__tests__/unequal_workers.test.ts
+++ b/packages/scheduler/__tests__/unequal_workers.test.ts
@@ -189,3 +189,34 @@
   expect(playGangs(1)).to.be.at.least(17);
   expect(playGangs(0)).to.be.at.most(10);
 });
+
+// Load: equal workers, tasks of 30% deviation. Guards against noise of the
+// estimates that spreads small tasks over workers which gangs need whole.
+it("unequal workers: on equal workers, small tasks stay packed", () => {
+  const cell = createCell({ workers: 8 });
+  const equal = Object.fromEntries([...cell.fleet.keys()].map((id) => [id, 1]));
+  for (let index = 0; index < 10; index++) {
+    const noisy = Object.fromEntries(
+      Object.keys(equal).map((id, worker) => [
+        id,
+        0.7 + 0.6 * ((7 * index + 5 * worker + index * worker) % 11) / 10,
+      ]),
+    );
+    cell.submit(job(`learn${index}`, {
+      queue: "batch",
+      payload: "1000",
+      steps: [step({ taskCount: 8, maximumPerWorker: 1 })],
+    }));
+    playRounds(cell, noisy, 15);
+  }
+  for (const queue of ["urgent", "batch"]) {
+    for (let index = 0; index < 8; index++) {
+      cell.submit(job(`${queue}${index}`, { queue }));
+      cell.settle();
+    }
+  }
+  const used = [...cell.fleet.values()].filter(({ running }) =>
+    running.size > 0
+  );
+  expect(used).to.have.length(2);
+});
--- a/packages/scheduler/src/worker_speeds.ts
+++ b/packages/scheduler/src/worker_speeds.ts
@@ -79,6 +79,8 @@
   speed: SpeedClass;
   /** Run of the last clipped observation, and the sign of its innovation. */
   surprise?: { run: object; sign: number };
+  /** Cached result of {@link WorkerSpeeds.certainLogFactorOf}. */
+  certain?: { log: number; until: Milliseconds };
 }
 
 /** Variance of a term before its first observation, and its time constant. */
@@ -113,6 +115,9 @@
 // faded to less than 5% by then.
 const WORKER_TTL_MS: Milliseconds = 900_000;
 const SWEEP_INTERVAL_MS: Milliseconds = 60_000;
+// Time for which a certain factor is kept, since placement reads those of all
+// workers for each step. An estimate fades by 0.3% in this time.
+const CERTAIN_TTL_MS: Milliseconds = 1_000;
 // Bound the memory. Observations of further workers are ignored; further
 // queues have a term for each observation only.
 const MAXIMUM_WORKERS = 10_000;
@@ -211,6 +216,7 @@
         term.mean += shift;
         term.variance *= 1 - gain;
       }
+      workerTerm.certain = undefined;
       const speed = classOf(workerTerm);
       if (speed === workerTerm.speed) return;
       workerTerm.speed = speed;
@@ -218,10 +224,14 @@
     },
     factorOf: (worker) => Math.exp(scale * (currentOf(worker)?.mean ?? 0)),
     certainLogFactorOf: (worker) => {
-      const term = currentOf(worker);
+      const term = workers.get(worker);
       if (term === undefined) return 0;
-      const { mean, variance } = term;
-      return scale * mean * mean ** 2 / (mean ** 2 + variance);
+      if (term.certain === undefined || now() >= term.certain.until) {
+        const { mean, variance } = faded({ ...term }, WORKER_PRIOR, now());
+        const log = scale * mean * mean ** 2 / (mean ** 2 + variance);
+        term.certain = { log, until: now() + CERTAIN_TTL_MS };
+      }
+      return term.certain.log;
     },
     dump: () =>
       [...workers].map(([worker, { speed }]) => describe(worker, speed)),
