--- a/packages/scheduler/__tests__/unequal_workers.test.ts
+++ b/packages/scheduler/__tests__/unequal_workers.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { speedKeyOf } from "../src/mod.ts";
 import { createCell, job, step } from "./cell_fixture.ts";
 
 type Cell = ReturnType<typeof createCell>;
@@ -220,3 +221,34 @@
   );
   expect(used).to.have.length(2);
 });
+
+// Failure: the lead is lost while runs are in progress. Guards against a new
+// lead that counts their earlier progress as its own time, or learns nothing
+// from them.
+it("unequal workers: a new lead learns from the runs that it restores", () => {
+  const cell = createCell({ workers: 8 });
+  cell.submit(job("a", {
+    queue: "batch",
+    payload: "3000",
+    steps: [step({ taskCount: 8, maximumPerWorker: 1, estimateMs: 3_000 })],
+  }));
+  playRounds(cell, FACTORS, 5);
+  const next = createCell({ workers: 8 });
+  next.scheduler.restore(cell.book.find("a")!, next.clock.now() + 10_000);
+  for (const [id, worker] of cell.fleet) {
+    next.fleet.get(id)!.running = worker.running;
+  }
+  playRounds(next, FACTORS, 12);
+  const speedOf = (id: string) =>
+    next.scheduler.speedOf(next.scheduler.state.workers.get(id)!);
+  for (const id of ["w0", "w2"]) expect(speedOf(id), id).to.be.above(1.1);
+  for (const id of ["w3", "w5", "w6", "w7"]) {
+    expect(speedOf(id), id).to.be.below(0.9);
+  }
+});
+
+// Guards against a worker that is unknown again after each restart.
+it("unequal workers: a factor stays with the VM of a worker", () => {
+  expect(speedKeyOf({ id: "w0+", vm: "w0" })).to.equal("w0");
+  expect(speedKeyOf({ id: "w0", vm: undefined })).to.equal("w0");
+});
