fix(cell): a new lead renews leases while it reads the evacuations

Cause: a new lead waited for the operators' topic before it polled any worker. If only this topic could not be read, the leases of all runs expired. The test of an unreadable topic also passed without the check of the topic's age, since it began before a lead was elected.

Change: the new lead restores and polls at once, and starts nothing before it has read the topic to its end. The test runs a job first. Tests of cold gangs and of placement while a zone reopens are sharper.

--- a/packages/cell/__tests__/lead_evacuation.test.ts
+++ b/packages/cell/__tests__/lead_evacuation.test.ts
@@ -115,42 +115,57 @@
   return { lead, starts, submit };
 }
 
-// Guards against a new lead that plans by requests which it read before it was
-// elected, or by none.
-it("lead evacuation: nothing is planned before the requests are read", async () => {
-  const failures = [unavailable, unavailable];
-  let zones = new Set<string>();
+// Guards against a new lead that starts tasks by requests which it read before
+// it was elected, and against runs whose leases expire while it waits for them.
+it("lead evacuation: nothing starts before the requests are read", async () => {
+  const failures = Array.from({ length: 3 }, () => unavailable);
   const { lead, starts, submit } = createLead({
     catchUpOperators: async () => {
-      await pause(50);
+      await pause(10);
       const failure = failures.shift();
       if (failure !== undefined) throw failure;
-      zones = new Set(["a"]);
+      lead.updateEvacuations(new Set(["a"]));
     },
-    evacuatedZones: () => zones,
   });
-  const started = lead.start();
-  await pause(200);
-  expect(lead.scheduler()).to.equal(undefined);
-  await started;
+  await lead.start();
+  submit("j");
+  await pause(300);
+  const { workers } = lead.scheduler()!.state;
+  const hasLease = [...workers.values()].every(({ leasesEndBy }) =>
+    leasesEndBy > 0
+  );
+  expect([hasLease, starts]).to.deep.equal([true, []]);
+  await pause(800);
+  lead.close();
+  expect(starts).to.deep.equal(["b"]);
+});
+
+it("lead evacuation: requests that are known before the start apply", async () => {
+  const { lead, starts, submit } = createLead({
+    evacuatedZones: () => new Set(["a"]),
+  });
+  await lead.start();
   submit("j");
   await pause(300);
   lead.close();
   expect(starts).to.deep.equal(["b"]);
 });
 
-it("lead evacuation: a lead that ends before the requests are read ends", async () => {
+it("lead evacuation: a lead whose term has ended reads no requests", async () => {
   let isLeading = true;
+  let reads = 0;
   const { lead } = createLead({
     catchUpOperators: () => {
+      reads += 1;
       isLeading = false;
       return Promise.reject(unavailable);
     },
     isLeading: () => isLeading,
   });
   await lead.start();
+  await pause(500);
   lead.close();
-  expect(lead.scheduler()).to.equal(undefined);
+  expect(reads).to.equal(1);
 });
 
 it("lead evacuation: a change takes effect on the next start", async () => {
--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -131,6 +131,8 @@
   const journal = createCellJournal({ ...options, isLeading });
   let scheduler: Scheduler | undefined;
   let isClosed = false;
+  /** Whether this lead has read the operators' topic to its end. */
+  let areRequestsRead = false;
   let isStoring = false;
   let isPlanningScheduled = false;
   let planningMs: Milliseconds = 0;
@@ -293,11 +295,17 @@
     }
   };
 
-  /** Waits until the requests of the operators are known, or the term ends. */
-  const waitForOperators = async (): Promise<void> => {
-    while (isLeading()) {
+  /**
+   * Reads the requests of the operators up to the end of their topic, before
+   * which nothing is started. All else goes on meanwhile, so that the leases of
+   * runs do not expire when only this topic cannot be read.
+   */
+  const readOperatorRequests = async (): Promise<void> => {
+    while (isLeading() && !areRequestsRead) {
       try {
-        return await options.catchUpOperators();
+        await options.catchUpOperators();
+        areRequestsRead = true;
+        schedulePlanning();
       } catch (error) {
         log.warn(
           { term, error: describeError(error) },
@@ -311,20 +319,20 @@
   return {
     start: async () => {
       const takenOverAt = clock.now();
-      const operatorsKnown = waitForOperators();
+      void readOperatorRequests();
       const journalEnd = await journal.open();
       if (journalEnd === undefined) return;
       const progress = await journal.readProgress();
       await options.waitForBook(journalEnd);
       if (progress === undefined) return;
       const listing = await options.listWorkers();
-      await operatorsKnown;
       if (!isLeading()) return;
       scheduler = createScheduler({
         now: clock.now,
         wallTime: clock.wallTime,
         sendCommand: links.sendCommand,
-        areRequestsCurrent: options.areRequestsCurrent,
+        areRequestsCurrent: () =>
+          areRequestsRead && options.areRequestsCurrent(),
         askAdvice: (question) => void requestAdvice(question),
         onUnknownRunEnd: (end) =>
           metrics.incrementCounter(`run.unknown.${end}`),
--- a/packages/scheduler/__tests__/cold_workers.test.ts
+++ b/packages/scheduler/__tests__/cold_workers.test.ts
@@ -22,46 +22,55 @@
   expect(workers).to.deep.equal(["w1", "w1", "w0"]);
 });
 
-// Of the cold rack one worker is in use, so it would be chosen for its score.
+// The cold rack is nearly full, so its score is lower in spite of the penalty.
 it("cold workers: a gang on one rack prefers a rack that is not cold", () => {
   const cell = createCell({ workers: 4 });
-  cell.submit(job("small", { steps: [step({ estimateMs: 60_000 })] }));
+  const nearlyFull = step({
+    taskCount: 2,
+    milliCores: 30_000,
+    memoryMegabytes: 60_000,
+    accelerators: 7,
+    estimateMs: 60_000,
+    isGang: true,
+    needsOneRack: true,
+  });
+  cell.submit(job("busy", { steps: [nearlyFull] }));
   cell.settle();
-  const [{ worker }] = cell.runs("small");
-  const { rack } = cell.entries.find(({ id }) => id === worker)!;
+  const rackOf = (id: string) =>
+    cell.entries.find((entry) => entry.id === id)!.rack;
+  const rack = rackOf(cell.runs("busy")[0].worker);
   for (const entry of cell.entries) {
     if (entry.rack === rack) entry.coldRemainingMs = 5_000;
   }
   cell.updateListing();
-  const gang = step({ taskCount: 4, isGang: true, needsOneRack: true });
+  const gang = step({ taskCount: 2, isGang: true, needsOneRack: true });
   cell.submit(job("gang", { queue: "urgent", steps: [gang] }));
   cell.settle();
-  const racks = cell.runs("gang").map((run) =>
-    cell.entries.find(({ id }) => id === run.worker)!.rack
-  );
-  expect(racks).to.have.length(4).and.not.include(rack);
+  const racks = cell.runs("gang").map(({ worker }) => rackOf(worker));
+  expect(racks).to.have.length(2).and.not.include(rack);
 });
 
-// Spanning racks costs a gang more than a cold rack.
+// A gang that spans racks takes up to three times as long.
 it("cold workers: a gang uses a cold rack rather than spanning others", () => {
   const cell = createCell({ workers: 6 });
-  const half = step({ accelerators: 4, estimateMs: 60_000, taskCount: 8 });
-  cell.submit(job("busy", { steps: [half] }));
-  cell.settle();
-  for (const entry of cell.entries) {
-    const isBusy = cell.runs("busy").some(({ worker }) => worker === entry.id);
-    if (!isBusy) entry.coldRemainingMs = 5_000;
+  // One worker of each of the first two racks is full.
+  for (const index of [0, 2]) {
+    cell.entries[index].labels = ["full", cell.entries[index].rack];
   }
+  for (const index of [4, 5]) cell.entries[index].coldRemainingMs = 9_000;
   cell.updateListing();
-  const gang = step({
-    taskCount: 2,
-    accelerators: 8,
-    isGang: true,
-    needsOneRack: true,
-  });
+  const whole = { taskCount: 2, accelerators: 8, estimateMs: 60_000 };
+  cell.submit(job("busy", {
+    steps: [step({ ...whole, requiredLabel: "full" })],
+  }));
+  cell.settle();
+  const gang = step({ ...whole, isGang: true, needsOneRack: true });
   cell.submit(job("gang", { queue: "urgent", steps: [gang] }));
+  // From then on it may span racks.
+  cell.clock.advance(2_900);
   cell.settle();
-  expect(cell.runs("gang")).to.have.length(2);
+  const workers = cell.runs("gang").map(({ worker }) => worker).sort();
+  expect(workers).to.deep.equal(["w4", "w5"]);
 });
 
 // The list is applied again whenever another entry changes.
--- a/packages/scheduler/__tests__/zone_evacuation.test.ts
+++ b/packages/scheduler/__tests__/zone_evacuation.test.ts
@@ -101,6 +101,24 @@
   }
 });
 
+// A run that is placed on a worker which may not be started yet would be
+// released and placed again in each pass.
+it("evacuation: nothing is placed on a worker before it reopens", () => {
+  const cell = createZones(8);
+  cell.evacuate("a");
+  cell.evacuate();
+  cell.submit(job("many", { steps: [wholeWorkerStep(8)] }));
+  cell.scheduler.plan();
+  const placedZones = () =>
+    [...cell.scheduler.state.workers.values()].flatMap(({ runs, zone }) =>
+      [...runs].map(() => zone)
+    ).sort();
+  expect(placedZones()).to.deep.equal(["b", "b", "b", "b"]);
+  cell.clock.advance(3_000);
+  cell.scheduler.plan();
+  expect(placedZones().slice(0, 4)).to.deep.equal(["a", "a", "a", "a"]);
+});
+
 it("evacuation: a second request closes the workers that have reopened", () => {
   const cell = createZones(8);
   cell.evacuate("a");
