fix(cell): restore a submission that a later one of its ID replaced

Cause: the first submission of an ID is the job, but a later one of another sender, stored by an entry that had not read the first, is the newest record of the key. A starting entry reads only that one and takes it for the job: the owner gets 410 there, and a new lead runs the other.

Change: a book that sees a later submission of another job reports it; the lead stores the first again, marked isRestored, and every book takes that one.

--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -39,6 +39,11 @@
   submitJob(spec: JobSpec): void;
   /** Cancels a job whose cancellation was stored by any entry. */
   cancelJob(job: string): void;
+  /**
+   * Stores a submission again that a later one with the same ID has replaced as
+   * the newest record of its key, which is what a starting entry reads.
+   */
+  restoreSubmission(spec: JobSpec): void;
   /** Applies a new list of workers. */
   updateWorkers(listing: WorkerListing): void;
   /** Applies the rules of a new configuration. */
@@ -106,6 +111,9 @@
 // append.
 const MAXIMUM_REMOVALS_PER_APPEND = 50;
 
+// Job IDs in the log line on submissions that were stored again.
+const MAXIMUM_LOGGED_JOBS = 10;
+
 /**
  * Creates the lead of a cell for one term.
  *
@@ -120,6 +128,7 @@
   let isClosed = false;
   let isStoring = false;
   let isPlanningScheduled = false;
+  let overwritten: JobSpec[] = [];
   let planningMs: Milliseconds = 0;
   let planningTimer: NodeJS.Timeout | undefined;
   let loadLogTimer: NodeJS.Timeout | undefined;
@@ -177,6 +186,7 @@
     isStoring = true;
     try {
       while (scheduler !== undefined && isLeading()) {
+        if (!await storeOverwritten()) return;
         const batch = scheduler.takeBatch();
         links.notifyEndsStored();
         if (batch === undefined) return;
@@ -205,6 +215,29 @@
     }
   };
 
+  /** Stores overwritten submissions again; returns whether this succeeded. */
+  const storeOverwritten = async (): Promise<boolean> => {
+    // A job that was removed meanwhile must not come back.
+    const specs = overwritten.filter(({ id }) => book.find(id) !== undefined);
+    overwritten = [];
+    if (specs.length === 0) return true;
+    const isStored = await journal.append(
+      specs.map((spec) => ({
+        kind: "submission",
+        spec: { ...spec, isRestored: true },
+      })),
+    );
+    metrics.incrementCounter("submission.restored");
+    log.warn(
+      {
+        jobs: specs.slice(0, MAXIMUM_LOGGED_JOBS).map(({ id }) => id),
+        isStored,
+      },
+      "submissions stored again: later ones had their IDs",
+    );
+    return isStored;
+  };
+
   /**
    * Removes ended jobs from the journal and the book once their retention time
    * and the resubmission margin are over.
@@ -335,6 +368,10 @@
       scheduler?.cancel(job);
       schedulePlanning();
     },
+    restoreSubmission: (spec) => {
+      overwritten.push(spec);
+      schedulePlanning();
+    },
     updateWorkers: (listing) => {
       scheduler?.updateWorkers(listing);
       schedulePlanning();
--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -158,6 +158,7 @@
   const book = createJobBook({
     submitted: (spec) => lead?.submitJob(spec),
     cancelled: (job) => lead?.cancelJob(job),
+    overwritten: (spec) => lead?.restoreSubmission(spec),
   });
   const journalFollower = createTopicFollower({
     store,
--- a/packages/entry/__tests__/peer_handlers.test.ts
+++ b/packages/entry/__tests__/peer_handlers.test.ts
@@ -22,13 +22,16 @@
   };
 }
 
-function findAt(registry: RequestRegistry): Promise<FindReply> {
+function findAt(
+  registry: RequestRegistry,
+  account = "notun",
+): Promise<FindReply> {
   const { Find } = createPeerHandlers({
     registry,
     placerHost: {} as PlacerHost,
     config: () => ({ version: 0, text: "", author: "", id: "" }),
   });
-  const call = { request: { account: "notun", key: "key", id: "", waitMs: 0 } };
+  const call = { request: { account, key: "key", id: "", waitMs: 0 } };
   return new Promise((resolve) =>
     Find(
       call as Parameters<typeof Find>[0],
@@ -49,3 +52,12 @@
   const { registry } = createRegistry();
   expect((await findAt(registry)).found).to.equal(false);
 });
+
+// Guards against requests that another account finds, since entries trust the
+// account that the asking entry names.
+it("peer handlers: a lookup finds only the account's own requests", async () => {
+  const { registry, admit } = createRegistry();
+  admit();
+  expect((await findAt(registry, "other")).found).to.equal(false);
+  expect((await findAt(registry)).found).to.equal(true);
+});
--- a/packages/scheduler/__tests__/job_book.test.ts
+++ b/packages/scheduler/__tests__/job_book.test.ts
@@ -122,3 +122,27 @@
   book.apply({ kind: "submission", spec: job("a") });
   expect(events).to.deep.equal(["submitted a", "cancelled a"]);
 });
+
+// Guards against entries that start from the newest record of each key, and
+// then take a later submission of an ID for the job.
+it("job book: an overwritten submission is reported, and restored by the lead", () => {
+  const overwritten: string[] = [];
+  const createBook = () =>
+    createJobBook({
+      overwritten: ({ account }) => overwritten.push(account),
+    });
+  const first = { ...job("a"), account: "first" };
+  const second = { ...job("a"), account: "second" };
+  const book = createBook();
+  for (const spec of [first, first, second]) {
+    book.apply({ kind: "submission", spec });
+  }
+  expect(overwritten).to.deep.equal(["first"]);
+  const started = createBook();
+  const restored = { ...first, isRestored: true };
+  for (const spec of [second, restored]) {
+    started.apply({ kind: "submission", spec });
+  }
+  expect(started.find("a")!.spec.account).to.equal("first");
+  expect(overwritten).to.deep.equal(["first"]);
+});
--- a/packages/scheduler/src/job_book.ts
+++ b/packages/scheduler/src/job_book.ts
@@ -61,6 +61,12 @@
   submitted?(spec: JobSpec): void;
   /** Called once for each cancelled job. */
   cancelled?(job: string): void;
+  /**
+   * Called for each later submission of another job with the ID of a known one.
+   *
+   * @param spec the known job
+   */
+  overwritten?(spec: JobSpec): void;
 }
 
 /**
@@ -124,14 +130,18 @@
     earlyRecords.delete(id);
   };
 
-  /** Replaces an unconfirmed submission by the first one in the journal. */
-  const confirmJob = (job: StoredJob, spec: JobSpec): void => {
+  const replaceSpec = (job: StoredJob, spec: JobSpec): void => {
     if (isPending(job)) {
       const { queue } = job.spec;
       pendingCounts.set(queue, (pendingCounts.get(queue) ?? 0) - 1);
       pendingCounts.set(spec.queue, (pendingCounts.get(spec.queue) ?? 0) + 1);
     }
     job.spec = spec;
+  };
+
+  /** Replaces an unconfirmed submission by the first one in the journal. */
+  const confirmJob = (job: StoredJob, spec: JobSpec): void => {
+    replaceSpec(job, spec);
     job.unconfirmedUntil = undefined;
     listener.submitted?.(spec);
     if (job.isCancelled) listener.cancelled?.(spec.id);
@@ -141,7 +151,13 @@
   const addSubmittedJob = (spec: JobSpec): void => {
     const known = jobs.get(spec.id);
     if (known?.unconfirmedUntil !== undefined) return confirmJob(known, spec);
-    if (known !== undefined) return;
+    if (known !== undefined) {
+      if (isSameSubmission(known.spec, spec)) return;
+      // Only the lead restores a submission, and it knows which was the first.
+      if (spec.isRestored) replaceSpec(known, spec);
+      else listener.overwritten?.(known.spec);
+      return;
+    }
     const job = addJob(spec);
     listener.submitted?.(spec);
     applyEarlyRecords(job);
@@ -184,3 +200,8 @@
     },
   };
 }
+
+function isSameSubmission(one: JobSpec, other: JobSpec): boolean {
+  return one.account === other.account && one.queue === other.queue &&
+    one.bodyDigest === other.bodyDigest;
+}
--- a/packages/scheduler/src/job_types.ts
+++ b/packages/scheduler/src/job_types.ts
@@ -72,6 +72,11 @@
    * recognized. Jobs that earlier versions stored have none.
    */
   bodyDigest?: string;
+  /**
+   * Whether the lead stored the submission again, since a later one with the
+   * same ID had replaced it as the newest record of its key.
+   */
+  isRestored?: boolean;
 }
 
 /** How a job ended. */
