refactor(cell): split the job service

Change: the calls' types, the writer of records and the submissions in progress are modules of their own; nothing else changes.

--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -10,17 +10,14 @@
   type Deployment,
   type WorkerEntry,
 } from "@rattanhill/scheduler";
+import type { CallerCall, CallerReply } from "./caller_calls.ts";
 import { type CellLead, createCellLead } from "./cell_lead.ts";
 import {
   type ActiveConfig,
   type ClusterConfig,
   indexConfig,
 } from "./cluster_config.ts";
-import {
-  type CallerCall,
-  type CallerReply,
-  createJobService,
-} from "./job_service.ts";
+import { createJobService } from "./job_service.ts";
 import { createLeadLease } from "./lead_lease.ts";
 import type { Metrics } from "./metrics.ts";
 import {
--- a/packages/cell/src/job_service.ts
+++ b/packages/cell/src/job_service.ts
@@ -4,69 +4,28 @@
   type Logger,
   type Milliseconds,
   pause,
-  UnavailableError,
 } from "@rattanhill/shared";
 import {
   encodeRecord,
   type JobBook,
   type JobSpec,
-  type JobState,
   type KeyedValue,
   type StoredJob,
 } from "@rattanhill/scheduler";
 import { sizeOfRecord } from "./append_limits.ts";
 import { createAccessRefusals } from "./access_refusals.ts";
-import { createBatchWriter } from "./batch_writer.ts";
+import type { CallerCall, CallerReply, SubmittedJob } from "./caller_calls.ts";
 import type { ActiveConfig, Queue } from "./cluster_config.ts";
 import {
   createBodyDigest,
-  type JobBody,
   type JobCaller,
   judgeSubmission,
   mayAccessJob,
 } from "./job_access.ts";
 import type { Metrics } from "./metrics.ts";
+import { createRecordWriter } from "./record_writer.ts";
 import type { Store } from "./store.ts";
-
-/** One call of a client program to a queue. */
-export interface CallerCall {
-  action: "submit" | "cancel" | "ask";
-  host: string;
-  path: string;
-  /** API key of the calling client account; public queues need none. */
-  key?: string;
-  /** Time for which the caller waits for the reply. */
-  deadlineMs?: Milliseconds;
-  /**
-   * Decodes the submitted job.
-   *
-   * @throws InvalidError when the body is not a valid job
-   */
-  readJob?(): SubmittedJob;
-}
-
-/** Part of a job that the caller provides; the entry adds the rest. */
-export type SubmittedJob = JobBody;
-
-/** Reply to a call. Its kind is logged and is part of metric names. */
-export type CallerReply =
-  | { kind: "accepted" }
-  | { kind: "cancelled" }
-  | { kind: "state"; state: JobState }
-  | { kind: "pending"; count: number }
-  /** The call had no effect and may be retried after `retryAfterMs`. */
-  | { kind: "unavailable"; retryAfterMs: Milliseconds; reason: string }
-  /**
-   * The store did not confirm the write: the call may have taken effect, or may
-   * still do so.
-   */
-  | { kind: "uncertain" }
-  | { kind: "unknownQueue" }
-  | { kind: "unknownJob" }
-  /** The ID belongs to another job; this submission was not accepted. */
-  | { kind: "conflict"; reason: string }
-  | { kind: "unknownKey" }
-  | { kind: "invalid"; reason: string };
+import { createSubmissionsInProgress } from "./submissions_in_progress.ts";
 
 /** Handles calls of client programs, using the job book and the store. */
 export interface JobService {
@@ -135,19 +94,9 @@
 // Maximum fraction of the deadline that is reserved for the reply. The store
 // answers in 8 ms, so calls with short deadlines can still be served.
 const MAXIMUM_REPLY_MARGIN_FRACTION = 0.25;
-// A store that is slowed down 60-fold answers in 0.3 s.
-const APPEND_TIMEOUT_MS: Milliseconds = 1_000;
-// Number of refusals after which a record is not tried again, if no attempt is
-// uncertain. A full partition of the store clears within 2 s, an outage does
-// not.
-const MAXIMUM_REFUSALS = 2;
-const RETRY_DELAY_MS: Milliseconds = 150;
 // Stored size of the progress of one task: its index and run number, its worker
 // and the worker's lifetime, and a checkpoint.
 const PROGRESS_BYTES_PER_TASK = 120;
-// Length of a store outage above which writes are refused without an attempt.
-// An outage counts from the end of the 1 s for which a read may wait.
-const FAIL_FAST_OUTAGE_MS: Milliseconds = 1_500;
 // Length of a store outage above which callers get the long retry delay.
 const MAXIMUM_SHORT_OUTAGE_MS: Milliseconds = 1_000;
 const RETRY_AFTER_SHORT_MS: Milliseconds = 1_000;
@@ -162,11 +111,10 @@
  */
 export function createJobService(options: JobServiceOptions): JobService {
   const { book, clock, log, metrics } = options;
-  const writer = createBatchWriter(options);
+  const storeRecord = createRecordWriter(options);
   const recordRefusal = createAccessRefusals(options);
   const refusals = new WeakSet<CallerReply>();
-  /** Submissions whose writes are not finished, by job ID. */
-  const writing = new Map<string, { spec: JobSpec; count: number }>();
+  const writing = createSubmissionsInProgress();
 
   const unavailable = (reason: string): CallerReply => ({
     kind: "unavailable",
@@ -176,38 +124,6 @@
     reason,
   });
 
-  /**
-   * Appends a record, with retries until the deadline. Returns the end offset
-   * of the append, and `refused` only when no attempt can have stored the
-   * record.
-   */
-  const storeRecord = async (
-    value: KeyedValue,
-    deadline: Milliseconds,
-  ): Promise<number | "refused" | "uncertain"> => {
-    // The call fails fast, so that the caller can retry at another entry, which
-    // may be able to reach the store.
-    if (options.storeOutageMs() > FAIL_FAST_OUTAGE_MS) return "refused";
-    let isUncertain = false;
-    let refusals = 0;
-    while (true) {
-      const remainingMs = deadline - clock.now();
-      try {
-        return await writer.append(
-          value,
-          Math.max(0, Math.min(remainingMs, APPEND_TIMEOUT_MS)),
-        );
-      } catch (error) {
-        if (error instanceof UnavailableError) refusals += 1;
-        else isUncertain = true;
-      }
-      if (!isUncertain && refusals >= MAXIMUM_REFUSALS) return "refused";
-      const hasTimeLeft = clock.now() + RETRY_DELAY_MS < deadline;
-      if (!hasTimeLeft) return isUncertain ? "uncertain" : "refused";
-      await pause(RETRY_DELAY_MS);
-    }
-  };
-
   /** Counts and logs a call that was refused access to a job. */
   const refuseAccess = (
     target: JobTarget,
@@ -309,7 +225,7 @@
           "the job or its progress exceeds the record size limit of the store",
       };
     }
-    if (!beginWriting(spec)) {
+    if (!writing.begin(spec)) {
       return unavailable("another job with the same ID is being stored");
     }
     try {
@@ -326,31 +242,10 @@
       // The submission was stored, so it may count although it is not known yet.
       return reply.kind === "unavailable" ? { kind: "uncertain" } : reply;
     } finally {
-      endWriting(id);
+      writing.end(id);
     }
   };
 
-  /**
-   * Notes that a submission is being written. Two that differ are not written
-   * at the same time, since either could be the first in the journal.
-   */
-  const beginWriting = (spec: JobSpec): boolean => {
-    const other = writing.get(spec.id);
-    const isSame = other === undefined ||
-      (other.spec.account === spec.account &&
-        other.spec.queue === spec.queue &&
-        other.spec.bodyDigest === spec.bodyDigest);
-    if (!isSame) return false;
-    writing.set(spec.id, { spec, count: (other?.count ?? 0) + 1 });
-    return true;
-  };
-
-  const endWriting = (id: string): void => {
-    const { spec, count } = writing.get(id)!;
-    if (count === 1) writing.delete(id);
-    else writing.set(id, { spec, count: count - 1 });
-  };
-
   /**
    * Checks whether the submission, or the progress record of one of the steps
    * while it runs, would exceed the store's limit on the size of a record.
--- a/packages/cell/src/mod.ts
+++ b/packages/cell/src/mod.ts
@@ -1,6 +1,7 @@
 export * from "./access_refusals.ts";
 export * from "./append_limits.ts";
 export * from "./batch_writer.ts";
+export * from "./caller_calls.ts";
 export * from "./cell_journal.ts";
 export * from "./cell_lead.ts";
 export * from "./cluster_config.ts";
--- a/packages/scheduler/src/job_book.ts
+++ b/packages/scheduler/src/job_book.ts
@@ -1,5 +1,10 @@
 import type { Milliseconds } from "@rattanhill/shared";
-import type { JobOutcome, JobSpec, JobState } from "./job_types.ts";
+import {
+  isSameSubmission,
+  type JobOutcome,
+  type JobSpec,
+  type JobState,
+} from "./job_types.ts";
 import type { CellRecord, StepRecord } from "./records.ts";
 
 /** A job as recorded in the store. */
@@ -200,8 +205,3 @@
     },
   };
 }
-
-function isSameSubmission(one: JobSpec, other: JobSpec): boolean {
-  return one.account === other.account && one.queue === other.queue &&
-    one.bodyDigest === other.bodyDigest;
-}
--- a/packages/scheduler/src/job_types.ts
+++ b/packages/scheduler/src/job_types.ts
@@ -136,3 +136,9 @@
   if (repetition === undefined) return spec.submittedAt;
   return repetition.startAt + occurrence * repetition.intervalMs;
 }
+
+/** @returns whether two submissions of an ID have the same sender and body */
+export function isSameSubmission(one: JobSpec, other: JobSpec): boolean {
+  return one.account === other.account && one.queue === other.queue &&
+    one.bodyDigest === other.bodyDigest;
+}
