feat(cli): check a platform configuration before it is sent

Cause: the decoder stops at the first fault, and takes documents whose routes can never match, whose keys belong to two tenants, or whose limits rule out every job. Operators learned of it after sending.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,6 +4,7 @@
 import { requestBodySchema } from "@rattanhill/protocol";
 import yargs from "yargs";
 import { hideBin } from "yargs/helpers";
+import { checkConfigFile } from "./config_commands.ts";
 import { ExitCode } from "./exit_codes.ts";
 import { drain, explain, showState, showStatus } from "./operator_commands.ts";
 import { createOutput, type Output } from "./output.ts";
@@ -59,6 +60,40 @@
     default: false,
     describe: "print the result as one line of JSON",
   })
+  .command(
+    "config",
+    "check the platform's configuration",
+    (command) =>
+      command
+        .command(
+          "check <file>",
+          "check a configuration document before it is sent",
+          (options) =>
+            options.positional("file", {
+              type: "string",
+              demandOption: true,
+              describe: "configuration document, JSON",
+            }).options({
+              against: {
+                type: "string",
+                describe: "document in force; prints the differences",
+              },
+              accelerators: {
+                type: "number",
+                describe: "accelerators of all workers, to check guarantees",
+              },
+              services: {
+                type: "array",
+                string: true,
+                describe: "services that workers offer",
+              },
+            }),
+          createHandler((args, output) =>
+            checkConfigFile(args.file, args, output)
+          ),
+        )
+        .demandCommand(1, "missing command: check"),
+  )
   .command(
     "rules",
     "check, compare, publish and show rules",
