--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -10,17 +10,14 @@
   type Deployment,
   type WorkerEntry,
 } from "@rattanhill/scheduler";
+import type { CallerCall, CallerReply } from "./caller_calls.ts";
 import { type CellLead, createCellLead } from "./cell_lead.ts";
 import {
   type ActiveConfig,
   type ClusterConfig,
   indexConfig,
 } from "./cluster_config.ts";
-import {
-  type CallerCall,
-  type CallerReply,
-  createJobService,
-} from "./job_service.ts";
+import { createJobService } from "./job_service.ts";
 import { createLeadLease } from "./lead_lease.ts";
 import {
   createEvacuationRequests,
@@ -172,6 +169,7 @@
   const book = createJobBook({
     submitted: (spec) => lead?.submitJob(spec),
     cancelled: (job) => lead?.cancelJob(job),
+    overwritten: (spec) => lead?.restoreSubmission(spec),
   });
   const journalFollower = createTopicFollower({
     store,
--- a/packages/scheduler/src/job_book.ts
+++ b/packages/scheduler/src/job_book.ts
@@ -1,5 +1,10 @@
 import type { Milliseconds } from "@rattanhill/shared";
-import type { JobOutcome, JobSpec, JobState } from "./job_types.ts";
+import {
+  isSameSubmission,
+  type JobOutcome,
+  type JobSpec,
+  type JobState,
+} from "./job_types.ts";
 import type { CellRecord, StepRecord } from "./records.ts";
 
 /** A job as recorded in the store. */
@@ -61,6 +66,12 @@
   submitted?(spec: JobSpec): void;
   /** Called once for each cancelled job. */
   cancelled?(job: string): void;
+  /**
+   * Called for each later submission of another job with the ID of a known one.
+   *
+   * @param spec the known job
+   */
+  overwritten?(spec: JobSpec): void;
 }
 
 /**
@@ -124,14 +135,18 @@
     earlyRecords.delete(id);
   };
 
-  /** Replaces an unconfirmed submission by the first one in the journal. */
-  const confirmJob = (job: StoredJob, spec: JobSpec): void => {
+  const replaceSpec = (job: StoredJob, spec: JobSpec): void => {
     if (isPending(job)) {
       const { queue } = job.spec;
       pendingCounts.set(queue, (pendingCounts.get(queue) ?? 0) - 1);
       pendingCounts.set(spec.queue, (pendingCounts.get(spec.queue) ?? 0) + 1);
     }
     job.spec = spec;
+  };
+
+  /** Replaces an unconfirmed submission by the first one in the journal. */
+  const confirmJob = (job: StoredJob, spec: JobSpec): void => {
+    replaceSpec(job, spec);
     job.unconfirmedUntil = undefined;
     listener.submitted?.(spec);
     if (job.isCancelled) listener.cancelled?.(spec.id);
@@ -141,7 +156,13 @@
   const addSubmittedJob = (spec: JobSpec): void => {
     const known = jobs.get(spec.id);
     if (known?.unconfirmedUntil !== undefined) return confirmJob(known, spec);
-    if (known !== undefined) return;
+    if (known !== undefined) {
+      if (isSameSubmission(known.spec, spec)) return;
+      // Only the lead restores a submission, and it knows which was the first.
+      if (spec.isRestored) replaceSpec(known, spec);
+      else listener.overwritten?.(known.spec);
+      return;
+    }
     const job = addJob(spec);
     listener.submitted?.(spec);
     applyEarlyRecords(job);
