--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -97,6 +97,13 @@
 export interface CellEntry {
   /** Handles one call of a client program. */
   handle(call: CallerCall): Promise<CallerReply>;
+  /**
+   * Checks a submission before its body is received.
+   *
+   * @returns false when its queue or API key is unknown to the configuration in
+   * force, so that its body is not needed
+   */
+  mayAccept(call: Pick<CallerCall, "host" | "path" | "key">): boolean;
   /** @returns whether the load balancer should send new calls to this entry */
   isReady(): boolean;
   /**
@@ -299,6 +306,12 @@
       lastCallAt = clock.now();
       return service.handle(call);
     },
+    mayAccept: ({ host, path, key }) => {
+      if (config === undefined) return false;
+      const queue = config.findQueue(host, path);
+      return queue !== undefined &&
+        (queue.isPublic || config.findAccount(key ?? "") !== undefined);
+    },
     isReady,
     drain: async () => {
       isDraining = true;
