--- a/packages/scheduler/__tests__/cell_fixture.ts
+++ b/packages/scheduler/__tests__/cell_fixture.ts
@@ -83,7 +83,8 @@
  * commands at once.
  *
  * @param options number of workers, of which each rack has 2, and changes of the
- * rules, and what keeps the failure of an item from the others; none by default;
+ * rules and of the planning parameters, and what keeps the failure of an item
+ * from the others; none by default;
  * the zone of each worker by its index, and whether the operators' requests are
  * known well enough to start runs
  * @returns the scheduler, its workers, the kinds of records, the questions, the
@@ -94,17 +95,11 @@
   {
     workers = 2,
     rules = {},
+    policy,
     isolate = noIsolation,
     zoneOf = () => "z",
     areRequestsCurrent,
   }: {
- * rules and of the planning parameters, and what keeps the failure of an item
- * from the others; none by default
- * @returns the scheduler, its workers, the kinds of records, the questions and
- * the commands that it produced, and functions to operate the cell
- */
-export function createCell(
-  { workers = 2, rules = {}, policy, isolate = noIsolation }: {
     workers?: number;
     rules?: Partial<Rules>;
     policy?: Partial<PlanningPolicy>;
