feat(scheduler): workers that fail everything are left out while there is room

A quarantine needs three failed requests, and only sorted such workers last. Change: workers on which two different jobs failed in the last 3 s without a success, and quarantined ones, are left out of placement while the others hold the step twice over. A step that failed on two other workers blames none.

--- a/packages/core/src/quarantine.ts
+++ b/packages/core/src/quarantine.ts
@@ -21,6 +21,11 @@
    * @returns whether the worker's quarantine began, was extended or ended
    */
   recordTaskEnd(task: EndedTask, now: Milliseconds): boolean;
+  /**
+   * @returns the number of different requests that failed on the worker since
+   * its last success; 0 if the last failure was more than 3 s ago
+   */
+  recentFailures(worker: string, now: Milliseconds): number;
   /** @returns whether the worker may receive new work now, a probe included */
   isEligible(worker: string, now: Milliseconds): boolean;
   /**
@@ -40,6 +45,8 @@
 interface WorkerRecord {
   /** Requests that failed on the worker since its last success. */
   failedRequests: Set<string>;
+  /** Time of the last failure; -Infinity before the first one. */
+  lastFailureAt: Milliseconds;
   /** Time from which a probe is allowed; `undefined` when not in quarantine. */
   quarantinedUntil?: Milliseconds;
   /** Length of the next quarantine, with exponential back-off. */
@@ -49,6 +56,9 @@
 // Number of different requests that must fail on a worker, with no success in
 // between, to put it into quarantine.
 const FAILED_REQUESTS_FOR_QUARANTINE = 3;
+// Time for which a failure counts as recent. A worker that has recovered gets
+// work again after it.
+const RECENT_FAILURE_MS: Milliseconds = 3_000;
 const INITIAL_QUARANTINE_MS: Milliseconds = 10_000;
 const MAXIMUM_QUARANTINE_MS: Milliseconds = 300_000;
 // Another probe is allowed if a probe has not ended within this time.
@@ -75,6 +85,7 @@
     if (record === undefined) {
       record = {
         failedRequests: new Set(),
+        lastFailureAt: -Infinity,
         nextQuarantineMs: INITIAL_QUARANTINE_MS,
       };
       workers.set(worker, record);
@@ -120,6 +131,7 @@
         return wasQuarantined;
       }
       record.failedRequests.add(task.request);
+      record.lastFailureAt = now;
       const failures = record.failedRequests.size;
       if (failures < FAILED_REQUESTS_FOR_QUARANTINE) return false;
       if (isClassFailingElsewhere(task.class, failures)) return false;
@@ -131,6 +143,12 @@
       );
       return true;
     },
+    recentFailures: (worker, now) => {
+      const record = workers.get(worker);
+      if (record === undefined) return 0;
+      const isRecent = now - record.lastFailureAt < RECENT_FAILURE_MS;
+      return isRecent ? record.failedRequests.size : 0;
+    },
     isEligible: (worker, now) =>
       (workers.get(worker)?.quarantinedUntil ?? 0) <= now,
     recordPlacement: (worker, now) => {
--- a/packages/scheduler/src/mod.ts
+++ b/packages/scheduler/src/mod.ts
@@ -27,6 +27,7 @@
 export * from "./stop_reasons.ts";
 export * from "./stored_progress.ts";
 export * from "./stuck_runs.ts";
+export * from "./suspect_workers.ts";
 export * from "./victim_costs.ts";
 export * from "./waiting_work.ts";
 export * from "./worker_commands.ts";
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -30,6 +30,7 @@
 import { NO_RULES, type Rules, rulesOf } from "./rules.ts";
 import { createSpeedPreference } from "./speed_preference.ts";
 import { findStuckRuns } from "./stuck_runs.ts";
+import { withoutSuspects } from "./suspect_workers.ts";
 import { collectWaitingSteps } from "./waiting_work.ts";
 import type { WorkerSpeeds } from "./worker_speeds.ts";
 import type { ZoneEvacuation } from "./zone_evacuation.ts";
@@ -173,8 +174,13 @@
       );
       step.avoidedWorkers.clear();
     }
+    const soundWorkers = withoutSuspects(step, serviceWorkers.filter(isOpen), {
+      quarantine,
+      now: now(),
+      taskCount: tasks.length,
+    });
     const openWorkers = ledger.unreservedWorkers(
-      serviceWorkers.filter(isOpen),
+      soundWorkers,
       step,
       expectedMs,
     );
--- a/packages/scheduler/src/run_statistics.ts
+++ b/packages/scheduler/src/run_statistics.ts
@@ -1,6 +1,6 @@
 import type { Logger, Milliseconds } from "@rattanhill/shared";
 import type { Quarantine, RunTimeEstimator } from "@rattanhill/core";
-import { describeRun, type Run } from "./cell_state.ts";
+import { describeRun, type Run, type StepState } from "./cell_state.ts";
 import type { RunEnd } from "./job_types.ts";
 import { lostWorkOf } from "./preemption.ts";
 import type { RunObservations } from "./run_observations.ts";
@@ -79,6 +79,7 @@
       observations.recordCompletion(run);
     }
     if (end !== "done" && end !== "failed") return;
+    if (end === "failed" && failsByItself(step, worker.id)) return;
     const task = {
       worker: worker.id,
       class: spec.queue,
@@ -91,3 +92,13 @@
     }
   };
 }
+
+// Number of other workers on which a step has just failed from which its
+// failures are its own fault.
+const WORKERS_OF_FAULTY_STEP = 2;
+
+/** Returns whether a step failed on several workers other than this one. */
+function failsByItself({ avoidedWorkers }: StepState, worker: string): boolean {
+  const others = avoidedWorkers.size - (avoidedWorkers.has(worker) ? 1 : 0);
+  return others >= WORKERS_OF_FAULTY_STEP;
+}
--- a/packages/scheduler/src/worker_speeds.ts
+++ b/packages/scheduler/src/worker_speeds.ts
@@ -51,8 +51,8 @@
   /** @returns the duration factor of a worker; 1 for an unknown one */
   factorOf(worker: string): number;
   /**
-   * @returns the logarithm of the factor, reduced by its uncertainty: close to 0
-   * while the difference from the usual speed may be noise
+   * @returns the logarithm of the factor, reduced by a dead band: 0 while the
+   * difference from the usual speed is small
    */
   certainLogFactorOf(worker: string): number;
   /** @returns the estimates of all workers with observations */
