fix(scheduler): a job that cannot be estimated delays no guarantee

Cause: the prices of victims and the expected wait are computed from the estimates of other jobs. An error in one of them would have kept a guaranteed step from stopping any run. Change: prices isolate each job, and a guarantee at its deadline does not compute the expected wait. Result: the new test passes; 176 tests of the scheduler, the cell simulation and the cell lead pass.

--- a/packages/scheduler/__tests__/reclaim_benefit.test.ts
+++ b/packages/scheduler/__tests__/reclaim_benefit.test.ts
@@ -180,6 +180,37 @@
   expect(cell.reclaims).to.include("guaranteed");
 });
 
+// Guards against a guarantee that depends on the estimates of other jobs.
+it("reclaim: a job that cannot be estimated delays no guarantee", () => {
+  const failed: string[] = [];
+  const cell = createCell({
+    workers: 2,
+    isolate: (item, run) => {
+      try {
+        return run();
+      } catch {
+        failed.push(item.operation);
+        return undefined;
+      }
+    },
+  });
+  submitBatch(cell, "batch", [wholeWorkerStep(2, { estimateMs: 60_000 })]);
+  cell.settle();
+  const { spec } = cell.scheduler.state.jobs.get("batch")!;
+  Object.defineProperty(spec, "account", {
+    get: () => {
+      throw new Error("no estimate");
+    },
+  });
+  const short = wholeWorkerStep(2, { isGang: true });
+  cell.submit(job("urgent", { queue: "urgent", steps: [short] }));
+  cell.clock.advance(2_000);
+  cell.scheduler.plan();
+  const stops = cell.commands.filter(({ kind }) => kind === "stop");
+  expect(stops).to.have.length(2);
+  expect(failed).to.include("job.prospects");
+});
+
 // A split gang takes 3 times as long, so free workers on two racks are no
 // reason to leave the batch work on a rack.
 it("reclaim: runs are stopped for one rack if only a split is free", () => {
--- a/packages/scheduler/src/capacity_reclaim.ts
+++ b/packages/scheduler/src/capacity_reclaim.ts
@@ -1,4 +1,4 @@
-import type { Logger, Milliseconds } from "@rattanhill/shared";
+import type { Isolate, Logger, Milliseconds } from "@rattanhill/shared";
 import type { ActiveJob, CellState, Run, StepState } from "./cell_state.ts";
 import type { CapacityLedger } from "./capacity_ledger.ts";
 import type { DurationEstimator } from "./durations.ts";
@@ -61,6 +61,8 @@
    * decisions against it.
    */
   onReclaim(outcome: ReclaimOutcome): void;
+  /** Keeps the failure of one job from the others. */
+  isolate: Isolate;
   log: Logger;
 }
 
@@ -143,7 +145,6 @@
     waiting: WaitingStep,
     tasks: readonly number[],
     view: PlacementView,
-    reservation: Reservation | undefined,
   ): boolean => {
     const { step, rules: queueRules, expectedMs } = waiting;
     const { stopMs, remoteFactor } = rules().deployment;
@@ -151,8 +152,9 @@
     const question = {
       urgent: prospects.prospectsOf(step),
       startAfterStopMs: stopMs + START_OVERHEAD_MS,
-      startWithoutStopMs: policy.waitUncertainty *
-        (reservation?.startsInMs ?? Infinity),
+      // A guarantee does not depend on the estimates of other work.
+      startWithoutStopMs: isDue ? Infinity : policy.waitUncertainty *
+        (findReservation(waiting, tasks, view)?.startsInMs ?? Infinity),
       valuePerWork: prospects.valuePerWorkOf(step.job.spec),
       victims: [],
     };
@@ -171,6 +173,7 @@
       freeInMs: urgentEndsInMs,
       valuePerWork: question.valuePerWork,
       stopCountOf,
+      isolate: options.isolate,
     });
     const isPreemptible = ({ stopReason, step: { job } }: Run): boolean =>
       stopReason === undefined &&
@@ -234,7 +237,6 @@
     waiting: WaitingStep,
     tasks: readonly number[],
     view: PlacementView,
-    reservation: Reservation | undefined,
   ): boolean => {
     const { step, waitedMs, rank: { tier } } = waiting;
     const mayReclaim = isGuaranteeDue(waiting) ||
@@ -243,7 +245,7 @@
     const viewAfterStops = { ...view, freeOn: ledger.freeAfterStops };
     const assignment = placeStep(step, tasks, viewAfterStops);
     if (assignment.size === tasks.length) return claim(step, assignment);
-    if (!stopVictims(waiting, tasks, view, reservation)) return false;
+    if (!stopVictims(waiting, tasks, view)) return false;
     return claim(
       step,
       placeStep(step, tasks, { ...viewAfterStops, mayUseAnyRack: true }),
@@ -259,10 +261,8 @@
       const mayReserve = step.spec.isGang &&
         ledger.reservationCount() < policy.maximumReservations;
       if (!isUrgent && !mayReserve) return;
+      if (isUrgent && reclaimCapacity(waiting, tasks, view)) return;
       const reservation = findReservation(waiting, tasks, view);
-      if (isUrgent && reclaimCapacity(waiting, tasks, view, reservation)) {
-        return;
-      }
       if (reservation === undefined) return;
       if (isUrgent) ledger.hold(reservation.slots, step);
       else ledger.reserve(step, reservation);
--- a/packages/scheduler/src/job_prospects.ts
+++ b/packages/scheduler/src/job_prospects.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@rattanhill/shared";
+import type { Isolate, Milliseconds } from "@rattanhill/shared";
 import {
   type ActiveJob,
   type CellState,
@@ -33,8 +33,13 @@
   rules(): Rules;
   now(): Milliseconds;
   wallTime(): Milliseconds;
+  /** Keeps the failure of one job from the others. */
+  isolate: Isolate;
 }
 
+/** Prospects of a job that has ended or cannot be estimated. */
+const NO_PROSPECTS: Prospects = { value: 0, slackMs: 0, lateSlackMs: 0 };
+
 /**
  * Creates the estimator of what jobs can still earn. A job of mean work is worth
  * the value of its queue's priority, and others in proportion to their work. The
@@ -46,7 +51,7 @@
 export function createJobProspects(
   options: JobProspectsOptions,
 ): JobProspects {
-  const { state, durations, policy, rules, now, wallTime } = options;
+  const { state, durations, policy, rules, now, wallTime, isolate } = options;
   let meanWorkByQueue: Map<string, number> | undefined;
   let prospectsByOccurrence = new Map<string, Prospects>();
 
@@ -62,10 +67,15 @@
     const sums = new Map<string, { work: number; jobs: number }>();
     for (const job of state.jobs.values()) {
       if (isOver(job)) continue;
-      const { queue } = job.spec;
+      const { queue, id } = job.spec;
+      const work = isolate(
+        { operation: "job.measure", item: id },
+        () => jobWorkOf(job.spec),
+      );
+      if (work === undefined) continue;
       const sum = sums.get(queue) ?? { work: 0, jobs: 0 };
       sums.set(queue, sum);
-      sum.work += jobWorkOf(job.spec);
+      sum.work += work;
       sum.jobs += 1;
     }
     return new Map(
@@ -95,7 +105,7 @@
   };
   const computeProspects = (job: ActiveJob, occurrence: number): Prospects => {
     const { spec } = job;
-    if (isOver(job)) return { value: 0, slackMs: 0, lateSlackMs: 0 };
+    if (isOver(job)) return NO_PROSPECTS;
     const { stretch, targetMs } = rulesOf(rules(), spec);
     let totalMs = 0;
     let remainingMs = 0;
@@ -124,7 +134,10 @@
       const key = `${job.spec.id}.${occurrence}`;
       const known = prospectsByOccurrence.get(key);
       if (known !== undefined) return known;
-      const prospects = computeProspects(job, occurrence);
+      const prospects = isolate(
+        { operation: "job.prospects", item: job.spec.id },
+        () => computeProspects(job, occurrence),
+      ) ?? NO_PROSPECTS;
       prospectsByOccurrence.set(key, prospects);
       return prospects;
     },
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -136,6 +136,7 @@
     rules: () => rules,
     stop,
     onReclaim: options.onReclaim,
+    isolate,
     log,
   });
 
--- a/packages/scheduler/src/victim_costs.ts
+++ b/packages/scheduler/src/victim_costs.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from "@rattanhill/shared";
+import type { Isolate, Milliseconds } from "@rattanhill/shared";
 import type { ActiveJob, Run, StepState } from "./cell_state.ts";
 import type { DurationEstimator } from "./durations.ts";
 import type { JobProspects } from "./job_prospects.ts";
@@ -42,6 +42,8 @@
   valuePerWork: number;
   /** @returns the number of earlier decisions that stopped runs of the job */
   stopCountOf(job: ActiveJob): number;
+  /** Keeps the failure of one job from the others. */
+  isolate: Isolate;
 }
 
 /**
@@ -86,7 +88,11 @@
     if (known !== undefined) return known;
     const loss = { delayMs: 0, lostWork: 0 };
     for (const stopped of stoppedWith(run)) {
-      loss.delayMs = Math.max(loss.delayMs, delayOf(stopped));
+      const delayMs = options.isolate(
+        { operation: "run.delay", item: run.step.key },
+        () => delayOf(stopped),
+      );
+      loss.delayMs = Math.max(loss.delayMs, delayMs ?? 0);
       loss.lostWork += lostWorkOfStop(stopped);
     }
     lossesByUnit.set(unit, loss);
