perf(scheduler): remaining times, speeds and victims are computed once a pass

Cause: the weighing of preemption looked at all runs for each waiting urgent step in each pass; a slow lead then planned seldom. Change: remaining times are kept for a pass, factors of workers for a second, victims of a worker until one of its runs is chosen; a step is weighed again after 50 ms, unless its guarantee is due.

--- a/packages/scheduler/src/capacity_reclaim.ts
+++ b/packages/scheduler/src/capacity_reclaim.ts
@@ -69,6 +69,10 @@
 // Time from the end of a stopped run to the start of the urgent task: a report,
 // a planning pass, a store write and a start command.
 const START_OVERHEAD_MS: Milliseconds = 50;
+// Time between two considerations of preemption for a step. Passes follow each
+// other within a few milliseconds under load, and each consideration looks at
+// all runs.
+const WEIGHING_INTERVAL_MS: Milliseconds = 50;
 // Number of jobs that a log line names.
 const MAXIMUM_LOGGED_JOBS = 8;
 
@@ -87,6 +91,8 @@
   const prospects = createJobProspects(options);
   const stopCounts = new WeakMap<ActiveJob, number>();
   const stopCountOf = (job: ActiveJob): number => stopCounts.get(job) ?? 0;
+  /** Monotonic time at which preemption for a step was last considered. */
+  const lastWeighedAt = new WeakMap<StepState, Milliseconds>();
   /** Outcomes without a stop that were logged, by step. */
   const loggedOutcomes = new WeakMap<StepState, Set<ReclaimOutcome>>();
 
@@ -239,9 +245,13 @@
     view: PlacementView,
   ): boolean => {
     const { step, waitedMs, rank: { tier } } = waiting;
-    const mayReclaim = isGuaranteeDue(waiting) ||
+    const isDue = isGuaranteeDue(waiting);
+    const mayReclaim = isDue ||
       (tier !== Tier.overdue && waitedMs >= policy.cheapReclaimMs);
     if (!mayReclaim) return false;
+    const weighedAt = lastWeighedAt.get(step) ?? -Infinity;
+    if (!isDue && now() - weighedAt < WEIGHING_INTERVAL_MS) return false;
+    lastWeighedAt.set(step, now());
     const viewAfterStops = { ...view, freeOn: ledger.freeAfterStops };
     const assignment = placeStep(step, tasks, viewAfterStops);
     if (assignment.size === tasks.length) return claim(step, assignment);
--- a/packages/scheduler/src/durations.ts
+++ b/packages/scheduler/src/durations.ts
@@ -22,6 +22,8 @@
    * duration and the speed of its worker while no rate of progress is known.
    */
   remainingTime(run: Run): Milliseconds;
+  /** Starts a planning pass, in which the remaining times do not change. */
+  beginPass(): void;
 }
 
 /** Options of {@link createDurationEstimator}. */
@@ -63,20 +65,33 @@
     return isAwayFromData || isSplit ? deployment().remoteFactor : 1;
   };
 
+  /** Remaining times of runs that were computed in this pass. */
+  let knownTimes = new Map<Run, Milliseconds>();
+  const computeRemainingTime = (run: Run): Milliseconds => {
+    const { step, percent, percentAt, firstPercent, placedAt } = run;
+    if (firstPercent !== undefined && percent > firstPercent.percent) {
+      const rate = (percent - firstPercent.percent) /
+        (percentAt - firstPercent.at);
+      return Math.max(0, (100 - percent) / rate - (now() - percentAt));
+    }
+    const totalMs = expectedDuration(step.job.spec, step.spec.estimateMs) *
+      slowdownFactor(run) * workerFactorOf(run, speeds);
+    return Math.max(0, totalMs - (now() - placedAt));
+  };
+
   return {
     expectedDuration,
     slowdownFactor,
+    beginPass: () => {
+      knownTimes = new Map();
+    },
     remainingTime: (run) => {
-      const { step, percent, percentAt, firstPercent, placedAt } = run;
       if (run.stopReason !== undefined) return deployment().stopMs;
-      if (firstPercent !== undefined && percent > firstPercent.percent) {
-        const rate = (percent - firstPercent.percent) /
-          (percentAt - firstPercent.at);
-        return Math.max(0, (100 - percent) / rate - (now() - percentAt));
-      }
-      const totalMs = expectedDuration(step.job.spec, step.spec.estimateMs) *
-        slowdownFactor(run) * workerFactorOf(run, speeds);
-      return Math.max(0, totalMs - (now() - placedAt));
+      const known = knownTimes.get(run);
+      if (known !== undefined) return known;
+      const remainingMs = computeRemainingTime(run);
+      knownTimes.set(run, remainingMs);
+      return remainingMs;
     },
   };
 }
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -303,6 +303,7 @@
     plan: () => {
       evacuation.review(state.workers.values());
       ledger.beginPass();
+      durations.beginPass();
       capacityReclaim.beginPass();
       crashBlame.beginPass();
       evacuateDrainingWorkers();
--- a/packages/scheduler/src/preemption.ts
+++ b/packages/scheduler/src/preemption.ts
@@ -100,6 +100,12 @@
   return cores * durationMs;
 }
 
+/** Runs of one worker whose stop makes room for one more task. */
+interface VictimOffer {
+  runs: Run[];
+  cost: number;
+}
+
 /**
  * Chooses victims on the given workers.
  *
@@ -127,17 +133,28 @@
     slotsByWorker.set(worker, slots);
     totalSlots += slots;
   }
+  /** Cheapest victims by worker; chosen anew once some of its runs are chosen. */
+  const offers = new Map<WorkerState, VictimOffer | undefined>();
   while (totalSlots < count) {
-    let best: { worker: WorkerState; runs: Run[]; cost: number } | undefined;
+    let best: VictimOffer | undefined;
     for (const worker of workers) {
-      const runs = chooseCheapestVictimsOn(worker, needs, victims, view);
-      if (runs === undefined) continue;
-      const cost = view.costOf(runs, victims);
-      if (best === undefined || cost < best.cost) best = { worker, runs, cost };
+      if (!offers.has(worker)) {
+        const runs = chooseCheapestVictimsOn(worker, needs, victims, view);
+        offers.set(
+          worker,
+          runs && { runs, cost: view.costOf(runs, victims) },
+        );
+      }
+      const offer = offers.get(worker);
+      if (offer === undefined) continue;
+      if (best === undefined || offer.cost < best.cost) best = offer;
     }
     if (best === undefined) return undefined;
     for (const run of best.runs) {
-      for (const member of stoppedWith(run)) victims.add(member);
+      for (const member of stoppedWith(run)) {
+        victims.add(member);
+        offers.delete(member.worker);
+      }
     }
     totalSlots = 0;
     for (const worker of workers) {
--- a/packages/scheduler/src/worker_speeds.ts
+++ b/packages/scheduler/src/worker_speeds.ts
@@ -79,8 +79,8 @@
   speed: SpeedClass;
   /** Run of the last clipped observation, and the sign of its innovation. */
   surprise?: { run: object; sign: number };
-  /** Cached result of {@link WorkerSpeeds.certainLogFactorOf}. */
-  certain?: { log: number; until: Milliseconds };
+  /** Cached results of the look-ups. */
+  known?: { factor: number; certainLog: number; until: Milliseconds };
 }
 
 /** Variance of a term before its first observation, and its time constant. */
@@ -115,9 +115,9 @@
 // faded to less than 5% by then.
 const WORKER_TTL_MS: Milliseconds = 900_000;
 const SWEEP_INTERVAL_MS: Milliseconds = 60_000;
-// Time for which a certain factor is kept, since placement reads those of all
-// workers for each step. An estimate fades by 0.3% in this time.
-const CERTAIN_TTL_MS: Milliseconds = 1_000;
+// Time for which the results of look-ups are kept, since placement reads those
+// of all workers for each step. An estimate fades by 0.3% in this time.
+const LOOK_UP_TTL_MS: Milliseconds = 1_000;
 // Bound the memory. Observations of further workers are ignored; further
 // queues have a term for each observation only.
 const MAXIMUM_WORKERS = 10_000;
@@ -167,6 +167,20 @@
     const term = workers.get(worker);
     return term && faded({ ...term }, WORKER_PRIOR, now());
   };
+  /** Returns the factors of a worker, computed at most once in their TTL. */
+  const lookUp = (worker: string): WorkerTerm["known"] => {
+    const term = workers.get(worker);
+    if (term === undefined) return undefined;
+    if (term.known === undefined || now() >= term.known.until) {
+      const { mean, variance } = faded({ ...term }, WORKER_PRIOR, now());
+      term.known = {
+        factor: Math.exp(scale * mean),
+        certainLog: scale * mean * mean ** 2 / (mean ** 2 + variance),
+        until: now() + LOOK_UP_TTL_MS,
+      };
+    }
+    return term.known;
+  };
   const describe = (worker: string, speed: SpeedClass): WorkerSpeed => {
     const { mean, variance } = currentOf(worker)!;
     return {
@@ -216,23 +230,14 @@
         term.mean += shift;
         term.variance *= 1 - gain;
       }
-      workerTerm.certain = undefined;
+      workerTerm.known = undefined;
       const speed = classOf(workerTerm);
       if (speed === workerTerm.speed) return;
       workerTerm.speed = speed;
       options.onClassChange?.(describe(worker, speed));
     },
-    factorOf: (worker) => Math.exp(scale * (currentOf(worker)?.mean ?? 0)),
-    certainLogFactorOf: (worker) => {
-      const term = workers.get(worker);
-      if (term === undefined) return 0;
-      if (term.certain === undefined || now() >= term.certain.until) {
-        const { mean, variance } = faded({ ...term }, WORKER_PRIOR, now());
-        const log = scale * mean * mean ** 2 / (mean ** 2 + variance);
-        term.certain = { log, until: now() + CERTAIN_TTL_MS };
-      }
-      return term.certain.log;
-    },
+    factorOf: (worker) => lookUp(worker)?.factor ?? 1,
+    certainLogFactorOf: (worker) => lookUp(worker)?.certainLog ?? 0,
     dump: () =>
       [...workers].map(([worker, { speed }]) => describe(worker, speed)),
   };
