--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -28,6 +28,7 @@
 } from "./capacity_reclaim.ts";
 import type { JobSpec } from "./job_types.ts";
 import { NO_RULES, type Rules, rulesOf } from "./rules.ts";
+import { speedKeyOf } from "./run_observations.ts";
 import { createSpeedPreference } from "./speed_preference.ts";
 import { findStuckRuns } from "./stuck_runs.ts";
 import { withoutSuspects } from "./suspect_workers.ts";
@@ -253,7 +254,10 @@
         ticket: needsAdvice ? step.advice?.tickets.get(worker.id) : undefined,
       });
     }
-    const workers = [...new Set([...assignment.values()].map(({ id }) => id))];
+    const usedWorkers = [...new Set(assignment.values())];
+    const factors = usedWorkers.map((worker) =>
+      speeds.factorOf(speedKeyOf(worker))
+    );
     log.info(
       {
         job: step.job.spec.id,
@@ -263,7 +267,8 @@
         of: step.spec.taskCount,
         accelerators: step.spec.accelerators,
         milliCores: step.spec.milliCores,
-        workers,
+        workers: usedWorkers.map(({ id }) => id),
+        slowestFactor: Number(Math.max(...factors).toFixed(2)),
         failedAttempts: failedAttemptsOf(step),
         attemptLimit: maximumAttempts,
         waitedMs: Math.round(placedAt - step.job.waitingSince),
