refactor(cell): split the lead; the time of planning passes is measured

Change: expired jobs, overwritten submissions and answers to start commands are modules of their own; each pass is in the histogram planning.pass, and one above 150 ms is logged. No change of decisions.

--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -19,7 +19,9 @@
   type WorkerListing,
 } from "@rattanhill/scheduler";
 import { createCellJournal } from "./cell_journal.ts";
+import { findExpiredJobs } from "./expired_jobs.ts";
 import type { Metrics } from "./metrics.ts";
+import { createOverwrittenSubmissions } from "./overwritten_submissions.ts";
 import type { Store } from "./store.ts";
 import type { Advise, ConnectWorker } from "./worker_calls.ts";
 import { INHERITED_LEASE_MS } from "./worker_link.ts";
@@ -108,6 +110,9 @@
 // Pause before planning, in multiples of the time that the last planning pass
 // took, so that planning takes at most a fifth of the processor.
 const PLANNING_PAUSE_FACTOR = 4;
+// A planning pass that takes longer delays the start of guaranteed work: the
+// pause after it is several times as long.
+const SLOW_PLANNING_MS: Milliseconds = 150;
 // Planning runs this often even without changes, to check due times, leases and
 // stuck runs.
 const PLANNING_INTERVAL_MS: Milliseconds = 100;
@@ -120,12 +125,6 @@
 // repeated submission is still recognized. Callers repeat a submission within
 // seconds of the reply.
 const RESUBMISSION_MARGIN_MS: Milliseconds = 60_000;
-// Maximum number of jobs that are removed together, to limit the size of the
-// append.
-const MAXIMUM_REMOVALS_PER_APPEND = 50;
-
-// Job IDs in the log line on submissions that were stored again.
-const MAXIMUM_LOGGED_JOBS = 10;
 
 /**
  * Creates the lead of a cell for one term.
@@ -143,7 +142,12 @@
   let areRequestsRead = false;
   let isStoring = false;
   let isPlanningScheduled = false;
-  let overwritten: JobSpec[] = [];
+  const overwritten = createOverwrittenSubmissions({
+    journal,
+    book,
+    metrics,
+    log,
+  });
   let planningMs: Milliseconds = 0;
   let planningTimer: NodeJS.Timeout | undefined;
   let loadLogTimer: NodeJS.Timeout | undefined;
@@ -201,7 +205,7 @@
     isStoring = true;
     try {
       while (scheduler !== undefined && isLeading()) {
-        if (!await storeOverwritten()) return;
+        if (!await overwritten.store()) return;
         const batch = scheduler.takeBatch();
         links.notifyEndsStored();
         if (batch === undefined) return;
@@ -230,29 +234,6 @@
     }
   };
 
-  /** Stores overwritten submissions again; returns whether this succeeded. */
-  const storeOverwritten = async (): Promise<boolean> => {
-    // A job that was removed meanwhile must not come back.
-    const specs = overwritten.filter(({ id }) => book.find(id) !== undefined);
-    overwritten = [];
-    if (specs.length === 0) return true;
-    const isStored = await journal.append(
-      specs.map((spec) => ({
-        kind: "submission",
-        spec: { ...spec, isRestored: true },
-      })),
-    );
-    metrics.incrementCounter("submission.restored");
-    log.warn(
-      {
-        jobs: specs.slice(0, MAXIMUM_LOGGED_JOBS).map(({ id }) => id),
-        isStored,
-      },
-      "submissions stored again: later ones had their IDs",
-    );
-    return isStored;
-  };
-
   /**
    * Removes ended jobs from the journal and the book once their retention time
    * and the resubmission margin are over.
@@ -261,14 +242,7 @@
     if (isStoring || !isLeading()) return;
     const endedBefore = clock.wallTime() - options.keepEndedMs -
       RESUBMISSION_MARGIN_MS;
-    const records = [...book.jobs()]
-      .filter(({ endedAt }) => endedAt !== undefined && endedAt < endedBefore)
-      .slice(0, MAXIMUM_REMOVALS_PER_APPEND)
-      .map(({ spec, steps }) => ({
-        kind: "removal" as const,
-        job: spec.id,
-        steps: [...steps.keys()],
-      }));
+    const records = findExpiredJobs(book, endedBefore);
     if (records.length === 0) return;
     isStoring = true;
     try {
@@ -291,6 +265,11 @@
       log.error({ term, error: describeError(error) }, "planning pass failed");
     }
     planningMs = clock.now() - startedAt;
+    metrics.recordDuration("planning.pass", planningMs);
+    if (planningMs > SLOW_PLANNING_MS) {
+      const bound = SLOW_PLANNING_MS;
+      log.warn({ term, tookMs: planningMs, bound }, "planning pass was slow");
+    }
   };
 
   const planAndStore = (): void => {
@@ -416,7 +395,7 @@
       schedulePlanning();
     },
     restoreSubmission: (spec) => {
-      overwritten.push(spec);
+      overwritten.add(spec);
       schedulePlanning();
     },
     updateWorkers: (listing) => {
--- a/packages/scheduler/src/run_starts.ts
+++ b/packages/scheduler/src/run_starts.ts
@@ -1,5 +1,5 @@
 import type { Logger, Milliseconds } from "@rattanhill/shared";
-import { renewTicket } from "./advice.ts";
+import { dropTicket, renewTicket } from "./advice.ts";
 import {
   type CellState,
   describeRun,
@@ -8,9 +8,16 @@
   RunPhase,
 } from "./cell_state.ts";
 import { mayStart } from "./record_batch.ts";
-import type { WorkerCommand } from "./worker_commands.ts";
+import type { StartAnswer, WorkerCommand } from "./worker_commands.ts";
 import type { ZoneEvacuation } from "./zone_evacuation.ts";
 
+// Time without new placements on a worker that refused a start command. It is
+// long enough for a report to correct the worker's free capacity.
+const REFUSAL_BACKOFF_MS: Milliseconds = 500;
+// Time without new placements on a worker that did not answer a start command,
+// or refused it as unhealthy. Such workers rarely recover sooner.
+const SILENCE_BACKOFF_MS: Milliseconds = 2_000;
+
 /** Options of {@link startStoredRuns}. */
 export interface RunStartOptions {
   state: CellState;
@@ -58,3 +65,55 @@
     sendCommand({ kind: "start", run });
   }
 }
+
+/** Options of {@link applyStartAnswer}. */
+export interface StartAnswerOptions {
+  state: CellState;
+  /** Monotonic time. */
+  now: Milliseconds;
+  stop(run: Run, reason: string): void;
+  /** Called when the worker has confirmed the start. */
+  onStarted(run: Run): void;
+  log: Logger;
+}
+
+/**
+ * Applies the answer to a start command. A run that was certainly not started is
+ * released, and the other members of its gang are stopped.
+ *
+ * @param run the run; ignored if it was released meanwhile
+ * @param answered the answer, and the reason of a refusal
+ * @param options state and callbacks
+ */
+export function applyStartAnswer(
+  run: Run,
+  { answer, reason }: { answer: StartAnswer; reason?: string },
+  { state, now, stop, onStarted, log }: StartAnswerOptions,
+): void {
+  const { step, worker } = run;
+  if (!worker.runs.has(run)) return;
+  if (answer === "started") {
+    run.absenceProvableFrom ??= now;
+    onStarted(run);
+    if (run.phase === RunPhase.ordered) run.phase = RunPhase.running;
+    return;
+  }
+  log.warn(
+    { ...describeRun(run), answer, reason },
+    "start command not confirmed by the worker",
+  );
+  if (answer === "uncertain") {
+    worker.noPlacementBefore = now + SILENCE_BACKOFF_MS;
+    // The next report shows whether the worker has the run.
+    run.uncertainSince = now;
+    return;
+  }
+  worker.noPlacementBefore = now +
+    (answer === "unhealthy" ? SILENCE_BACKOFF_MS : REFUSAL_BACKOFF_MS);
+  releaseRun(state, run);
+  if (reason === "noTicket") dropTicket(run);
+  if (!step.spec.isGang) return;
+  for (const member of [...step.runs.values()]) {
+    stop(member, "a member of the gang was not started");
+  }
+}
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -15,7 +15,6 @@
   describeRun,
   failJob,
   isOver,
-  releaseRun,
   type Run,
   RunPhase,
   setJobOutcome,
@@ -25,7 +24,6 @@
 import {
   type AdviceAnswer,
   type AdviceQuestion,
-  dropTicket,
   recordAdvice,
 } from "./advice.ts";
 import type { ReclaimOutcome } from "./capacity_reclaim.ts";
@@ -39,7 +37,7 @@
 import { createPlanner } from "./planner.ts";
 import { PLANNING_POLICY, type PlanningPolicy } from "./planning_policy.ts";
 import { restoreProgress } from "./restored_progress.ts";
-import { startStoredRuns } from "./run_starts.ts";
+import { applyStartAnswer, startStoredRuns } from "./run_starts.ts";
 import type { Rules } from "./rules.ts";
 import { applyReport, type WorkerReport } from "./run_ends.ts";
 import { createRunObservations, speedKeyOf } from "./run_observations.ts";
@@ -170,13 +168,6 @@
   log: Logger;
 }
 
-// Time without new placements on a worker that refused a start command. It is
-// long enough for a report to correct the worker's free capacity.
-const REFUSAL_BACKOFF_MS: Milliseconds = 500;
-// Time without new placements on a worker that did not answer a start command,
-// or refused it as unhealthy. Such workers rarely recover sooner.
-const SILENCE_BACKOFF_MS: Milliseconds = 2_000;
-
 /**
  * Creates the scheduler of a cell, with no jobs and no workers yet.
  *
@@ -357,32 +348,13 @@
     recordReplacement: (worker) =>
       roster.recordProcessEnd(worker, "another worker answers at its address"),
     handleStartAnswer: (run, answer, reason) => {
-      if (!run.worker.runs.has(run)) return;
-      if (answer === "started") {
-        run.absenceProvableFrom ??= now();
-        observations.recordStart(run);
-        if (run.phase === RunPhase.ordered) run.phase = RunPhase.running;
-        return;
-      }
-      log.warn(
-        { ...describeRun(run), answer, reason },
-        "start command not confirmed by the worker",
-      );
-      const { step, worker } = run;
-      if (answer === "uncertain") {
-        worker.noPlacementBefore = now() + SILENCE_BACKOFF_MS;
-        // The next report shows whether the worker has the run.
-        run.uncertainSince = now();
-        return;
-      }
-      worker.noPlacementBefore = now() +
-        (answer === "unhealthy" ? SILENCE_BACKOFF_MS : REFUSAL_BACKOFF_MS);
-      releaseRun(state, run);
-      if (reason === "noTicket") dropTicket(run);
-      if (!step.spec.isGang) return;
-      for (const member of [...step.runs.values()]) {
-        stop(member, "a member of the gang was not started");
-      }
+      applyStartAnswer(run, { answer, reason }, {
+        state,
+        now: now(),
+        stop,
+        onStarted: observations.recordStart,
+        log,
+      });
     },
     handleStopAnswer: (run) => {
       if (run !== undefined) run.absenceProvableFrom = now();
