--- a/review/lib-2/trial.mjs
+++ b/review/lib-2/trial.mjs
@@ -179,6 +179,7 @@
       ready: `127.0.0.1:${ready}`,
       log: join(directory, `${name}.log`),
       settings,
+      ownEnds: 0,
     });
   }
   let isClosing = false;
@@ -194,6 +195,7 @@
     child.stdout.pipe(output, { end: false });
     child.stderr.pipe(output, { end: false });
     child.once("exit", (code, signal) => {
+      if (!isClosing) node.ownEnds += 1;
       write(`process ${node.name} ended: ${signal ?? code}`);
       // The platform restarts a process that ends, after a short delay.
       if (!isClosing) setTimeout(() => isClosing || start(node), 500);
