--- a/review/lib-2/trial.mjs
+++ b/review/lib-2/trial.mjs
@@ -66,20 +66,31 @@
   return [program === "node" ? process.execPath : program, words];
 }
 
+// Below the ports that the system gives to outgoing connections, one of which
+// could take a port between the check and its use.
+const LOWEST_PORT = 21_000;
+const PORT_COUNT = 11_000;
+const usedPorts = new Set();
+
 async function findPorts(count) {
-  const servers = [];
-  for (let index = 0; index < count; index++) {
-    const server = createServer();
-    await new Promise((done) => server.listen(0, "127.0.0.1", done));
-    servers.push(server);
+  const ports = [];
+  while (ports.length < count) {
+    const port = LOWEST_PORT + Math.floor(PORT_COUNT * Math.random());
+    if (usedPorts.has(port) || !await isFree(port)) continue;
+    usedPorts.add(port);
+    ports.push(port);
   }
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(
-    servers.map((server) => new Promise((done) => server.close(done))),
-  );
   return ports;
 }
 
+function isFree(port) {
+  return new Promise((done) => {
+    const server = createServer();
+    server.once("error", () => done(false));
+    server.listen(port, "127.0.0.1", () => server.close(() => done(true)));
+  });
+}
+
 /**
  * Starts the store, the executors and the entries, and waits until all are
  * ready.
