--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,82 +1,89 @@
-// One executor of eight goes down and up by turns for some seconds. A job that
-// needs its kind, and one that lasts on it, are handed in meanwhile. Neither has
-// a run that ends `failed`, so neither may be shown as `failed`.
+// A job of many subtasks runs while the executors crash, one at a time. What the
+// lead stores of its step then exceeds the largest record that the store takes.
+// It is seen whether other jobs are still run.
 import { fileURLToPath } from "node:url";
 import { main } from "../lib-2/main.mjs";
 import { createId, hasTrouble, pause, startTrial } from "../lib-2/trial.mjs";
 
-const EXECUTORS = 8;
-// srv_flap of the pages: share .15, period 1.4 s, for 6.5 s.
-const PERIOD_MS = 1_400;
-const FLAPPING_MS = 6_500;
-const RUN_MS = 1_500;
+const EXECUTORS = 9;
+const SUBTASKS = 2_184;
+const PER_EXECUTOR = Math.ceil(SUBTASKS / EXECUTORS);
+const WIDE_MS = 200_000;
+// srv_crash of the pages: share .15 of the executors; here one of nine at a
+// time, each twice.
+const CRASHES = 2 * EXECUTORS;
+const DOWN_MS = 700;
+const GAP_MS = 1_800;
+const SMALL_JOBS = 5;
+const SMALL_MS = 300;
 const WATCH_MS = 20_000;
+// LOST: "for 3 s, a job has nothing running …".
+const IDLE_MS = 3_000;
 
-const spec = (ms) => JSON.stringify({ ms, cpu: 4_000, gpu: 1 });
-const step = (fields) => ({
-  count: 1,
-  cpu: 4_000,
-  mem_mb: 64,
-  gpu: 1,
-  estimate_ms: RUN_MS,
-  requires: "b",
-  ...fields,
-});
+const NEEDS = { cpu: 50, gpu: 0 };
 
 await main(async () => {
   const trial = await startTrial({
     record: fileURLToPath(new URL("record.txt", import.meta.url)),
     executors: Array.from({ length: EXECUTORS }, (_, index) => ({
-      id: `i-${index}`,
-      machine: `m-${index}`,
-      labels: [index === 0 ? "b" : "a", `r${index % 2}`],
+      id: `i-7f3a91c${index}`,
+      machine: `m-0a3f${index}`,
+      labels: ["a", `r${index % 3}`],
       capacity: { cpu: 128_000, mem_mb: 524_288, gpu: 8 },
     })),
     routes: [
-      { name: "plans", path_prefix: "/plans/", priority: 1, max_attempts: 4 },
+      { name: "wide", path_prefix: "/wide/", priority: 2, max_attempts: 4 },
+      { name: "small", path_prefix: "/small/", priority: 1, max_attempts: 4 },
     ],
   });
   try {
-    const jobs = {
-      plain: { spec: spec(RUN_MS), steps: [step({})] },
-      lasting: {
-        spec: spec(3_600_000),
-        steps: [step({ long_running: true })],
-      },
-    };
-    const accepted = [];
-    const handIn = async () => {
-      for (const [kind, job] of Object.entries(jobs)) {
-        const id = createId();
-        const at = await trial.submit(`/plans/${id}`, job);
-        if (at !== undefined) accepted.push({ kind, id });
-      }
-    };
-    const flap = async () => {
-      const [executor] = trial.fleet;
-      const until = Date.now() + FLAPPING_MS;
-      while (Date.now() < until) {
-        executor.crash();
-        await pause(PERIOD_MS / 2);
-        await executor.restart();
-        await pause(PERIOD_MS / 2);
-      }
-    };
-    await pause(4_000);
-    if (hasTrouble()) await Promise.all([flap(), handIn()]);
-    else await handIn();
-    if (accepted.length === 0) throw new Error("no job was accepted");
+    await pause(2_000);
+    const wide = createId();
+    const wideAt = await trial.submit(`/wide/${wide}`, {
+      spec: JSON.stringify({ ms: WIDE_MS, ...NEEDS, saves: true }),
+      steps: [{
+        count: SUBTASKS,
+        ...NEEDS,
+        mem_mb: 8,
+        estimate_ms: WIDE_MS,
+        checkpointing: true,
+        anti_affinity: PER_EXECUTOR,
+      }],
+    });
+    if (wideAt === undefined) throw new Error("the wide job was not accepted");
+    await pause(8_000);
+    for (let index = 0; index < CRASHES && hasTrouble(); index++) {
+      const executor = trial.fleet[index % EXECUTORS];
+      executor.crash();
+      await pause(DOWN_MS);
+      await executor.restart();
+      await pause(GAP_MS - DOWN_MS);
+    }
+    await pause(5_000);
+    const small = [];
+    for (let index = 0; index < SMALL_JOBS; index++) {
+      const id = createId();
+      const acceptedAt = await trial.submit(`/small/${id}`, {
+        spec: JSON.stringify({ ms: SMALL_MS, ...NEEDS }),
+        steps: [{ count: 1, ...NEEDS, mem_mb: 8, estimate_ms: SMALL_MS }],
+      });
+      if (acceptedAt !== undefined) small.push({ id, acceptedAt });
+    }
+    if (small.length === 0) throw new Error("no small job was accepted");
     await pause(WATCH_MS);
+    const { body } = await trial.ask("GET", `/wide/${wide}`);
+    trial.write(`the wide job is shown as ${body?.state}`);
     const broken = [];
-    for (const { kind, id } of accepted) {
-      const { body } = await trial.ask("GET", `/plans/${id}`);
-      const ends = trial.events.filter(({ task, event }) =>
-        task?.startsWith(`${id}.`) && event !== "begun"
-      ).map(({ event }) => event);
-      if (body?.state !== "failed" || ends.includes("failed")) continue;
+    for (const { id, acceptedAt } of small) {
+      await trial.ask("GET", `/small/${id}`);
+      const begun = trial.events.find(({ event, task }) =>
+        event === "begun" && task.startsWith(`${id}.`)
+      );
+      const waitedMs = (begun?.at ?? Date.now()) - acceptedAt;
+      if (waitedMs <= IDLE_MS) continue;
+      const end = begun === undefined ? "and never began" : "before it began";
       broken.push(
-        `LOST: the ${kind} job ${id} is shown as failed; ` +
-          `its runs ended: ${ends.join(", ") || "none"}`,
+        `LOST: job ${id} had nothing running for ${waitedMs} ms, ${end}`,
       );
     }
     for (const line of broken) trial.write(line);
--- a/review/lib-2/trial.mjs
+++ b/review/lib-2/trial.mjs
@@ -217,7 +217,13 @@
     isClosing = true;
     for (const { child } of nodes) child?.kill("SIGKILL");
   };
-  process.once("exit", closeAll);
+  const removeLogs = () =>
+    process.env.KEEP_LOGS === undefined &&
+    rmSync(directory, { recursive: true, force: true });
+  process.once("exit", () => {
+    closeAll();
+    removeLogs();
+  });
   for (const name of ["SIGTERM", "SIGINT"]) {
     process.once(name, () => process.exit(2));
   }
@@ -286,13 +292,15 @@
     /** Logs of the entries, for a closer look. */
     readLogs: () =>
       nodes.map(({ log }) => readFileSync(log, "utf8")).join("\n"),
-    close: async ({ keepLogs = process.env.KEEP_LOGS } = {}) => {
+    close: async () => {
       closeAll();
       for (const executor of fleet) executor.close();
       store.close();
       await pause(200);
-      if (keepLogs === undefined) rmSync(directory, { recursive: true });
-      else console.log(`logs: ${directory}`);
+      removeLogs();
+      if (process.env.KEEP_LOGS !== undefined) {
+        console.log(`logs: ${directory}`);
+      }
     },
   };
 }
