fix(scheduler): bound what one turn of a lead does, whatever waits

With 150 jobs of 100 steps, or a few steps of 2,000 tasks beside load, small urgent jobs waited for seconds or never began.

The end of each run, too, went over all steps of its job. - A pass placed all that had room. Thousands of starts were handed to the client of the workers in one turn. Their 700 ms began before they had a connection, so those at the end timed out unsent, were found missing, and were placed again beside the others. - A takeover restored all jobs in one turn.

Change: - A job is measured once for each occurrence, counts its runs, and remembers how many of its first steps are done. - A pass ends once 512 starts are under way or 100 ms are over, and goes on with the steps that it has not reached. Urgent jobs go first in each pass. A gang may exceed the number. The waits log names the cause `notReached`. - Starts and stops to a worker take turns, three at a time; the time limit of a command begins with its turn. Starts behind an unanswered one are given up unsent and placed elsewhere. Stops go first. - Jobs are restored in slices of 20 ms; changes that arrive meanwhile are applied after them. No limit on the steps or tasks of a job has changed.

Conclusion: the length of a turn no longer follows the backlog, so a lead keeps its lease and each takeover comes further than the one before.

--- a/packages/cell/__tests__/lead_fixture.ts
+++ b/packages/cell/__tests__/lead_fixture.ts
@@ -17,10 +17,15 @@
 } from "../src/mod.ts";
 import { createMemoryStore } from "./memory_store.ts";
 
-const unanswered = new UncertainError(ErrorCode.workerUnreachable, "none", {
-  step: "worker.call",
-  peer: "w",
-});
+/** Error of a call that got no answer. */
+export const unanswered = new UncertainError(
+  ErrorCode.workerUnreachable,
+  "none",
+  {
+    step: "worker.call",
+    peer: "w",
+  },
+);
 /** The worker of a lead, unless a test lists others. */
 export const ENTRY: WorkerEntry = {
   id: "w",
--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -14,11 +14,10 @@
   type JobSpec,
   type Rules,
   type Scheduler,
-  type StoredJob,
-  withProgress,
   type WorkerListing,
 } from "@rattanhill/scheduler";
 import { createCellJournal } from "./cell_journal.ts";
+import { restoreCell } from "./cell_restore.ts";
 import { findExpiredJobs } from "./expired_jobs.ts";
 import type { Metrics } from "./metrics.ts";
 import { createOverwrittenSubmissions } from "./overwritten_submissions.ts";
@@ -130,6 +129,9 @@
 // seconds of the reply.
 const RESUBMISSION_MARGIN_MS: Milliseconds = 60_000;
 
+/** A change of a cell, caused by a record of another process. */
+type Change = (scheduler: Scheduler) => void;
+
 /**
  * Creates the lead of a cell for one term.
  *
@@ -141,6 +143,8 @@
   const isLeading = (): boolean => !isClosed && options.isLeading();
   const journal = createCellJournal({ ...options, isLeading });
   let scheduler: Scheduler | undefined;
+  /** Changes to apply after the restoring; undefined while nothing is restored. */
+  let changesDuringRestore: Change[] | undefined;
   let isClosed = false;
   /** Whether this lead has read the operators' topic to its end. */
   let areRequestsRead = false;
@@ -302,20 +306,14 @@
     setTimeout(planAndStore, Math.max(COALESCING_DELAY_MS, pauseMs));
   };
 
-  /** Restores a job; one that is not valid must not keep the others waiting. */
-  const restoreJob = (
-    target: Scheduler,
-    job: StoredJob,
-    takenOverAt: Milliseconds,
-  ): void => {
-    try {
-      target.restore(job, takenOverAt + INHERITED_LEASE_MS);
-    } catch (error) {
-      log.error(
-        { term, job: job.spec.id, error: describeError(error) },
-        "stored job could not be restored; skipped",
-      );
-    }
+  /**
+   * Applies a change, or notes it while the stored jobs are being restored. The
+   * book, the rules and the lists contain earlier ones.
+   */
+  const applyChange = (change: Change): void => {
+    if (scheduler !== undefined) change(scheduler);
+    else changesDuringRestore?.push(change);
+    schedulePlanning();
   };
 
   /**
@@ -351,10 +349,15 @@
       if (progress === undefined || !isLeading()) return;
       const listing = await options.listWorkers();
       if (!isLeading()) return;
-      scheduler = createScheduler({
+      changesDuringRestore = [];
+      const restored = createScheduler({
         now: clock.now,
         wallTime: clock.wallTime,
-        sendCommand: links.sendCommand,
+        // Reports that answer a command are of use only after the restoring.
+        sendCommand: (command) => {
+          if (scheduler !== undefined) links.sendCommand(command);
+          else changesDuringRestore?.push(() => links.sendCommand(command));
+        },
         areRequestsCurrent: () =>
           areRequestsRead && options.areRequestsCurrent(),
         askAdvice: (question) => void requestAdvice(question),
@@ -371,18 +374,22 @@
         isolate,
         log,
       });
-      scheduler.setRules(options.rules());
-      scheduler.evacuation.setZones(options.evacuatedZones());
-      scheduler.updateWorkers(listing);
-      for (const job of book.jobs()) {
-        const stored = progress.get(job.spec.id);
-        restoreJob(scheduler, withProgress(job, stored), takenOverAt);
-      }
-      for (const [job, steps] of progress) {
-        if (book.find(job) === undefined) {
-          scheduler.removeProgress(steps.keys());
-        }
-      }
+      restored.setRules(options.rules());
+      restored.evacuation.setZones(options.evacuatedZones());
+      restored.updateWorkers(listing);
+      const isRestored = await restoreCell(restored, {
+        book,
+        progress,
+        leasesEndBy: takenOverAt + INHERITED_LEASE_MS,
+        term,
+        clock,
+        log,
+        isLeading,
+      });
+      if (!isRestored) return;
+      scheduler = restored;
+      for (const change of changesDuringRestore) change(restored);
+      changesDuringRestore = undefined;
       const jobs = scheduler.state.jobs.size;
       const tookMs = clock.now() - takenOverAt;
       log.info(
@@ -402,30 +409,17 @@
       }, LOAD_LOG_INTERVAL_MS);
       planAndStore();
     },
-    submitJob: (spec) => {
-      scheduler?.submit(spec);
-      schedulePlanning();
-    },
-    cancelJob: (job) => {
-      scheduler?.cancel(job);
-      schedulePlanning();
-    },
+    submitJob: (spec) => applyChange((target) => target.submit(spec)),
+    cancelJob: (job) => applyChange((target) => target.cancel(job)),
     restoreSubmission: (spec) => {
       overwritten.add(spec);
       schedulePlanning();
     },
-    updateWorkers: (listing) => {
-      scheduler?.updateWorkers(listing);
-      schedulePlanning();
-    },
-    updateEvacuations: (zones) => {
-      scheduler?.evacuation.setZones(zones);
-      schedulePlanning();
-    },
-    updateRules: (rules) => {
-      scheduler?.setRules(rules);
-      schedulePlanning();
-    },
+    updateWorkers: (listing) =>
+      applyChange((target) => target.updateWorkers(listing)),
+    updateEvacuations: (zones) =>
+      applyChange((target) => target.evacuation.setZones(zones)),
+    updateRules: (rules) => applyChange((target) => target.setRules(rules)),
     scheduler: () => scheduler,
     close: () => {
       isClosed = true;
--- a/packages/cell/src/mod.ts
+++ b/packages/cell/src/mod.ts
@@ -5,6 +5,7 @@
 export * from "./cell_journal.ts";
 export * from "./cell_lead.ts";
 export * from "./cluster_config.ts";
+export * from "./command_queue.ts";
 export * from "./entry.ts";
 export * from "./evacuation_requests.ts";
 export * from "./job_access.ts";
--- a/packages/cell/src/worker_calls.ts
+++ b/packages/cell/src/worker_calls.ts
@@ -6,6 +6,13 @@
   TaskName,
 } from "@rattanhill/scheduler";
 
+/**
+ * Number of start and stop commands to one worker that are under way at the same
+ * time. It is enough for a worker that runs about eight tasks; platforms charge
+ * for each connection.
+ */
+export const MAXIMUM_COMMANDS_UNDER_WAY = 3;
+
 /** Parameters of every call to a worker. */
 export interface WorkerCall {
   /**
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -15,9 +15,14 @@
   type WorkerReport,
   type WorkerState,
 } from "@rattanhill/scheduler";
+import { createCommandQueue } from "./command_queue.ts";
 import { createMergedCall } from "./merged_call.ts";
 import { pollUntilAnswered } from "./repeated_poll.ts";
-import type { StartRefusal, WorkerConnection } from "./worker_calls.ts";
+import {
+  MAXIMUM_COMMANDS_UNDER_WAY,
+  type StartRefusal,
+  type WorkerConnection,
+} from "./worker_calls.ts";
 
 /**
  * Link from the lead to one worker: renews the lease of its runs, polls their
@@ -132,6 +137,7 @@
   let recoveries = 0;
   /** Ends the pauses of stop commands that wait to be repeated. */
   const waitingStops = new Set<() => void>();
+  const commands = createCommandQueue(MAXIMUM_COMMANDS_UNDER_WAY);
 
   const recordClock = (value: Milliseconds): void => {
     clockReading = { clock: value, at: clock.now() };
@@ -265,6 +271,26 @@
   };
   void runPollLoop();
 
+  /**
+   * Waits for the turn of a run's start command, so that the time limit of the
+   * command covers only the worker's answer. The run is certainly not started if
+   * its command is given up before.
+   */
+  const startInTurn = async (run: Run): Promise<void> => {
+    const endTurn = await commands.takeTurn();
+    if (endTurn === undefined) {
+      const isCurrent = !isClosed && isLeading();
+      return isCurrent
+        ? options.onStartAnswer(run, "unhealthy", "undelivered")
+        : options.onStartAnswer(run, "refused", "not sent");
+    }
+    try {
+      await startRun(run);
+    } finally {
+      endTurn();
+    }
+  };
+
   /**
    * Sends a start command, and repeats it once if it is not answered. Once an
    * attempt may have been delivered, the worker may carry it out even after it
@@ -279,9 +305,10 @@
       const leaseUntil = extendLease();
       const isExpired = run.ticket !== undefined &&
         clock.now() >= run.ticket.sendUntil;
+      const isStopped = attempt === 1 && run.stopReason !== undefined;
       if (
         isClosed || !isLeading() || leaseUntil === undefined || isExpired ||
-        !options.mayStart(run)
+        isStopped || !options.mayStart(run)
       ) {
         if (attempt > 1) break;
         return options.onStartAnswer(run, "refused", "not sent");
@@ -313,6 +340,8 @@
           { ...describeRun(run), attempt, error: describeError(error) },
           "start command not answered",
         );
+        // The commands that wait behind this one would not be answered either.
+        commands.giveUpWaiting();
         if (error instanceof UnavailableError && attempt === 1) {
           await pause(RETRY_DELAY_MS / 2);
         }
@@ -356,8 +385,11 @@
     let delayMs = RETRY_DELAY_MS;
     let isFailureLogged = false;
     while (!isClosed && isLeading()) {
-      if (run !== undefined && !worker.runs.has(run)) return;
       const recoveriesBefore = recoveries;
+      const endTurn = await commands.takeTurn({ isUrgent: true });
+      if (endTurn === undefined) return;
+      const isReleased = run !== undefined && !worker.runs.has(run);
+      if (isReleased || !isLeading()) return endTurn();
       const { lifetime } = worker;
       try {
         const isAcknowledged = await connection.stop({
@@ -389,6 +421,8 @@
           );
         }
         isFailureLogged = true;
+      } finally {
+        endTurn();
       }
       if (run === undefined || isClosed) return;
       // An attempt that was sent before the worker answered again says nothing
@@ -403,7 +437,7 @@
 
   return {
     sendCommand: (command) => {
-      if (command.kind === "start") void startRun(command.run);
+      if (command.kind === "start") void startInTurn(command.run);
       else void stopRun(command);
     },
     notifyEndsStored: () => {
@@ -413,6 +447,7 @@
     },
     close: () => {
       isClosed = true;
+      commands.close();
       sendWaitingStops();
       void connection.close();
     },
--- a/packages/scheduler/__tests__/cell_fixture.ts
+++ b/packages/scheduler/__tests__/cell_fixture.ts
@@ -6,6 +6,7 @@
 } from "@rattanhill/shared";
 import {
   type AdviceQuestion,
+  type CellRecord,
   createJobBook,
   createScheduler,
   type DiscardReason,
@@ -86,8 +87,8 @@
  * @param options number of workers, of which each rack has 2, and changes of the
  * rules and of the planning parameters, and what keeps the failure of an item
  * from the others; none by default;
- * the zone of each worker by its index, and whether the operators' requests are
- * known well enough to start runs
+ * the zone of each worker by its index, whether the operators' requests are
+ * known well enough to start runs, and which records the store takes
  * @returns the scheduler, its workers, the kinds of records, the questions, the
  * commands, the log lines, the warnings, the preemption decisions and the waits
  * beside free capacity that it produced, and functions to operate the cell
@@ -182,9 +183,12 @@
   };
   const pollWorkers = () => [...fleet.keys()].forEach(pollWorker);
   /** Stores the next batch, which adds its start commands to `commands`. */
-  const storeBatch = () => {
+  const storeBatch = (
+    onStored: (records: readonly CellRecord[]) => void = () => {},
+  ) => {
     const batch = scheduler.takeBatch();
     if (batch === undefined) return;
+    onStored(batch.records);
     for (const record of batch.records) {
       records.push(record.kind);
       book.apply(record);
@@ -215,6 +219,9 @@
       answer === "started" ? "started" : "refused",
     );
   };
+  const executeCommands = () => {
+    for (const command of commands.splice(0)) executeCommand(command);
+  };
   /** Renews the entries of workers that have restarted under their id. */
   const renewEntries = () => {
     entries.forEach((entry, index) => {
@@ -236,7 +243,7 @@
       pollWorkers();
       scheduler.plan();
       storeBatch();
-      for (const command of commands.splice(0)) executeCommand(command);
+      executeCommands();
     }
   };
   /** Returns the runs of a job that workers are executing. */
@@ -278,6 +285,7 @@
     pollWorkers,
     pollWorker,
     storeBatch,
+    executeCommands,
     settle,
     runs,
     end,
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -2,14 +2,12 @@
 import {
   type JobOutcome,
   type JobSpec,
-  occurrencesOf,
   stepKey,
   type StepSpec,
   type TaskName,
 } from "./job_types.ts";
 import type { StepAdvice, Ticket } from "./advice.ts";
 import type { TaskCrashes } from "./crash_blame.ts";
-import type { StepRecord } from "./records.ts";
 import { addResources, type Resources } from "./resources.ts";
 
 export { addResources, type Resources } from "./resources.ts";
@@ -109,8 +107,15 @@
   outcome?: JobOutcome;
   /** Steps by step key, created on first use. */
   steps: Map<string, StepState>;
+  /** Number of runs of all steps. */
+  runCount: number;
   /** Occurrences whose steps have all ended successfully. */
   finishedOccurrences: Set<number>;
+  /**
+   * By unfinished occurrence, the number of steps, from the first one on, that
+   * were found done when it was last checked for its end.
+   */
+  leadingDoneSteps: Map<number, number>;
 }
 
 /** A worker as the platform lists it. */
@@ -194,7 +199,7 @@
   workers: Map<string, WorkerState>;
   /** Steps whose stored record is out of date. */
   unsavedSteps: Set<StepState>;
-  /** Keys of steps whose stored record is to be deleted. */
+  /** Keys of stored progress that is to be deleted. */
   removedSteps: Set<string>;
   /** Jobs whose outcome is not confirmed to be stored. */
   unsavedOutcomes: Set<ActiveJob>;
@@ -232,7 +237,9 @@
     isCancelled: false,
     hasStarted: false,
     steps: new Map(),
+    runCount: 0,
     finishedOccurrences: new Set(),
+    leadingDoneSteps: new Map(),
   };
   state.jobs.set(spec.id, job);
   return job;
@@ -330,6 +337,7 @@
   const { worker, step } = run;
   addResources(worker.used, needsOf(step.spec));
   worker.runs.add(run);
+  if (!step.runs.has(run.index)) step.job.runCount += 1;
   step.runs.set(run.index, run);
 }
 
@@ -341,7 +349,10 @@
   const { worker, step } = run;
   if (!worker.runs.delete(run)) return;
   addResources(worker.used, needsOf(step.spec), -1);
-  if (step.runs.get(run.index) === run) step.runs.delete(run.index);
+  if (step.runs.get(run.index) === run) {
+    step.runs.delete(run.index);
+    step.job.runCount -= 1;
+  }
   state.unsavedSteps.add(step);
   deleteJobIfFinished(state, step.job);
 }
@@ -352,76 +363,10 @@
  */
 export function deleteJobIfFinished(state: CellState, job: ActiveJob): void {
   if (job.outcome === undefined || state.unsavedOutcomes.has(job)) return;
-  for (const step of job.steps.values()) if (step.runs.size > 0) return;
+  if (job.runCount > 0) return;
   state.jobs.delete(job.spec.id);
   for (const step of job.steps.values()) {
     state.unsavedSteps.delete(step);
     state.removedSteps.add(step.key);
   }
 }
-
-/** @returns the record that stores the step's progress */
-export function stepRecordOf(step: StepState): StepRecord {
-  return {
-    highestRun: step.highestRun,
-    done: [...step.done],
-    runs: [...step.runs.values()].map((run) => [
-      run.index,
-      run.number,
-      run.worker.id,
-      run.lifetime,
-      run.worker.vm ?? "",
-    ]),
-    failedRuns: [...step.failedRuns].map(([index, runs]) => [index, [...runs]]),
-    checkpoints: [...step.checkpoints],
-    crashes: [...step.crashes].map(([index, { met, suspected }]) => [
-      index,
-      [...met],
-      [...suspected],
-    ]),
-  };
-}
-
-/** Sets the outcome of a job once all steps of all occurrences are done. */
-export function completeJobIfDone(state: CellState, job: ActiveJob): void {
-  if (isOver(job)) return;
-  const occurrenceCount = occurrencesOf(job.spec);
-  for (let occurrence = 0; occurrence < occurrenceCount; occurrence++) {
-    if (job.finishedOccurrences.has(occurrence)) continue;
-    const isFinished = job.spec.steps.every((_, index) => {
-      const step = job.steps.get(stepKey(job.spec.id, occurrence, index));
-      return step !== undefined && isStepDone(step);
-    });
-    if (!isFinished) return;
-    job.finishedOccurrences.add(occurrence);
-  }
-  setJobOutcome(state, job, "completed");
-}
-
-/**
- * Fails a job and stops its runs.
- *
- * @param state the cell
- * @param job the job, which has not ended
- * @param stop how to stop a run
- */
-export function failJob(
-  state: CellState,
-  job: ActiveJob,
-  stop: (run: Run, reason: string) => void,
-): void {
-  setJobOutcome(state, job, "failed");
-  for (const step of job.steps.values()) {
-    for (const run of [...step.runs.values()]) stop(run, "its job failed");
-  }
-}
-
-/** Sets the outcome of a job, to be stored with the next batch. */
-export function setJobOutcome(
-  state: CellState,
-  job: ActiveJob,
-  outcome: JobOutcome,
-): void {
-  job.outcome = outcome;
-  state.unsavedOutcomes.add(job);
-}
--- a/packages/scheduler/src/crash_blame.ts
+++ b/packages/scheduler/src/crash_blame.ts
@@ -2,12 +2,12 @@
 import {
   type ActiveJob,
   type CellState,
-  failJob,
   isOver,
   type Run,
   type StepState,
   type WorkerState,
 } from "./cell_state.ts";
+import { failJob } from "./job_outcomes.ts";
 
 /**
  * Crashes of workers that had a run of one task, as {@link crashKeyOf}, without
--- a/packages/scheduler/src/free_room.ts
+++ b/packages/scheduler/src/free_room.ts
@@ -180,9 +180,8 @@
 }
 
 /** @returns whether a task of any step of the job has a run */
-export function hasRuns(job: ActiveJob): boolean {
-  for (const step of job.steps.values()) if (step.runs.size > 0) return true;
-  return false;
+export function hasRuns({ runCount }: ActiveJob): boolean {
+  return runCount > 0;
 }
 
 /**
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -16,7 +16,7 @@
 import { isUsable } from "./free_room.ts";
 import type { WaitingStep } from "./step_ranking.ts";
 import { canAvoidWorkers, type PlacementView, placeStep } from "./placement.ts";
-import { placementShapeOf } from "./placement_shape.ts";
+import { placeInOrder, withinStartLimit } from "./placement_pass.ts";
 import { PLANNING_POLICY, type PlanningPolicy } from "./planning_policy.ts";
 import { createCapacityLedger } from "./capacity_ledger.ts";
 import {
@@ -27,6 +27,7 @@
 import type { JobSpec } from "./job_types.ts";
 import { NO_RULES, type Rules, rulesOf } from "./rules.ts";
 import { rackWaitLimitMs } from "./rack_wait.ts";
+import { createPassLimits } from "./pass_limits.ts";
 import { createRuns } from "./run_creation.ts";
 import { createSpeedPreference } from "./speed_preference.ts";
 import { createRoomWaits, type RoomWaitEvent } from "./room_waits.ts";
@@ -97,6 +98,8 @@
 // worker mostly recovers within that time, and a lasting task may be missing for
 // little longer.
 const AVOIDANCE_MS: Milliseconds = 5_000;
+// Number of overdue steps that a pass tries beyond its time.
+const MAXIMUM_OVERDUE_PER_PASS = 64;
 /**
  * Creates the planner of a cell.
  *
@@ -126,6 +129,7 @@
     isOpen,
     stopMs: () => rules.deployment.stopMs,
   });
+  const limits = createPassLimits({ state, now });
   const advisedWorkers = createAdvisedWorkers({
     now,
     askAdvice: options.askAdvice,
@@ -222,7 +226,8 @@
       mayUseAnyRack: waiting.waitedMs >
         rackWaitLimitMs(waiting, { deployment: rules.deployment, policy }),
     };
-    const unplacedTasks = placeInView(waiting, view, { isOverdue: false });
+    const offered = withinStartLimit(waiting, limits);
+    const unplacedTasks = placeInView(offered, view, { isOverdue: false });
     if (unplacedTasks.length > 0) {
       const findCauses = () =>
         ledger.withClaimReleased(
@@ -315,13 +320,19 @@
       freeOn,
       mayUseAnyRack: true,
     };
-    const unplacedTasks = placeInView(waiting, view, { isOverdue: true });
+    const offered = withinStartLimit(waiting, limits);
+    const placeNow = () => {
+      const unplacedTasks = placeInView(offered, view, { isOverdue: true });
+      limits.recordPlaced(offered.tasks.length - unplacedTasks.length);
+      return unplacedTasks;
+    };
+    const unplacedTasks = placeNow();
     const mayUseAvoided = step.avoidedWorkers.size > 0 &&
       step.spec.isLongRunning !== true &&
-      unplacedTasks.length === waiting.tasks.length;
+      unplacedTasks.length === offered.tasks.length;
     if (!mayUseAvoided) return;
     useAvoidedWorkers(step);
-    placeInView(waiting, view, { isOverdue: true });
+    placeNow();
   };
 
   /** Stops runs that are stuck or would outlast their draining workers. */
@@ -371,7 +382,6 @@
       capacityReclaim.beginPass();
       crashBlame.beginPass();
       stopUnfitRuns();
-      const failedShapes = new Map<string, WaitingStep>();
       observeWaits(roomWaits.beginPass);
       waitingSteps = collectWaitingSteps(state, {
         rules,
@@ -385,34 +395,20 @@
         const cause = WaitCause.requestsNotCurrent;
         return observeWaits(() => roomWaits.endPass(waitingSteps, cause));
       }
-      for (const waitingStep of waitingSteps) {
-        const shape = isolate(
-          { operation: "step.shape", item: waitingStep.step.key },
-          () => placementShapeOf(waitingStep),
-        );
-        const failed = failedShapes.get(shape ?? "");
-        // Shorter tasks may end before the start of a gang with a reservation.
-        if (
-          failed !== undefined && waitingStep.expectedMs >= failed.expectedMs
-        ) {
-          roomWaits.recordSkipped(waitingStep, failed.step);
-          continue;
-        }
-        const runCountBefore = waitingStep.step.runs.size;
-        isolate(
-          { operation: "step.place", item: waitingStep.step.key },
-          () => placeTasks(waitingStep),
-        );
-        const isPlaced = waitingStep.step.runs.size >=
-          runCountBefore + waitingStep.tasks.length;
-        if (shape !== undefined && !isPlaced) {
-          failedShapes.set(shape, waitingStep);
-        }
-      }
-      for (const waitingStep of idleJobs.findOverdue(waitingSteps)) {
+      limits.beginPass();
+      placeInOrder(waitingSteps, {
+        limits,
+        place: placeTasks,
+        onSkipped: roomWaits.recordSkipped,
+        onNotReached: roomWaits.recordNotReached,
+        isolate,
+      });
+      const overdue = idleJobs.findOverdue(waitingSteps);
+      for (const waiting of overdue.slice(0, MAXIMUM_OVERDUE_PER_PASS)) {
+        if (limits.remainingStarts() === 0) break;
         isolate(
-          { operation: "step.place", item: waitingStep.step.key },
-          () => placeOverdue(waitingStep),
+          { operation: "step.place", item: waiting.step.key },
+          () => placeOverdue(waiting),
         );
       }
       observeWaits(() => roomWaits.endPass(waitingSteps));
--- a/packages/scheduler/src/record_batch.ts
+++ b/packages/scheduler/src/record_batch.ts
@@ -7,10 +7,10 @@
   type Resources,
   type Run,
   RunPhase,
-  stepRecordOf,
   type StepState,
   type WorkerState,
 } from "./cell_state.ts";
+import { stepRecordOf } from "./step_record.ts";
 import { isEligible } from "./placement.ts";
 import type { CellRecord } from "./records.ts";
 
--- a/packages/scheduler/src/room_waits.ts
+++ b/packages/scheduler/src/room_waits.ts
@@ -42,6 +42,8 @@
    * could not be placed earlier in the pass.
    */
   recordSkipped(waiting: WaitingStep, failed: StepState): void;
+  /** Records that a step was not tried, since the pass reached its limits. */
+  recordNotReached(waiting: WaitingStep): void;
   /**
    * Ends a pass, after all placements.
    *
@@ -374,6 +376,13 @@
       const causes = new Set(found.causes).add(WaitCause.shapeFailed);
       searchOf(step).causes = { ...found, causes: [...causes] };
     },
+    recordNotReached: ({ step }) => {
+      if (!isLooking) return;
+      searchOf(step).causes = {
+        causes: [WaitCause.notReached],
+        withheldFor: [],
+      };
+    },
     endPass: (waitingSteps, cause) => {
       if (!isLooking) return;
       isLooking = false;
--- a/packages/scheduler/src/run_ends.ts
+++ b/packages/scheduler/src/run_ends.ts
@@ -2,13 +2,13 @@
 import {
   type ActiveJob,
   type CellState,
-  completeJobIfDone,
   isStepDone,
   releaseRun,
   type Run,
   RunPhase,
   type WorkerState,
 } from "./cell_state.ts";
+import { completeJobIfDone } from "./job_outcomes.ts";
 import { countFailedRun } from "./failed_attempts.ts";
 import { type RunEnd, stepKey, type TaskName } from "./job_types.ts";
 
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -9,18 +9,16 @@
   type ActiveJob,
   addJob,
   type CellState,
-  completeJobIfDone,
   createCellState,
   deleteJobIfFinished,
   describeRun,
-  failJob,
   isOver,
   type Run,
   RunPhase,
-  setJobOutcome,
   taskNameOf,
   type WorkerState,
 } from "./cell_state.ts";
+import { completeJobIfDone, failJob, setJobOutcome } from "./job_outcomes.ts";
 import {
   type AdviceAnswer,
   type AdviceQuestion,
--- a/packages/scheduler/src/step_ranking.ts
+++ b/packages/scheduler/src/step_ranking.ts
@@ -57,20 +57,27 @@
  */
 export const USEFUL_OBJECTIVE_FACTOR = 3;
 
+/** Expected duration of the steps of one occurrence of a job. */
+export interface JobDuration {
+  /** Of all steps. */
+  totalMs: Milliseconds;
+  /** Of the unfinished steps. */
+  remainingMs: Milliseconds;
+}
+
 /**
  * Ranks a waiting step by its {@link Tier}, then by the priority of its queue.
  * Among equals, the step with the least slack goes first; in the last tier, the
  * one with the longest wait.
  *
  * @param waiting the step with the rules of its queue and its wait
- * @param jobDuration expected duration of all steps of the job, and of its
- * unfinished steps
+ * @param jobDuration expected duration of the job
  * @param isGuaranteed whether the guarantee of its account covers the job
  * @returns its position in the planning order
  */
 export function rankStep(
   waiting: Omit<WaitingStep, "rank">,
-  jobDuration: { totalMs: Milliseconds; remainingMs: Milliseconds },
+  jobDuration: JobDuration,
   isGuaranteed: boolean,
 ): Rank {
   const { rules, waitedMs } = waiting;
--- a/packages/scheduler/src/wait_causes.ts
+++ b/packages/scheduler/src/wait_causes.ts
@@ -38,6 +38,11 @@
   adviceRefused: "adviceRefused",
   /** A step of the same shape could not be placed earlier in the pass. */
   shapeFailed: "shapeFailed",
+  /**
+   * The pass ended before it: enough start commands were under way, or its time
+   * was over.
+   */
+  notReached: "notReached",
   /** The placement is not stored yet. */
   storing: "storing",
   /** The worker has not confirmed the start. */
--- a/packages/scheduler/src/waiting_work.ts
+++ b/packages/scheduler/src/waiting_work.ts
@@ -11,6 +11,7 @@
 import {
   compareRanks,
   findRunnableSteps,
+  type JobDuration,
   rankStep,
   type WaitingStep,
 } from "./step_ranking.ts";
@@ -40,15 +41,25 @@
     const { spec } = job;
     const stepAt = (occurrence: number, index: number) =>
       getOrCreateStep(job, occurrence, index);
-    const runnable = findRunnableSteps(job, stepAt, wallTime);
-    return runnable.map(({ step, tasks }) => {
-      const jobDuration = { totalMs: 0, remainingMs: 0 };
+    const measureJob = (occurrence: number): JobDuration => {
+      const duration = { totalMs: 0, remainingMs: 0 };
       spec.steps.forEach(({ estimateMs }, index) => {
         const expectedMs = durations.expectedDuration(spec, estimateMs);
-        jobDuration.totalMs += expectedMs;
-        const isDone = isStepDone(stepAt(step.occurrence, index));
-        if (!isDone) jobDuration.remainingMs += expectedMs;
+        duration.totalMs += expectedMs;
+        if (!isStepDone(stepAt(occurrence, index))) {
+          duration.remainingMs += expectedMs;
+        }
       });
+      return duration;
+    };
+    /** Measured once for all steps of an occurrence. */
+    const jobDurations = new Map<number, JobDuration>();
+    const runnable = findRunnableSteps(job, stepAt, wallTime);
+    return runnable.map(({ step, tasks }) => {
+      const { occurrence } = step;
+      const jobDuration = jobDurations.get(occurrence) ??
+        measureJob(occurrence);
+      jobDurations.set(occurrence, jobDuration);
       const waiting = {
         step,
         tasks,
@@ -56,7 +67,7 @@
         expectedMs: durations.expectedDuration(spec, step.spec.estimateMs),
         waitedMs: spec.repetition === undefined
           ? now - job.waitingSince
-          : wallTime - dueAt(spec, step.occurrence),
+          : wallTime - dueAt(spec, occurrence),
       };
       const rank = rankStep(waiting, jobDuration, guaranteedJobs.has(spec.id));
       return { ...waiting, rank };
