fix(cell): store what a record can't hold in parts, and go on after a rejection

Cause, in two layers: - The progress of a step was one record. All other changes waited behind it, and the next lead did the same.

Change: - Progress that does not fit is stored in parts, by ranges of tasks, halved until each fits; only parts that have changed are stored again. A lead reads both forms: of each task, the newest record counts. A record is given up only if an empty append is taken and the record is rejected again. - The lead stores progress in smaller parts after a rejection, which also covers a store that takes less than its settings say. If parts of 4 KB are rejected, the job fails: without a record its tasks could run twice. - The same on related paths: a rejected submission fails alone, not with those that share its append, and is answered at once; a submission that is stored again, and the removal of ended jobs, keep nothing waiting. An append holds at most 256 KB (a single record may be as large as the store allows): 2 MB can't arrive within its time limit of 1 s below 17 Mbit/s, and would be repeated likewise. Stored progress is decoded in slices after a takeover. The limit on the tasks of a step is as it was.

Conclusion: no record has to hold what others decide, and one that the store will never take stops at most its own job.

--- a/packages/cell/__tests__/cell_journal.test.ts
+++ b/packages/cell/__tests__/cell_journal.test.ts
@@ -1,5 +1,10 @@
 import { expect } from "chai";
-import { ErrorCode, silentLogger, UnavailableError } from "@rattanhill/shared";
+import {
+  createSystemClock,
+  ErrorCode,
+  silentLogger,
+  UnavailableError,
+} from "@rattanhill/shared";
 import type { CellRecord } from "@rattanhill/scheduler";
 import { createCellJournal } from "../src/mod.ts";
 import { createMemoryStore } from "./memory_store.ts";
@@ -43,6 +48,7 @@
       progressTopic: "progress",
       term,
       isLeading: () => isLeading,
+      clock: createSystemClock(),
       log: silentLogger,
     });
   return {
@@ -55,7 +61,7 @@
 
 it("cell journal: progress is stored apart from what entries read", async () => {
   const { create, recordsOf } = createTestJournals();
-  expect(await create(1).append([START, PROGRESS])).to.equal(true);
+  expect(await create(1).append([START, PROGRESS])).to.deep.equal([]);
   expect(recordsOf("journal").map(({ key }) => key)).to.deep.equal(["start/a"]);
   expect(recordsOf("progress").map(({ key }) => key))
     .to.deep.equal(["step/a.0.0"]);
@@ -65,8 +71,8 @@
   const { create, recordsOf } = createTestJournals();
   const earlier = create(1);
   await create(2).open();
-  expect(await earlier.append([PROGRESS])).to.equal(false);
-  expect(await earlier.append([START])).to.equal(false);
+  expect(await earlier.append([PROGRESS])).to.equal(undefined);
+  expect(await earlier.append([START])).to.equal(undefined);
   expect(recordsOf("journal")).to.deep.equal([]);
   expect(recordsOf("progress")).to.deep.equal([]);
 });
--- a/packages/cell/__tests__/memory_store.ts
+++ b/packages/cell/__tests__/memory_store.ts
@@ -4,6 +4,7 @@
   UnavailableError,
   UncertainError,
 } from "@rattanhill/shared";
+import type { KeyedValue } from "@rattanhill/scheduler";
 import type { AppendResult, Store, StoredRecord } from "../src/mod.ts";
 
 /** Fault of one append. */
@@ -13,15 +14,19 @@
   /** The store appends the records, but its answer is lost. */
   | "lost"
   /** The store neither appends the records nor answers. */
-  | "undone";
+  | "undone"
+  /** The store rejects the append as invalid. */
+  | "rejected";
 
 /**
  * Creates a store in memory. Each append has the next of the given faults;
- * appends after the last fault succeed.
+ * appends after the last fault succeed, unless the store does not accept one of
+ * the records.
  */
 export function createMemoryStore(
   faults: AppendFault[] = [],
   limits = { recordBytes: 262_144, callBytes: 2_097_152 },
+  accepts: (value: KeyedValue) => boolean = () => true,
 ) {
   const topics = new Map<string, StoredRecord[]>();
   const terms = new Map<string, number>();
@@ -50,6 +55,9 @@
             context,
           );
         }
+        if (fault === "rejected" || !values.every(accepts)) {
+          return { kind: "rejected", status: 400 };
+        }
         const records = recordsOf(topic);
         const result = ((): AppendResult => {
           const endOffset = records.length;
--- a/packages/cell/src/append_limits.ts
+++ b/packages/cell/src/append_limits.ts
@@ -8,6 +8,12 @@
   callBytes: number;
 }
 
+/**
+ * Size of an append above which no further record is added to it, so that it
+ * arrives within its time limit on a link of a few megabits per second.
+ */
+export const PREFERRED_CALL_BYTES = 262_144;
+
 // Sizes of the length prefixes of an encoded key and an encoded record. They
 // count towards the size of a record, so that encoded records stay below the
 // limits.
--- a/packages/cell/src/batch_writer.ts
+++ b/packages/cell/src/batch_writer.ts
@@ -1,12 +1,17 @@
 import {
   type Clock,
   ErrorCode,
+  InvalidError,
   type Milliseconds,
   UnavailableError,
   UncertainError,
 } from "@rattanhill/shared";
 import type { KeyedValue } from "@rattanhill/scheduler";
-import { countFittingRecords, sizeOfRecord } from "./append_limits.ts";
+import {
+  countFittingRecords,
+  PREFERRED_CALL_BYTES,
+  sizeOfRecord,
+} from "./append_limits.ts";
 import type { Store } from "./store.ts";
 
 /** Writer of single records that shares appends between them (group commit). */
@@ -20,6 +25,7 @@
    * @returns end offset of the append; the record is before it
    * @throws UnavailableError when the record was certainly not appended
    * @throws UncertainError when it may have been appended, or may still be
+   * @throws InvalidError when the store rejects it, and would do so again
    */
   append(value: KeyedValue, timeoutMs: Milliseconds): Promise<number>;
 }
@@ -43,6 +49,8 @@
   value: KeyedValue;
   /** Monotonic time at which its caller stops waiting. */
   expiresAt: Milliseconds;
+  /** Whether it shares its call with no other record. */
+  isAlone?: boolean;
   resolve(endOffset: number): void;
   reject(error: unknown): void;
 }
@@ -66,8 +74,8 @@
     ) return;
     const sizes = pendingAppends.map(({ value }) => sizeOfRecord(value));
     const count = countFittingRecords(sizes, {
-      callBytes: store.limits.callBytes,
-      maximumCount: MAXIMUM_RECORDS_PER_CALL,
+      callBytes: Math.min(store.limits.callBytes, PREFERRED_CALL_BYTES),
+      maximumCount: pendingAppends[0].isAlone ? 1 : MAXIMUM_RECORDS_PER_CALL,
     });
     const batch = pendingAppends.splice(0, count);
     const expiresAt = Math.max(...batch.map((pending) => pending.expiresAt));
@@ -80,6 +88,7 @@
           timeoutMs: Math.max(1, expiresAt - clock.now()),
         },
       );
+      if (result.kind === "rejected") return handleRejected(batch, result);
       // An append without conditions is not rejected by one.
       if (result.kind !== "appended") throw new Error(result.kind);
       for (const { resolve } of batch) resolve(result.endOffset);
@@ -91,6 +100,32 @@
     }
   };
 
+  /**
+   * Fails the record that the store rejects; of several, each is sent alone, as
+   * one of them may be the cause.
+   */
+  const handleRejected = (
+    batch: readonly PendingAppend[],
+    { status }: { status: number },
+  ): void => {
+    if (batch.length > 1) {
+      const waiting = batch.filter(({ expiresAt }) => expiresAt > clock.now());
+      for (const pending of waiting) pending.isAlone = true;
+      pendingAppends.unshift(...waiting);
+      return;
+    }
+    const [{ value, reject }] = batch;
+    const fault = `record ${value.key}: store rejects ${sizeOfRecord(value)} ` +
+      `bytes with status ${status}`;
+    reject(
+      new InvalidError(ErrorCode.requestInvalid, fault, {
+        step: "store.append",
+        peer: "store",
+        faults: [fault],
+      }),
+    );
+  };
+
   /** Fails an append whose time is over, wherever it waits. */
   const expireAppend = (pending: PendingAppend): void => {
     const context = { step: "store.append", peer: "store" };
--- a/packages/cell/src/cell_journal.ts
+++ b/packages/cell/src/cell_journal.ts
@@ -1,12 +1,19 @@
-import { describeError, type Milliseconds, pause } from "@rattanhill/shared";
 import {
+  type Clock,
+  describeError,
+  type Milliseconds,
+  pause,
+} from "@rattanhill/shared";
+import {
+  addStoredProgress,
   type CellRecord,
-  collectProgress,
   isProgressRecord,
   type StoredProgress,
 } from "@rattanhill/scheduler";
 import { createJournal, type JournalOptions } from "./journal.ts";
+import type { StoredRecord } from "./store.ts";
 import { decodeStoredRecords } from "./stored_records.ts";
+import { startWorkSlices } from "./work_slices.ts";
 
 /**
  * Fenced writer of a lead's records to both topics of its cell: the journal,
@@ -33,15 +40,19 @@
    * its job is true all the same, and so is progress without the outcome, which
    * the next lead then stores.
    *
-   * @returns whether all of them are stored
+   * @returns the records that the store rejects for good, while all others are
+   * stored; undefined when this process no longer leads
    */
-  append(records: readonly CellRecord[]): Promise<boolean>;
+  append(
+    records: readonly CellRecord[],
+  ): Promise<readonly CellRecord[] | undefined>;
 }
 
 /** Options of {@link createCellJournal}. */
 export interface CellJournalOptions extends JournalOptions {
   /** Topic of the progress of the cell's jobs. */
   progressTopic: string;
+  clock: Pick<Clock, "now">;
 }
 
 // Time for one page of stored progress. A store that is slowed down 60-fold
@@ -56,18 +67,36 @@
  * @returns the writer; it has not called the store yet
  */
 export function createCellJournal(options: CellJournalOptions): CellJournal {
-  const { store, progressTopic, term, isLeading, log } = options;
+  const { store, progressTopic, term, isLeading, clock, log } = options;
   const journal = createJournal(options);
   const progressJournal = createJournal({ ...options, topic: progressTopic });
 
   const append = async (
     records: readonly CellRecord[],
-  ): Promise<boolean> => {
-    const results = await Promise.all([
+  ): Promise<readonly CellRecord[] | undefined> => {
+    const [rejectedProgress, rejectedOthers] = await Promise.all([
       progressJournal.append(records.filter(isProgressRecord)),
       journal.append(records.filter((record) => !isProgressRecord(record))),
     ]);
-    return results.every((isStored) => isStored);
+    if (rejectedProgress === undefined || rejectedOthers === undefined) {
+      return undefined;
+    }
+    return [...rejectedProgress, ...rejectedOthers];
+  };
+
+  /** Decodes progress in slices, in the order in which it was stored. */
+  const decodeProgress = async (
+    records: readonly StoredRecord[],
+  ): Promise<StoredProgress> => {
+    const progress: StoredProgress = new Map();
+    const endSlice = startWorkSlices(clock);
+    for (const stored of records.toSorted((a, b) => a.offset - b.offset)) {
+      for (const record of decodeStoredRecords([stored], log)) {
+        addStoredProgress(progress, record);
+      }
+      await endSlice();
+    }
+    return progress;
   };
 
   const readProgress = async (): Promise<StoredProgress | undefined> => {
@@ -77,7 +106,7 @@
           progressTopic,
           PROGRESS_READ_TIMEOUT_MS,
         );
-        return collectProgress(decodeStoredRecords(records, log));
+        return await decodeProgress(records);
       } catch (error) {
         log.warn(
           { term, error: describeError(error) },
--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -22,6 +22,7 @@
 import type { Metrics } from "./metrics.ts";
 import { createOverwrittenSubmissions } from "./overwritten_submissions.ts";
 import { countRoomWait } from "./room_wait_metrics.ts";
+import { createStorableSizes } from "./storable_sizes.ts";
 import type { Store } from "./store.ts";
 import { createUnscheduledJobs } from "./unscheduled_jobs.ts";
 import type { Advise, ConnectWorker } from "./worker_calls.ts";
@@ -162,6 +163,11 @@
     log,
     metrics,
   });
+  const storable = createStorableSizes({
+    limits: options.store.limits,
+    metrics,
+    log,
+  });
   let planningMs: Milliseconds = 0;
   let planningTimer: NodeJS.Timeout | undefined;
   let loadLogTimer: NodeJS.Timeout | undefined;
@@ -223,7 +229,8 @@
         const batch = scheduler.takeBatch();
         links.notifyEndsStored();
         if (batch === undefined) return;
-        if (!await journal.append(batch.records) || !isLeading()) {
+        const rejected = await journal.append(batch.records);
+        if (rejected === undefined || !isLeading()) {
           const { records: { length: records }, ends: { size: ends } } = batch;
           metrics.incrementCounter("batch.unconfirmed");
           log.warn(
@@ -232,6 +239,7 @@
           );
           return;
         }
+        if (!storable.handleRejected(rejected, scheduler)) continue;
         for (const { placedAt, step } of batch.starting) {
           metrics.recordDuration("stored.start", clock.now() - placedAt);
           if (step.highestRun === 1) {
@@ -260,7 +268,7 @@
     if (records.length === 0) return;
     isStoring = true;
     try {
-      if (!await journal.append(records)) return;
+      if (await journal.append(records) === undefined) return;
       records.forEach(book.apply);
       log.info({ jobs: records.length }, "ended jobs removed");
     } finally {
@@ -372,6 +380,7 @@
           metrics.incrementCounter(`run.discarded.core.ms.${reason}`, coreMs);
         },
         isolate,
+        fits: storable.fits,
         log,
       });
       restored.setRules(options.rules());
--- a/packages/cell/src/cell_restore.ts
+++ b/packages/cell/src/cell_restore.ts
@@ -6,6 +6,7 @@
 } from "@rattanhill/shared";
 import {
   type JobBook,
+  progressKeysOf,
   type Scheduler,
   type StoredJob,
   type StoredProgress,
@@ -61,7 +62,7 @@
   }
   for (const [job, steps] of progress) {
     if (book.find(job) !== undefined) continue;
-    scheduler.removeProgress(steps.keys());
+    scheduler.removeProgress(progressKeysOf(steps));
   }
   return true;
 }
--- a/packages/cell/src/job_service.ts
+++ b/packages/cell/src/job_service.ts
@@ -234,6 +234,9 @@
     try {
       const outcome = await storeRecord(value, deadline);
       if (outcome === "refused") return unavailable("the store refuses writes");
+      if (outcome === "rejected") {
+        return { kind: "invalid", reason: "the store rejects the job" };
+      }
       // The journal may already have shown an earlier submission with the ID.
       const first = book.find(id);
       const reply: CallerReply = first === undefined
@@ -282,7 +285,9 @@
     const [value] = encodeRecord(record);
     const outcome = await storeRecord(value, deadline);
     if (outcome === "uncertain") return { kind: "uncertain" };
-    if (outcome === "refused") return unavailable("the store refuses writes");
+    if (outcome === "refused" || outcome === "rejected") {
+      return unavailable("the store refuses writes");
+    }
     book.apply(record);
     return { kind: "cancelled" };
   };
--- a/packages/cell/src/journal.ts
+++ b/packages/cell/src/journal.ts
@@ -9,7 +9,11 @@
   encodeRecord,
   type KeyedValue,
 } from "@rattanhill/scheduler";
-import { countFittingRecords, sizeOfRecord } from "./append_limits.ts";
+import {
+  countFittingRecords,
+  PREFERRED_CALL_BYTES,
+  sizeOfRecord,
+} from "./append_limits.ts";
 import type { Store } from "./store.ts";
 
 /** Fenced writer of the lead's records to the journal of its cell. */
@@ -25,9 +29,12 @@
    * Stores records in their order, with retries while this process leads.
    * Records that do not fit into one call are split over several.
    *
-   * @returns whether all of them are stored
+   * @returns the records that the store rejects for good, while all others are
+   * stored; undefined when this process no longer leads, with any of them stored
    */
-  append(records: readonly CellRecord[]): Promise<boolean>;
+  append(
+    records: readonly CellRecord[],
+  ): Promise<readonly CellRecord[] | undefined>;
 }
 
 /** Options of {@link createJournal}. */
@@ -47,6 +54,12 @@
 const APPEND_TIMEOUT_MS: Milliseconds = 1_000;
 const RETRY_DELAY_MS: Milliseconds = 100;
 
+/** A value to append, and the record that it is part of. */
+interface EncodedValue {
+  record: CellRecord;
+  value: KeyedValue;
+}
+
 /**
  * Creates the writer of one term.
  *
@@ -55,12 +68,21 @@
  */
 export function createJournal(options: JournalOptions): Journal {
   const { store, topic, term, isLeading, log } = options;
+  const limits = {
+    callBytes: Math.min(store.limits.callBytes, PREFERRED_CALL_BYTES),
+  };
   /** Number of the next append, by which the store detects repeated ones. */
   let sequence = 0;
 
+  /**
+   * Makes one append, with retries after answers that may change.
+   *
+   * @returns the end offset; `rejected` if the store would reject the same
+   * records again; undefined when this process no longer leads
+   */
   const write = async (
     records: readonly KeyedValue[],
-  ): Promise<number | undefined> => {
+  ): Promise<number | "rejected" | undefined> => {
     let failures = 0;
     while (isLeading()) {
       try {
@@ -77,6 +99,10 @@
           sequence = result.expected;
           continue;
         }
+        if (result.kind === "rejected") {
+          if (records.length > 0) return "rejected";
+          throw new Error(`store rejects an empty append: ${result.status}`);
+        }
         sequence += 1;
         return result.endOffset;
       } catch (error) {
@@ -95,18 +121,58 @@
     return undefined;
   };
 
+  /**
+   * Appends values that fit into one call. If the store rejects them, they are
+   * appended in halves, until those that it rejects are alone.
+   *
+   * @returns the rejected values; undefined when this process no longer leads
+   */
+  const writeAccepted = async (
+    values: readonly EncodedValue[],
+  ): Promise<readonly EncodedValue[] | undefined> => {
+    const outcome = await write(values.map(({ value }) => value));
+    if (outcome === undefined) return undefined;
+    if (outcome !== "rejected") return [];
+    if (values.length === 1) {
+      // While the store takes no append at all, that says nothing of this value.
+      if (await write([]) === undefined) return undefined;
+      const [{ value }] = values;
+      const secondOutcome = await write([value]);
+      if (secondOutcome !== "rejected") {
+        return secondOutcome === undefined ? undefined : [];
+      }
+      const bytes = sizeOfRecord(value);
+      log.error({ term, key: value.key, bytes }, "journal record rejected");
+      return values;
+    }
+    const middle = Math.ceil(values.length / 2);
+    const rejected: EncodedValue[] = [];
+    for (const half of [values.slice(0, middle), values.slice(middle)]) {
+      const rejectedInHalf = await writeAccepted(half);
+      if (rejectedInHalf === undefined) return undefined;
+      rejected.push(...rejectedInHalf);
+    }
+    return rejected;
+  };
+
   return {
-    open: () => write([]),
+    open: async () => {
+      const end = await write([]);
+      return end === "rejected" ? undefined : end;
+    },
     append: async (records) => {
-      const values = records.flatMap(encodeRecord);
+      const values = records.flatMap((record) =>
+        encodeRecord(record).map((value) => ({ record, value }))
+      );
+      const rejected = new Set<CellRecord>();
       while (values.length > 0) {
-        const count = countFittingRecords(
-          values.map(sizeOfRecord),
-          store.limits,
-        );
-        if (await write(values.splice(0, count)) === undefined) return false;
+        const sizes = values.map(({ value }) => sizeOfRecord(value));
+        const count = countFittingRecords(sizes, limits);
+        const rejectedValues = await writeAccepted(values.splice(0, count));
+        if (rejectedValues === undefined) return undefined;
+        for (const { record } of rejectedValues) rejected.add(record);
       }
-      return true;
+      return [...rejected];
     },
   };
 }
--- a/packages/cell/src/overwritten_submissions.ts
+++ b/packages/cell/src/overwritten_submissions.ts
@@ -11,7 +11,10 @@
 export interface OverwrittenSubmissions {
   /** Notes a submission to be stored again. */
   add(spec: JobSpec): void;
-  /** @returns whether all noted submissions are stored */
+  /**
+   * @returns whether all noted submissions are stored, but those that the store
+   * rejects for good; false when this process no longer leads
+   */
   store(): Promise<boolean>;
 }
 
@@ -46,17 +49,19 @@
       const specs = overwritten.filter(({ id }) => book.find(id) !== undefined);
       overwritten = [];
       if (specs.length === 0) return true;
-      const isStored = await journal.append(
+      const rejected = await journal.append(
         specs.map((spec) => ({
           kind: "submission",
           spec: { ...spec, isRestored: true },
         })),
       );
+      const isStored = rejected !== undefined;
       metrics.incrementCounter("submission.restored");
       log.warn(
         {
           jobs: specs.slice(0, MAXIMUM_LOGGED_JOBS).map(({ id }) => id),
           isStored,
+          rejected: rejected?.length,
         },
         "submissions stored again: later ones had their IDs",
       );
--- a/packages/cell/src/record_writer.ts
+++ b/packages/cell/src/record_writer.ts
@@ -1,4 +1,11 @@
-import { type Milliseconds, pause, UnavailableError } from "@rattanhill/shared";
+import {
+  describeError,
+  InvalidError,
+  type Logger,
+  type Milliseconds,
+  pause,
+  UnavailableError,
+} from "@rattanhill/shared";
 import type { KeyedValue } from "@rattanhill/scheduler";
 import { type BatchWriterOptions, createBatchWriter } from "./batch_writer.ts";
 
@@ -7,18 +14,20 @@
  *
  * @param value the record
  * @param deadline monotonic time by which the outcome is needed
- * @returns the end offset of the append; `refused` only when no attempt can have
- * stored the record
+ * @returns the end offset of the append; `refused` and `rejected` only when no
+ * attempt can have stored the record, `rejected` when the store would reject it
+ * again
  */
 export type StoreRecord = (
   value: KeyedValue,
   deadline: Milliseconds,
-) => Promise<number | "refused" | "uncertain">;
+) => Promise<number | "refused" | "rejected" | "uncertain">;
 
 /** Options of {@link createRecordWriter}. */
 export interface RecordWriterOptions extends BatchWriterOptions {
   /** @returns the time since the store stopped answering; 0 while it answers */
   storeOutageMs(): Milliseconds;
+  log: Logger;
 }
 
 // A store that is slowed down 60-fold answers in 0.3 s.
@@ -56,6 +65,10 @@
           Math.max(0, Math.min(remainingMs, APPEND_TIMEOUT_MS)),
         );
       } catch (error) {
+        if (error instanceof InvalidError) {
+          options.log.error({ error: describeError(error) }, "record rejected");
+          return isUncertain ? "uncertain" : "rejected";
+        }
         if (error instanceof UnavailableError) refusals += 1;
         else isUncertain = true;
       }
--- a/packages/cell/src/store.ts
+++ b/packages/cell/src/store.ts
@@ -34,7 +34,12 @@
   /** Nothing was appended: the store has seen a higher term. */
   | { kind: "fenced" }
   /** Nothing was appended: the store expects another sequence number. */
-  | { kind: "outOfSequence"; expected: number };
+  | { kind: "outOfSequence"; expected: number }
+  /**
+   * Nothing was appended: the store rejects the request as invalid or too large,
+   * and would do so again.
+   */
+  | { kind: "rejected"; status: number };
 
 /** A record with its offset in the topic. */
 export interface StoredRecord extends KeyedValue {
--- a/packages/scheduler/__tests__/cell_fixture.ts
+++ b/packages/scheduler/__tests__/cell_fixture.ts
@@ -12,6 +12,7 @@
   type DiscardReason,
   type JobSpec,
   type PlanningPolicy,
+  type ProgressRecord,
   type QueueRules,
   type ReclaimOutcome,
   type RoomWaitEvent,
@@ -101,6 +102,7 @@
     isolate = noIsolation,
     zoneOf = () => "z",
     areRequestsCurrent,
+    fits,
   }: {
     workers?: number;
     rules?: Partial<Rules>;
@@ -108,6 +110,7 @@
     isolate?: Isolate;
     zoneOf?(index: number): string;
     areRequestsCurrent?(): boolean;
+    fits?(record: ProgressRecord): boolean;
   } = {},
 ) {
   const clock = createManualClock(100_000);
@@ -150,6 +153,7 @@
     policy,
     isolate,
     areRequestsCurrent,
+    fits,
     log: {
       ...silentLogger,
       info: (fields, event) => lines.push({ event, fields }),
--- a/packages/scheduler/__tests__/stored_progress.test.ts
+++ b/packages/scheduler/__tests__/stored_progress.test.ts
@@ -1,9 +1,11 @@
 import { expect } from "chai";
 import {
-  collectProgress,
+  addStoredProgress,
+  type CellRecord,
   encodeRecord,
   isProgressRecord,
   type StepRecord,
+  type StoredProgress,
   withProgress,
 } from "../src/mod.ts";
 import { createCell, job, step } from "./cell_fixture.ts";
@@ -17,6 +19,12 @@
   crashes: [],
 });
 
+function collectProgress(records: readonly CellRecord[]): StoredProgress {
+  const progress: StoredProgress = new Map();
+  for (const record of records) addStoredProgress(progress, record);
+  return progress;
+}
+
 it("stored progress: it is found by job and step", () => {
   const progress = collectProgress([
     { kind: "progress", step: "a.0.0", progress: progressOf(1) },
--- a/packages/scheduler/__tests__/takeover.test.ts
+++ b/packages/scheduler/__tests__/takeover.test.ts
@@ -98,6 +98,29 @@
   );
 }).timeout(TIMEOUT_MS);
 
+// Guards against progress that is lost between a record of a whole step and the
+// records of its parts.
+it("takeover: no task runs twice while its progress is stored in parts", () => {
+  const scenarios = fc.record({
+    series: events,
+    recordBytes: fc.constantFrom(1, 60, 90),
+  });
+  const result = fc.check(
+    fc.property(
+      scenarios,
+      ({ series, recordBytes }) =>
+        simulateTakeovers(series, {
+          steps: [step({ taskCount: 3 })],
+          recordBytes,
+        }).length === 0,
+    ),
+    { numRuns: SERIES_COUNT, seed: SEED, endOnFailure: true },
+  );
+  expect(result.counterexample, JSON.stringify(result.counterexample)).to.equal(
+    null,
+  );
+}).timeout(TIMEOUT_MS);
+
 // With the fault, a run may start or fail unnoticed before the next one starts.
 it("takeover: no task starts after failed ends that were reported", () => {
   const result = checkEvents(
@@ -125,6 +148,7 @@
       [step(), step({ taskCount: 2, after: [0] })],
     ),
     workerCount: fc.constantFrom(2, 4),
+    recordBytes: fc.constantFrom(Infinity, 60),
   });
   const result = fc.check(
     fc.property(
--- a/packages/scheduler/__tests__/takeover_model.ts
+++ b/packages/scheduler/__tests__/takeover_model.ts
@@ -4,6 +4,7 @@
   silentLogger,
 } from "@rattanhill/shared";
 import {
+  addStoredProgress,
   type CellRecord,
   createJobBook,
   createScheduler,
@@ -13,7 +14,9 @@
   type JobBook,
   stepKey,
   type StepSpec,
+  type StoredProgress,
   taskNameOf,
+  withProgress,
   type WorkerCommand,
   type WorkerListing,
   type WorkerState,
@@ -51,7 +54,8 @@
  *
  * @param events the events, in order
  * @param options the fault to inject, if any, the number of workers at the
- * start, the steps of the job, and whether a calm follows the events
+ * start, the steps of the job, whether a calm follows the events, and the length
+ * of the values that the store takes
  * @returns violations: tasks that ran on two workers at once, that started
  * again after their end was stored or acknowledged, or that started after as
  * many failed runs as they may have; after a calm, also tasks that do not run
@@ -59,11 +63,18 @@
  */
 export function simulateTakeovers(
   events: readonly ModelEvent[],
-  { fault, workerCount = 2, steps = [step({ taskCount: 2 })], endsCalmly }: {
+  {
+    fault,
+    workerCount = 2,
+    steps = [step({ taskCount: 2 })],
+    endsCalmly,
+    recordBytes = Infinity,
+  }: {
     fault?: InjectedFault;
     workerCount?: number;
     steps?: readonly StepSpec[];
     endsCalmly?: boolean;
+    recordBytes?: number;
   } = {},
 ): string[] {
   const clock = createManualClock(100_000);
@@ -100,10 +111,21 @@
 
   function restoreBook(): JobBook {
     const book = createJobBook();
-    for (const [key, value] of stored) book.apply(decodeRecord(key, value)!);
+    for (const [key, value] of stored) {
+      const record = decodeRecord(key, value)!;
+      if (!isProgressRecord(record)) book.apply(record);
+    }
     return book;
   }
 
+  function readProgress(): StoredProgress {
+    const progress: StoredProgress = new Map();
+    for (const [key, value] of stored) {
+      addStoredProgress(progress, decodeRecord(key, value)!);
+    }
+    return progress;
+  }
+
   function takeOver(): Lead {
     storeTerm += 1;
     const book = restoreBook();
@@ -113,6 +135,10 @@
       wallTime: clock.wallTime,
       sendCommand: (command) => commands.push(command),
       isolate: noIsolation,
+      fits: (record) =>
+        encodeRecord(record).every(({ value = "" }) =>
+          value.length <= recordBytes
+        ),
       log: silentLogger,
     });
     scheduler.setRules({
@@ -125,8 +151,12 @@
     });
     scheduler.updateWorkers(listWorkers());
     const waitMs = fault === "takeoverWithoutWait" ? 0 : INHERITED_LEASE_MS;
+    const progress = readProgress();
     for (const storedJob of book.jobs()) {
-      scheduler.restore(storedJob, clock.now() + waitMs);
+      scheduler.restore(
+        withProgress(storedJob, progress.get(storedJob.spec.id)),
+        clock.now() + waitMs,
+      );
     }
     if (stored.size === 0) {
       const spec = job(JOB_ID, {
@@ -275,8 +305,9 @@
   const writeRecords = (records: readonly CellRecord[]): void => {
     if (lead.term !== storeTerm) return;
     for (const { key, value } of records.flatMap(encodeRecord)) {
-      if (value === undefined) stored.delete(key);
-      else stored.set(key, value);
+      // Keys are read in the order of their newest records.
+      stored.delete(key);
+      if (value !== undefined) stored.set(key, value);
     }
   };
 
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -8,6 +8,7 @@
 } from "./job_types.ts";
 import type { StepAdvice, Ticket } from "./advice.ts";
 import type { TaskCrashes } from "./crash_blame.ts";
+import type { ProgressParts } from "./progress_parts.ts";
 import { addResources, type Resources } from "./resources.ts";
 
 export { addResources, type Resources } from "./resources.ts";
@@ -84,6 +85,10 @@
   checkpoints: Map<number, string>;
   /** Crashes of workers by the index of a task that they ran. */
   crashes: Map<number, TaskCrashes>;
+  /** Stored parts of its progress; none if it is stored as a whole. */
+  storedParts: ProgressParts;
+  /** Whether the store has rejected its progress for good. */
+  isUnstorable?: boolean;
   /**
    * Workers on which a run of the step failed or made no progress, with the
    * monotonic time of the last one.
@@ -274,6 +279,7 @@
       failedRuns: new Map(),
       checkpoints: new Map(),
       crashes: new Map(),
+      storedParts: new Map(),
       avoidedWorkers: new Map(),
     };
     job.steps.set(key, step);
@@ -368,5 +374,6 @@
   for (const step of job.steps.values()) {
     state.unsavedSteps.delete(step);
     state.removedSteps.add(step.key);
+    for (const key of step.storedParts.keys()) state.removedSteps.add(key);
   }
 }
--- a/packages/scheduler/src/mod.ts
+++ b/packages/scheduler/src/mod.ts
@@ -18,6 +18,7 @@
 export * from "./planner.ts";
 export * from "./planning_policy.ts";
 export * from "./preemption.ts";
+export * from "./progress_parts.ts";
 export * from "./record_batch.ts";
 export * from "./records.ts";
 export * from "./reservation.ts";
--- a/packages/scheduler/src/record_batch.ts
+++ b/packages/scheduler/src/record_batch.ts
@@ -10,8 +10,12 @@
   type StepState,
   type WorkerState,
 } from "./cell_state.ts";
-import { stepRecordOf } from "./step_record.ts";
 import { isEligible } from "./placement.ts";
+import {
+  type ProgressParts,
+  type ProgressRecord,
+  updateProgress,
+} from "./progress_parts.ts";
 import type { CellRecord } from "./records.ts";
 
 /**
@@ -33,7 +37,9 @@
   startedJobs: Set<ActiveJob>;
   /** Steps whose progress the batch records. */
   steps: StepState[];
-  /** Keys of the steps whose progress the batch deletes. */
+  /** The parts of those steps whose progress is stored in parts. */
+  parts: Map<StepState, ProgressParts>;
+  /** Keys of the progress that the batch deletes. */
   removedSteps: string[];
 }
 
@@ -58,22 +64,30 @@
   confirm(batch: RecordBatch): boolean;
 }
 
+/** Options of {@link createRecordBatches}. */
+export interface RecordBatchOptions {
+  wallTime(): Milliseconds;
+  /** @returns whether the store takes a record of this size */
+  fits(record: ProgressRecord): boolean;
+}
+
 /**
  * Creates the batches of a cell.
  *
  * @param state the cell
- * @param wallTime returns the wall time, stored with outcomes
+ * @param options the wall time, stored with outcomes, and which records the
+ * store takes
  * @returns the batches, of which none is taken yet
  */
 export function createRecordBatches(
   state: CellState,
-  wallTime: () => Milliseconds,
+  options: RecordBatchOptions,
 ): RecordBatches {
   let unconfirmedBatch: RecordBatch | undefined;
   return {
     take: () => {
       if (unconfirmedBatch !== undefined) returnBatch(state, unconfirmedBatch);
-      unconfirmedBatch = collectBatch(state, wallTime());
+      unconfirmedBatch = collectBatch(state, options);
       return unconfirmedBatch;
     },
     confirm: (batch) => {
@@ -81,6 +95,7 @@
       unconfirmedBatch = undefined;
       const { ends, outcomes, startedJobs } = batch;
       for (const job of startedJobs) job.hasStarted = true;
+      for (const [step, parts] of batch.parts) step.storedParts = parts;
       for (const job of outcomes) state.unsavedOutcomes.delete(job);
       for (const [worker, { position, lifetime }] of ends) {
         // Positions start anew when a worker restarts.
@@ -98,7 +113,7 @@
  */
 function collectBatch(
   state: CellState,
-  wallTime: Milliseconds,
+  { wallTime, fits }: RecordBatchOptions,
 ): RecordBatch | undefined {
   const ends: RecordBatch["ends"] = new Map();
   for (const worker of state.workers.values()) {
@@ -108,6 +123,7 @@
     }
   }
   const records: CellRecord[] = [];
+  const parts = new Map<StepState, ProgressParts>();
   const starting: Run[] = [];
   const startedJobs = new Set<ActiveJob>();
   for (const step of state.unsavedSteps) {
@@ -116,11 +132,11 @@
       startedJobs.add(job);
       records.push({ kind: "start", job: job.spec.id });
     }
-    records.push({
-      kind: "progress",
-      step: step.key,
-      progress: stepRecordOf(step),
-    });
+    if (step.isUnstorable !== true) {
+      const update = updateProgress(step, fits);
+      records.push(...update.records);
+      if (update.parts !== undefined) parts.set(step, update.parts);
+    }
     for (const run of step.runs.values()) {
       if (run.phase === RunPhase.storing) starting.push(run);
     }
@@ -129,7 +145,7 @@
   for (const job of outcomes) {
     const { id } = job.spec;
     const outcome = job.outcome!;
-    records.push({ kind: "outcome", job: id, outcome, at: wallTime });
+    records.push({ kind: "outcome", job: id, outcome, at: wallTime() });
   }
   const steps = [...state.unsavedSteps];
   const removedSteps = [...state.removedSteps];
@@ -138,7 +154,7 @@
   }
   state.unsavedSteps.clear();
   state.removedSteps.clear();
-  if (records.length > 0) {
+  if (records.length > 0 || starting.length > 0) {
     return {
       records,
       starting,
@@ -146,6 +162,7 @@
       outcomes,
       startedJobs,
       steps,
+      parts,
       removedSteps,
     };
   }
--- a/packages/scheduler/src/records.ts
+++ b/packages/scheduler/src/records.ts
@@ -27,6 +27,11 @@
    * that it is suspected of.
    */
   crashes: [index: number, met: string[], suspected: string[]][];
+  /**
+   * Keys of the records that it was read from; undefined for one record of the
+   * whole step.
+   */
+  keys?: string[];
 }
 
 /** A record of a cell, stored under one or more keys. */
@@ -35,8 +40,9 @@
   | { kind: "cancellation"; job: string }
   /** A run of one of the job's tasks was placed for the first time. */
   | { kind: "start"; job: string }
+  /** The key is that of a step, or of a range of its tasks. */
   | { kind: "progress"; step: string; progress: StepRecord }
-  /** Deletes the progress of a step whose job has ended. */
+  /** Deletes the progress under the key of a step or of a range of its tasks. */
   | { kind: "progressRemoval"; step: string }
   | { kind: "outcome"; job: string; outcome: JobOutcome; at: Milliseconds }
   /** Deletes all records of an ended job. */
@@ -64,6 +70,22 @@
   outcome: "end/",
 } as const;
 
+/** @returns the value under which the progress of a step is stored */
+export function encodeProgress(progress: StepRecord): string {
+  const { highestRun, done, runs, failedRuns, checkpoints, crashes } = progress;
+  // Earlier versions read the number of failed runs.
+  const failures = failedRuns.map(([index, { length }]) => [index, length]);
+  return JSON.stringify([
+    highestRun,
+    done,
+    runs,
+    failures,
+    checkpoints,
+    crashes,
+    failedRuns,
+  ]);
+}
+
 /**
  * Encodes a record for the store.
  *
@@ -83,25 +105,11 @@
       return [{ key: KEY_PREFIX.start + record.job, value: "1" }];
     case "progressRemoval":
       return [{ key: KEY_PREFIX.progress + record.step }];
-    case "progress": {
-      const { highestRun, done, runs, failedRuns, checkpoints, crashes } =
-        record.progress;
-      // Earlier versions read the number of failed runs.
-      const failures = failedRuns.map(([index, { length }]) => [index, length]);
-      const value = [
-        highestRun,
-        done,
-        runs,
-        failures,
-        checkpoints,
-        crashes,
-        failedRuns,
-      ];
+    case "progress":
       return [{
         key: KEY_PREFIX.progress + record.step,
-        value: JSON.stringify(value),
+        value: encodeProgress(record.progress),
       }];
-    }
     case "outcome":
       return [{
         key: KEY_PREFIX.outcome + record.job,
--- a/packages/scheduler/src/restored_progress.ts
+++ b/packages/scheduler/src/restored_progress.ts
@@ -35,6 +35,7 @@
       record.failedRuns.map(([task, runs]) => [task, new Set(runs)]),
     );
     step.checkpoints = new Map(record.checkpoints);
+    step.storedParts = new Map(record.keys?.map((part) => [part, ""]));
     for (const [task, met, suspected] of record.crashes) {
       step.crashes.set(task, {
         met: new Set(met),
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -34,7 +34,9 @@
 import { workerFactorOf } from "./durations.ts";
 import { createPlanner } from "./planner.ts";
 import { PLANNING_POLICY, type PlanningPolicy } from "./planning_policy.ts";
+import { parseProgressKey, type ProgressRecord } from "./progress_parts.ts";
 import { restoreProgress } from "./restored_progress.ts";
+import { progressKeysOf } from "./stored_progress.ts";
 import { applyStartAnswer, startStoredRuns } from "./run_starts.ts";
 import type { Rules } from "./rules.ts";
 import { applyReport, type WorkerReport } from "./run_ends.ts";
@@ -73,8 +75,8 @@
    * @throws RangeError when the progress names a step that the job does not have
    */
   restore(job: StoredJob, leasesEndBy: Milliseconds): void;
-  /** Deletes the stored progress of steps whose job no longer exists. */
-  removeProgress(steps: Iterable<string>): void;
+  /** Deletes stored progress by its keys, since its job no longer exists. */
+  removeProgress(keys: Iterable<string>): void;
   /** Adds a new job; a job that is already known is ignored. */
   submit(spec: JobSpec): void;
   /** Cancels a job and stops its runs. */
@@ -134,6 +136,13 @@
    * run ends ready for acknowledgement and deletes jobs that are finished.
    */
   handleBatchStored(batch: RecordBatch): void;
+  /**
+   * Fails the jobs of which the store rejects the progress for good: without a
+   * record, their tasks could run twice. The batch counts as not stored.
+   *
+   * @param keys keys of the progress that was rejected
+   */
+  handleUnstorable(keys: readonly string[]): void;
 }
 
 /** Options of {@link createScheduler}. */
@@ -159,6 +168,8 @@
    * milliseconds.
    */
   onDiscardedWork?(reason: DiscardReason, coreMs: number): void;
+  /** @returns whether the store takes a record of this size; always by default */
+  fits?(record: ProgressRecord): boolean;
   /** Planning parameters that override the defaults. */
   policy?: Partial<PlanningPolicy>;
   /**
@@ -179,7 +190,10 @@
   const { now, wallTime, sendCommand, log } = options;
   const isolate = options.isolate ?? createIsolation({ clock: { now }, log });
   const state = createCellState();
-  const batches = createRecordBatches(state, wallTime);
+  const batches = createRecordBatches(state, {
+    wallTime,
+    fits: options.fits ?? (() => true),
+  });
   const quarantine = createQuarantine();
   const runTimes = createRunTimeEstimator();
   const logSpeedChange = createSpeedChangeLog({ now, log });
@@ -279,7 +293,7 @@
       const waitingSince = now() - Math.max(0, wallTime() - spec.submittedAt);
       const hasRuns = [...steps.values()].some(({ runs }) => runs.length > 0);
       if (outcome !== undefined && !hasRuns) {
-        return removeProgress(steps.keys());
+        return removeProgress(progressKeysOf(steps));
       }
       const job = addJob(state, spec, waitingSince);
       job.outcome = outcome;
@@ -383,10 +397,24 @@
         deleteJobIfFinished(state, job);
       }
     },
+    handleUnstorable: (keys) => {
+      for (const key of keys) {
+        const { step: name } = parseProgressKey(key);
+        const job = state.jobs.get(name.slice(0, name.indexOf(".")));
+        const step = job?.steps.get(name);
+        if (job === undefined || step === undefined) continue;
+        step.isUnstorable = true;
+        log.error(
+          { job: job.spec.id, progress: key },
+          "job failed: the store rejects its progress",
+        );
+        if (!isOver(job)) failJob(state, job, stop);
+      }
+    },
   };
 
-  function removeProgress(steps: Iterable<string>): void {
-    for (const step of steps) state.removedSteps.add(step);
+  function removeProgress(keys: Iterable<string>): void {
+    for (const key of keys) state.removedSteps.add(key);
   }
 
   function cancel(id: string): void {
--- a/packages/scheduler/src/stored_progress.ts
+++ b/packages/scheduler/src/stored_progress.ts
@@ -1,27 +1,56 @@
 import type { StoredJob } from "./job_book.ts";
+import { mergeProgress, parseProgressKey } from "./progress_parts.ts";
 import type { CellRecord, StepRecord } from "./records.ts";
 
 /** Stored progress of steps, by job and then by step key. */
 export type StoredProgress = Map<string, Map<string, StepRecord>>;
 
 /**
- * Collects the progress of steps from the newest records of their topic.
+ * Adds a record to the progress of a step. A step may have a record of its own
+ * and others of ranges of its tasks; what a later one says of a task replaces
+ * what an earlier one says.
  *
- * @param records the records; other kinds are ignored
- * @returns the progress of all steps
+ * @param progress the progress of all steps
+ * @param record a record; other kinds than progress are ignored
  */
-export function collectProgress(
-  records: Iterable<CellRecord>,
-): StoredProgress {
-  const progress: StoredProgress = new Map();
-  for (const record of records) {
-    if (record.kind !== "progress") continue;
-    const job = record.step.slice(0, record.step.indexOf("."));
-    const steps = progress.get(job) ?? new Map<string, StepRecord>();
-    steps.set(record.step, record.progress);
-    progress.set(job, steps);
+export function addStoredProgress(
+  progress: StoredProgress,
+  record: CellRecord,
+): void {
+  if (record.kind !== "progress") return;
+  const { step, range } = parseProgressKey(record.step);
+  const job = step.slice(0, step.indexOf("."));
+  const steps = progress.get(job) ?? new Map<string, StepRecord>();
+  progress.set(job, steps);
+  const earlier = steps.get(step);
+  if (earlier === undefined && range === undefined) {
+    steps.set(step, record.progress);
+    return;
   }
-  return progress;
+  const merged = mergeProgress(
+    earlier ?? NO_PROGRESS,
+    record.progress,
+    range ?? ALL_TASKS,
+  );
+  const earlierKeys = earlier === undefined ? [] : earlier.keys ?? [step];
+  steps.set(step, { ...merged, keys: [...earlierKeys, record.step] });
+}
+
+const ALL_TASKS = { first: 0, end: Infinity };
+const NO_PROGRESS: StepRecord = {
+  highestRun: 0,
+  done: [],
+  runs: [],
+  failedRuns: [],
+  checkpoints: [],
+  crashes: [],
+};
+
+/** @returns the keys under which the progress of steps is stored */
+export function progressKeysOf(
+  steps: ReadonlyMap<string, StepRecord>,
+): string[] {
+  return [...steps].flatMap(([step, { keys = [step] }]) => keys);
 }
 
 /**
