fix(cell): ended jobs are removed as fast as new ones come

Change: every second. Test: 60 ended jobs are removed within 3.5 s; before, none was (the first look came after 10 s).

--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -124,7 +124,9 @@
 const ADVICE_RETRY_DELAY_MS: Milliseconds = 200;
 const OPERATORS_RETRY_DELAY_MS: Milliseconds = 200;
 const LOAD_LOG_INTERVAL_MS: Milliseconds = 1_000;
-const REMOVAL_INTERVAL_MS: Milliseconds = 10_000;
+// With up to 50 jobs each time, ended jobs are removed faster than a large
+// deployment hands in new ones.
+const REMOVAL_INTERVAL_MS: Milliseconds = 1_000;
 // Ended jobs stay stored for this long after their retention time, so that a
 // repeated submission is still recognized. Callers repeat a submission within
 // seconds of the reply.
