fix(cell): starts do not wait behind stops that are not answered

Cause: stops go first in the turns of commands to a worker. A worker that answers polls but no stops would keep its turns busy with them, and starts would wait for good in place of being placed elsewhere.

Change: an unanswered stop gives up the starts that wait behind it, as an unanswered start does. Stop commands have a file of their own.

--- a/packages/cell/__tests__/many_starts.test.ts
+++ b/packages/cell/__tests__/many_starts.test.ts
@@ -10,8 +10,14 @@
 
 const RUN_COUNT = 90;
 
-/** Starts many runs on a worker, and returns the answers that the lead gets. */
-async function startMany(start: WorkerConnection["start"]) {
+/**
+ * Stops a few runs on a worker and starts many, and returns the answers to the
+ * starts that the lead gets.
+ */
+async function startMany(
+  start: WorkerConnection["start"],
+  stop: WorkerConnection["stop"] = () => Promise.resolve(true),
+) {
   const worker = {
     id: "w",
     lifetime: 1,
@@ -32,7 +38,7 @@
         return { clock: 0, lifetime: 1, running: [], ended: [] };
       },
       start,
-      stop: () => Promise.resolve(true),
+      stop,
       close: () => Promise.resolve(),
     },
     term: 1,
@@ -48,6 +54,12 @@
     onStopAnswer: () => {},
   });
   while (reports === 0) await pause(1);
+  for (let index = 0; index < MAXIMUM_COMMANDS_UNDER_WAY; index++) {
+    const stopped = { step, index: -index, number: 1, worker } as Run;
+    worker.runs.add(stopped);
+    const task = { job: "other", occurrence: 0, step: 0, index };
+    link.sendCommand({ kind: "stop", worker, task, number: 1, run: stopped });
+  }
   for (let index = 0; index < RUN_COUNT; index++) {
     const run = { step, index, number: 1, worker, checkpoint: "" } as Run;
     worker.runs.add(run);
@@ -91,3 +103,14 @@
   expect(countOf(answers, "unhealthy: undelivered"))
     .to.equal(RUN_COUNT - countOf(answers, "uncertain"));
 });
+
+it("many starts: they do not wait behind stops without an answer", async () => {
+  const answers = await startMany(
+    () => Promise.resolve({ kind: "started", clock: 0 }),
+    async ({ timeoutMs }) => {
+      await pause(timeoutMs);
+      throw unanswered;
+    },
+  );
+  expect(countOf(answers, "unhealthy: undelivered")).to.equal(RUN_COUNT);
+});
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -18,6 +18,7 @@
 import { createCommandQueue } from "./command_queue.ts";
 import { createMergedCall } from "./merged_call.ts";
 import { pollUntilAnswered } from "./repeated_poll.ts";
+import { createStopCommands } from "./stop_commands.ts";
 import {
   MAXIMUM_COMMANDS_UNDER_WAY,
   type StartRefusal,
@@ -99,12 +100,8 @@
 // 1 to 3 ms; the rest allows for a slow VM of the lead.
 const ANSWER_TIMEOUT_MS: Milliseconds = 1_500;
 const START_TIMEOUT_MS: Milliseconds = 700;
-const STOP_TIMEOUT_MS: Milliseconds = 700;
 const MAXIMUM_START_ATTEMPTS = 2;
 const RETRY_DELAY_MS: Milliseconds = 250;
-// While a worker is silent, the pause before a stop is repeated doubles up to
-// this bound.
-const MAXIMUM_STOP_DELAY_MS: Milliseconds = 2_000;
 // Delay of a poll beside the long poll, so that the events of several runs share
 // one. Clocks count whole milliseconds.
 const EXTRA_POLL_DELAY_MS: Milliseconds = 10;
@@ -133,10 +130,6 @@
   let isClosed = false;
   let failures = 0;
   let resolveEndsStored: (() => void) | undefined;
-  /** How often the worker has answered a poll again after failed ones. */
-  let recoveries = 0;
-  /** Ends the pauses of stop commands that wait to be repeated. */
-  const waitingStops = new Set<() => void>();
   const commands = createCommandQueue(MAXIMUM_COMMANDS_UNDER_WAY);
 
   const recordClock = (value: Milliseconds): void => {
@@ -242,8 +235,7 @@
         else await pollWorker(isRenewal ? waitMs : 0);
         if (failures > 0) {
           log.info({ worker: worker.id, failures }, "worker answers again");
-          recoveries += 1;
-          sendWaitingStops();
+          stops.resume();
         }
         failures = 0;
         // A poll that did not renew the lease has read the worker's clock, so
@@ -357,88 +349,22 @@
     pollSoon();
   };
 
-  /** Waits for a time, or until the worker answers again or the link closes. */
-  const pauseStop = (durationMs: Milliseconds): Promise<void> =>
-    new Promise((resolve) => {
-      const resume = (): void => {
-        clearTimeout(timer);
-        waitingStops.delete(resume);
-        resolve();
-      };
-      const timer = setTimeout(resume, durationMs);
-      waitingStops.add(resume);
-    });
-
-  const sendWaitingStops = (): void => {
-    for (const resume of [...waitingStops]) resume();
-  };
-
-  /**
-   * Repeats a stop command until the worker acknowledges it or the run is
-   * released, ever less often while it is silent. The command is sent only once
-   * for a run that this lead does not know.
-   */
-  const stopRun = async (
-    command: WorkerCommand & { kind: "stop" },
-  ): Promise<void> => {
-    const { task, number, run } = command;
-    let delayMs = RETRY_DELAY_MS;
-    let isFailureLogged = false;
-    while (!isClosed && isLeading()) {
-      const recoveriesBefore = recoveries;
-      const endTurn = await commands.takeTurn({ isUrgent: true });
-      if (endTurn === undefined) return;
-      const isReleased = run !== undefined && !worker.runs.has(run);
-      if (isReleased || !isLeading()) return endTurn();
-      const { lifetime } = worker;
-      try {
-        const isAcknowledged = await connection.stop({
-          term,
-          task,
-          number,
-          timeoutMs: STOP_TIMEOUT_MS,
-        });
-        // A worker that restarted meanwhile has forgotten the stop.
-        const isCurrent = worker.lifetime === lifetime;
-        if (isAcknowledged && isCurrent && !isClosed) {
-          // A run that the worker never had does not end, and so ends no long
-          // poll; only a new report shows that its capacity is free.
-          const mayBeUnknown = run !== undefined &&
-            run.absenceProvableFrom === undefined;
-          if (mayBeUnknown) pollSoon();
-          return options.onStopAnswer(run);
-        }
-      } catch (error) {
-        if (!isFailureLogged) {
-          log.warn(
-            {
-              worker: worker.id,
-              ...task,
-              run: number,
-              error: describeError(error),
-            },
-            "stop command not answered",
-          );
-        }
-        isFailureLogged = true;
-      } finally {
-        endTurn();
-      }
-      if (run === undefined || isClosed) return;
-      // An attempt that was sent before the worker answered again says nothing
-      // about the next one.
-      if (recoveries === recoveriesBefore) await pauseStop(delayMs);
-      // A worker that answers polls may have lost only this command.
-      delayMs = failures > 0
-        ? Math.min(2 * delayMs, MAXIMUM_STOP_DELAY_MS)
-        : RETRY_DELAY_MS;
-    }
-  };
+  const stops = createStopCommands({
+    worker,
+    connection,
+    term,
+    commands,
+    log,
+    isActive: () => !isClosed && isLeading(),
+    isSilent: () => failures > 0,
+    onUncertainRun: pollSoon,
+    onAcknowledged: options.onStopAnswer,
+  });
 
   return {
     sendCommand: (command) => {
       if (command.kind === "start") void startInTurn(command.run);
-      else void stopRun(command);
+      else stops.send(command);
     },
     notifyEndsStored: () => {
       const notify = resolveEndsStored;
@@ -448,7 +374,7 @@
     close: () => {
       isClosed = true;
       commands.close();
-      sendWaitingStops();
+      stops.resume();
       void connection.close();
     },
   };
