fix(cell): a start that waited for its turn is checked again, and no undecodable answer reads as a rejection

Change: the check that is made before a start is queued is made again before each attempt. A rejection is a result of the writer, not an error.

--- a/packages/cell/__tests__/rejected_records.test.ts
+++ b/packages/cell/__tests__/rejected_records.test.ts
@@ -1,10 +1,5 @@
 import { expect } from "chai";
-import {
-  createSystemClock,
-  InvalidError,
-  pause,
-  silentLogger,
-} from "@rattanhill/shared";
+import { createSystemClock, pause, silentLogger } from "@rattanhill/shared";
 import { createBatchWriter, sizeOfRecord } from "../src/mod.ts";
 import { createRecordWriter } from "../src/record_writer.ts";
 import { createLead } from "./lead_fixture.ts";
@@ -59,9 +54,8 @@
   });
   const outcomes = await Promise.all(
     ["a", "b", "c", "bad", "d"].map((key) =>
-      writer.append({ key, value: "1" }, 1_000).then(
-        () => "stored",
-        (error) => error instanceof InvalidError ? "rejected" : error,
+      writer.append({ key, value: "1" }, 1_000).then((outcome) =>
+        outcome === "rejected" ? outcome : "stored"
       )
     ),
   );
--- a/packages/cell/src/batch_writer.ts
+++ b/packages/cell/src/batch_writer.ts
@@ -1,7 +1,6 @@
 import {
   type Clock,
   ErrorCode,
-  InvalidError,
   type Milliseconds,
   UnavailableError,
   UncertainError,
@@ -22,12 +21,15 @@
    * @param value the record
    * @param timeoutMs time from this call, also while the record waits behind
    * others
-   * @returns end offset of the append; the record is before it
+   * @returns end offset of the append, before which the record is; `rejected`
+   * when the store did not append it, and would reject it again
    * @throws UnavailableError when the record was certainly not appended
    * @throws UncertainError when it may have been appended, or may still be
-   * @throws InvalidError when the store rejects it, and would do so again
    */
-  append(value: KeyedValue, timeoutMs: Milliseconds): Promise<number>;
+  append(
+    value: KeyedValue,
+    timeoutMs: Milliseconds,
+  ): Promise<number | "rejected">;
 }
 
 /** Options of {@link createBatchWriter}. */
@@ -51,7 +53,7 @@
   expiresAt: Milliseconds;
   /** Whether it shares its call with no other record. */
   isAlone?: boolean;
-  resolve(endOffset: number): void;
+  resolve(outcome: number | "rejected"): void;
   reject(error: unknown): void;
 }
 
@@ -88,7 +90,7 @@
           timeoutMs: Math.max(1, expiresAt - clock.now()),
         },
       );
-      if (result.kind === "rejected") return handleRejected(batch, result);
+      if (result.kind === "rejected") return handleRejected(batch);
       // An append without conditions is not rejected by one.
       if (result.kind !== "appended") throw new Error(result.kind);
       for (const { resolve } of batch) resolve(result.endOffset);
@@ -101,29 +103,14 @@
   };
 
   /**
-   * Fails the record that the store rejects; of several, each is sent alone, as
-   * one of them may be the cause.
+   * Ends the append of a record that the store rejects; of several, each is sent
+   * alone, as one of them may be the cause.
    */
-  const handleRejected = (
-    batch: readonly PendingAppend[],
-    { status }: { status: number },
-  ): void => {
-    if (batch.length > 1) {
-      const waiting = batch.filter(({ expiresAt }) => expiresAt > clock.now());
-      for (const pending of waiting) pending.isAlone = true;
-      pendingAppends.unshift(...waiting);
-      return;
-    }
-    const [{ value, reject }] = batch;
-    const fault = `record ${value.key}: store rejects ${sizeOfRecord(value)} ` +
-      `bytes with status ${status}`;
-    reject(
-      new InvalidError(ErrorCode.requestInvalid, fault, {
-        step: "store.append",
-        peer: "store",
-        faults: [fault],
-      }),
-    );
+  const handleRejected = (batch: readonly PendingAppend[]): void => {
+    if (batch.length === 1) return batch[0].resolve("rejected");
+    const waiting = batch.filter(({ expiresAt }) => expiresAt > clock.now());
+    for (const pending of waiting) pending.isAlone = true;
+    pendingAppends.unshift(...waiting);
   };
 
   /** Fails an append whose time is over, wherever it waits. */
@@ -147,15 +134,15 @@
   };
 
   return {
-    append: (value: KeyedValue, timeoutMs: Milliseconds): Promise<number> =>
+    append: (value, timeoutMs) =>
       new Promise((resolve, reject) => {
         const timer = setTimeout(() => expireAppend(pending), timeoutMs);
         const pending: PendingAppend = {
           value,
           expiresAt: clock.now() + timeoutMs,
-          resolve: (endOffset) => {
+          resolve: (outcome) => {
             clearTimeout(timer);
-            resolve(endOffset);
+            resolve(outcome);
           },
           reject: (error) => {
             clearTimeout(timer);
--- a/packages/cell/src/record_writer.ts
+++ b/packages/cell/src/record_writer.ts
@@ -1,12 +1,11 @@
 import {
-  describeError,
-  InvalidError,
   type Logger,
   type Milliseconds,
   pause,
   UnavailableError,
 } from "@rattanhill/shared";
 import type { KeyedValue } from "@rattanhill/scheduler";
+import { sizeOfRecord } from "./append_limits.ts";
 import { type BatchWriterOptions, createBatchWriter } from "./batch_writer.ts";
 
 /**
@@ -48,7 +47,7 @@
  * @returns function that stores one record
  */
 export function createRecordWriter(options: RecordWriterOptions): StoreRecord {
-  const { clock } = options;
+  const { clock, log } = options;
   const writer = createBatchWriter(options);
 
   return async (value, deadline) => {
@@ -60,15 +59,15 @@
     while (true) {
       const remainingMs = deadline - clock.now();
       try {
-        return await writer.append(
+        const outcome = await writer.append(
           value,
           Math.max(0, Math.min(remainingMs, APPEND_TIMEOUT_MS)),
         );
+        if (outcome !== "rejected") return outcome;
+        const bytes = sizeOfRecord(value);
+        log.error({ key: value.key, bytes }, "record rejected by the store");
+        return isUncertain ? "uncertain" : "rejected";
       } catch (error) {
-        if (error instanceof InvalidError) {
-          options.log.error({ error: describeError(error) }, "record rejected");
-          return isUncertain ? "uncertain" : "rejected";
-        }
         if (error instanceof UnavailableError) refusals += 1;
         else isUncertain = true;
       }
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -297,10 +297,9 @@
       const leaseUntil = extendLease();
       const isExpired = run.ticket !== undefined &&
         clock.now() >= run.ticket.sendUntil;
-      const isStopped = attempt === 1 && run.stopReason !== undefined;
       if (
         isClosed || !isLeading() || leaseUntil === undefined || isExpired ||
-        isStopped || !options.mayStart(run)
+        !options.mayStart(run)
       ) {
         if (attempt > 1) break;
         return options.onStartAnswer(run, "refused", "not sent");
--- a/packages/cell/src/worker_links.ts
+++ b/packages/cell/src/worker_links.ts
@@ -1,5 +1,6 @@
 import type { Clock, Isolate, Logger } from "@rattanhill/shared";
 import {
+  mayStart,
   RunPhase,
   type Scheduler,
   taskNameOf,
@@ -66,8 +67,10 @@
       clock,
       log,
       isLeading,
+      // Its worker may have changed while the command waited for its turn.
       mayStart: (run) =>
-        scheduler()?.evacuation.mayStartOn(run.worker) ?? false,
+        mayStart(run) &&
+        (scheduler()?.evacuation.mayStartOn(run.worker) ?? false),
       onReport: (lifetime, report) => {
         scheduler()?.applyWorkerReport(worker, lifetime, report);
         onChange();
