--- a/packages/cell/__tests__/rejected_records.test.ts
+++ b/packages/cell/__tests__/rejected_records.test.ts
@@ -1,5 +1,11 @@
 import { expect } from "chai";
-import { createSystemClock, pause, silentLogger } from "@rattanhill/shared";
+import {
+  createSystemClock,
+  ErrorCode,
+  InvalidError,
+  pause,
+  silentLogger,
+} from "@rattanhill/shared";
 import { createBatchWriter, sizeOfRecord } from "../src/mod.ts";
 import { createRecordWriter } from "../src/record_writer.ts";
 import { createLead } from "./lead_fixture.ts";
@@ -80,3 +86,22 @@
   const outcome = await storeRecord({ key: "a" }, performance.now() + 2_000);
   expect(outcome).to.equal("uncertain");
 });
+
+// Such a record may be stored, so its caller must not be told that it is not.
+it("rejected records: an answer that can't be decoded is no rejection", async () => {
+  const { store } = createMemoryStore();
+  const undecodable = new InvalidError(ErrorCode.answerDamaged, "no JSON", {
+    step: "store.append",
+    peer: "store",
+    faults: ["no JSON"],
+  });
+  const storeRecord = createRecordWriter({
+    store: { ...store, append: () => Promise.reject(undecodable) },
+    topic: "t",
+    clock: createSystemClock(),
+    storeOutageMs: () => 0,
+    log: silentLogger,
+  });
+  const outcome = await storeRecord({ key: "a" }, performance.now() + 500);
+  expect(outcome).to.equal("uncertain");
+});
