feat(scheduler): a crash is logged with what is known of its suspects

The log could not tell the hypotheses of the incident apart: 'worker crashed' named the suspects, but neither whether a worker had confirmed their starts nor when the crash may have happened nor what else went down. It now also has 'confirmed', 'reportAgeMs', 'silentMs' and 'recentVmCrashes'; a run keeps the time at which its worker first confirmed it.

--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -63,6 +63,11 @@
   ticket?: Ticket;
   /** Monotonic time at which a report of its worker first listed it. */
   reportedSince?: Milliseconds;
+  /**
+   * Monotonic time at which its worker first confirmed that it has the run, in
+   * the answer to its start command or in a report.
+   */
+  confirmedAt?: Milliseconds;
 }
 
 /** A step of one occurrence of a job. */
--- a/packages/scheduler/src/crash_blame.ts
+++ b/packages/scheduler/src/crash_blame.ts
@@ -69,6 +69,8 @@
 // Time for which a VM that crashed is used last. If it crashes again within
 // this time under other tasks, the VM itself is to blame.
 const UNSTABLE_VM_MS: Milliseconds = 30_000;
+// Time for which the crash of a VM is counted in the log beside later ones.
+const RECENT_CRASH_MS: Milliseconds = 1_000;
 // Above any score that a worker gets for its free capacity.
 const PENALTY = 5;
 
@@ -149,6 +151,10 @@
       const suspects = hadLapsed ? [] : findSuspects(worker, runs);
       const jobs = new Set(suspects.map(({ step }) => step.job));
       const isVmToBlame = isUnstable(worker, jobs);
+      const recentVmCrashes =
+        [...vmCrashes].filter(([vm, { at }]) =>
+          vm !== worker.vm && now() - at < RECENT_CRASH_MS
+        ).length;
       if (worker.vm !== undefined && !hadLapsed) {
         vmCrashes.set(worker.vm, { key, at: now(), jobs });
       }
@@ -167,7 +173,17 @@
           vm: worker.vm,
           crash: key,
           runs: runs.length,
-          suspects: suspects.map(({ step, index }) => `${step.key}.${index}`),
+          suspects: suspects.map(nameOf),
+          confirmed: suspects.filter(({ confirmedAt }) =>
+            confirmedAt !== undefined
+          ).map(nameOf),
+          reportAgeMs: worker.reportedAt === 0
+            ? undefined
+            : now() - worker.reportedAt,
+          silentMs: worker.silentSince === undefined
+            ? undefined
+            : now() - worker.silentSince,
+          recentVmCrashes,
           isVmToBlame,
           blamed: blamed.length,
         },
@@ -201,6 +217,10 @@
   };
 }
 
+function nameOf({ step, index }: Run): string {
+  return `${step.key}.${index}`;
+}
+
 /** @returns a key that identifies the crash of a worker by one of its runs */
 function crashKeyOf({ id }: WorkerState, { lifetime }: Run): string {
   return `${id}/${lifetime}`;
--- a/packages/scheduler/src/run_ends.ts
+++ b/packages/scheduler/src/run_ends.ts
@@ -256,6 +256,7 @@
   run.absenceProvableFrom ??= now;
   run.uncertainSince = undefined;
   run.reportedSince ??= now;
+  run.confirmedAt ??= now;
   // A task that runs on for long does not crash its worker by starting.
   if (
     now - run.reportedSince > INNOCENT_RUN_MS &&
--- a/packages/scheduler/src/run_starts.ts
+++ b/packages/scheduler/src/run_starts.ts
@@ -94,6 +94,7 @@
   if (!worker.runs.has(run)) return;
   if (answer === "started") {
     run.absenceProvableFrom ??= now;
+    run.confirmedAt ??= now;
     onStarted(run);
     if (run.phase === RunPhase.ordered) run.phase = RunPhase.running;
     return;
