test(scheduler): jobs are failed for crashes that their tasks did not cause

The seventh, a task that does crash its workers beside a zone that fails, is given up within five starts before and must stay so.

--- /dev/null
+++ b/packages/scheduler/__tests__/crash_evidence.test.ts
@@ -0,0 +1,181 @@
+import { expect } from "chai";
+import { decodeRecord, encodeRecord, stepRecordOf } from "../src/mod.ts";
+import { createCell, job, step } from "./cell_fixture.ts";
+import { createFakeWorker } from "./fake_worker.ts";
+
+type Cell = ReturnType<typeof createCell>;
+
+/** Creates a cell whose workers are each on a VM of their own. */
+function createCellOnVms(workers: number): Cell {
+  const cell = createCell({ workers });
+  cell.entries.forEach((entry, index) => {
+    cell.entries[index] = { ...entry, vm: `m${index}` };
+  });
+  cell.updateListing();
+  return cell;
+}
+
+/** Plans and stores, and executes only the starts on some workers. */
+function startOn(cell: Cell, isReached: (worker: string) => boolean): void {
+  cell.scheduler.plan();
+  cell.storeBatch();
+  const kept = cell.commands.filter((command) =>
+    command.kind === "stop" || isReached(command.run.worker.id)
+  );
+  cell.commands.splice(0, Infinity, ...kept);
+  cell.executeCommands();
+}
+
+/** Restarts workers under their ids, and lets the cell hear of it. */
+function restart(cell: Cell, ids: readonly string[]): void {
+  for (const id of ids) cell.fleet.get(id)!.crash();
+  cell.clock.advance(1);
+  cell.pollWorkers();
+  cell.scheduler.plan();
+}
+
+/** Replaces a worker that fell silent by one with another id on its VM. */
+function replace(cell: Cell, id: string, nextId: string): void {
+  const index = cell.entries.findIndex((entry) => entry.id === id);
+  const entry = { ...cell.entries[index], id: nextId };
+  cell.fleet.delete(id);
+  cell.fleet.set(nextId, createFakeWorker(nextId));
+  cell.scheduler.recordNoAnswer(cell.scheduler.state.workers.get(id)!);
+  cell.entries.splice(index, 1, entry);
+  cell.updateListing();
+}
+
+/** Settles a cell until all crashes so far are judged. */
+function settleJudgement(cell: Cell): void {
+  cell.clock.advance(2_000);
+  cell.settle();
+}
+
+it("crash evidence: starts that never reached their workers fail no job", () => {
+  const cell = createCellOnVms(6);
+  cell.submit(job("a"));
+  for (let crash = 0; crash < 5; crash++) {
+    startOn(cell, () => false);
+    expect(cell.book.stateOf("a")).not.to.equal("failed");
+    const { runs } = cell.scheduler.state.jobs.get("a")!.steps.get("a.0.0")!;
+    restart(cell, [runs.get(0)!.worker.id]);
+    cell.executeCommands();
+    cell.clock.advance(1);
+    cell.pollWorkers();
+  }
+  settleJudgement(cell);
+  expect(cell.book.stateOf("a")).not.to.equal("failed");
+  expect(cell.runs("a")).to.have.length(1);
+});
+
+it("crash evidence: zones that restart one after the other fail no job", () => {
+  const cell = createCellOnVms(16);
+  const ids = [...cell.fleet.keys()];
+  for (let index = 0; index < 8; index++) {
+    cell.submit(job(`a${index}`, { steps: [step({ accelerators: 8 })] }));
+  }
+  for (const zone of [ids.slice(0, 8), ids.slice(8)]) {
+    startOn(cell, () => true);
+    restart(cell, zone);
+    cell.executeCommands();
+    cell.clock.advance(1);
+    cell.pollWorkers();
+  }
+  settleJudgement(cell);
+  for (let index = 0; index < 8; index++) {
+    expect(cell.runs(`a${index}`)).to.have.length(1);
+  }
+});
+
+it("crash evidence: a long-running task is restarted after every crash", () => {
+  const cell = createCellOnVms(4);
+  cell.submit(job("a", { steps: [step({ isLongRunning: true })] }));
+  cell.settle();
+  for (let crash = 0; crash < 8; crash++) {
+    const [{ worker }] = cell.runs("a");
+    replace(cell, worker, `next-${crash}`);
+    cell.clock.advance(1);
+    cell.settle();
+    // A task that crashes its workers pauses.
+    cell.clock.advance(5_000);
+    cell.settle();
+    expect(cell.runs("a")).to.have.length(1);
+  }
+  expect(cell.book.stateOf("a")).to.equal("running");
+});
+
+it("crash evidence: a long-running task that crashes its workers pauses", () => {
+  const cell = createCellOnVms(4);
+  cell.submit(job("a", { steps: [step({ isLongRunning: true })] }));
+  cell.settle();
+  let starts = 1;
+  for (let second = 0; second < 30; second++) {
+    const [run] = cell.runs("a");
+    if (run !== undefined) {
+      starts = run.number;
+      replace(cell, run.worker, `next-${second}`);
+    }
+    cell.clock.advance(1_000);
+    cell.settle();
+  }
+  expect(starts).to.be.within(5, 12);
+});
+
+// Eleven workers go down at the time at which a task crashes its own.
+it("crash evidence: a crashing task beside a failing zone is bounded", () => {
+  const cell = createCellOnVms(16);
+  const zone = [...cell.fleet.keys()].slice(0, 11);
+  cell.submit(job("bad", { steps: [step({ accelerators: 8 })] }));
+  for (let index = 0; index < 11; index++) {
+    cell.submit(job(`good${index}`, { steps: [step({ accelerators: 8 })] }));
+  }
+  let starts = 0;
+  for (let round = 0; round < 12; round++) {
+    cell.settle();
+    const [run] = cell.runs("bad");
+    if (run !== undefined) {
+      starts = run.number;
+      replace(cell, run.worker, `next-${round}`);
+    }
+    restart(cell, zone.filter((id) => cell.fleet.has(id)));
+    settleJudgement(cell);
+  }
+  expect(cell.book.stateOf("bad")).to.equal("failed");
+  expect(starts).to.be.at.most(5);
+});
+
+it("crash evidence: crashes that an earlier version suspected count no more", () => {
+  const cell = createCellOnVms(4);
+  cell.submit(job("a"));
+  cell.settle();
+  const step = cell.scheduler.state.jobs.get("a")!.steps.get("a.0.0")!;
+  const [{ key, value }] = encodeRecord({
+    kind: "progress",
+    step: "a.0.0",
+    progress: { ...stepRecordOf(step), crashes: [[0, ["w8/1"], ["w8/1"]]] },
+  });
+  cell.book.apply(decodeRecord(key, value)!);
+  const next = createCellOnVms(4);
+  next.book.apply({ kind: "submission", spec: cell.book.find("a")!.spec });
+  next.scheduler.restore(cell.book.find("a")!, next.clock.now());
+  next.settle();
+  settleJudgement(next);
+  const [{ worker }] = next.runs("a");
+  replace(next, worker, "next");
+  next.clock.advance(1);
+  next.settle();
+  settleJudgement(next);
+  expect(next.book.stateOf("a")).to.equal("running");
+});
+
+it("crash evidence: the next lead judges with what was confirmed before it", () => {
+  const cell = createCellOnVms(4);
+  cell.submit(job("bad"));
+  cell.settle();
+  replace(cell, cell.runs("bad")[0].worker, "next-0");
+  cell.clock.advance(1);
+  cell.settle();
+  settleJudgement(cell);
+  const { crashes } = cell.book.find("bad")!.steps.get("bad.0.0")!;
+  expect(crashes).to.deep.equal([[0, ["w0/1"], ["w0/1"], true]]);
+});
