fix(scheduler): a crash counts only against tasks that provably started on the worker

Cause: the evidence was guessed. The first suspects of a crash were the runs that no report had listed, among them starts that had never left the lead or were never answered, and each crash was judged alone, at once. After a zone of eleven workers went down, a task whose second start was on its way to another worker of that zone was the only suspect there, and its job failed.

Now a crash counts only against a run that its worker had confirmed, by an answer or a report, and that was starting. It is judged 1.5 s after its first sign: if two other VMs failed at the time, without a confirmed starting run of the job, it has a common cause and speaks against nobody. A task that the crash could convict is not started before that, and suspects go to workers that have answered since. Bounds: two crashes alone, three in company, four unless the last has a common cause, five in any case. Long-running tasks never fail, they pause 3 s. Records of earlier versions are read; what they suspected counts for nothing.

Changed tests: crash_blame and crash_suspects now wait for the judgement, and their hand-made runs are confirmed ones; no assertion changed.

Failed trial: blame in the moment of the crash, with the judgement of the first crash still open, let a task be started four times.

--- a/packages/scheduler/__tests__/crash_blame.test.ts
+++ b/packages/scheduler/__tests__/crash_blame.test.ts
@@ -39,6 +39,15 @@
   cell.updateListing();
 }
 
+/** Settles a cell until all crashes so far are judged; its runs progress. */
+function settleJudgement(cell: Cell): void {
+  for (const { running } of cell.fleet.values()) {
+    for (const run of running.values()) run.percent += 1;
+  }
+  cell.clock.advance(2_000);
+  cell.settle();
+}
+
 /**
  * Settles a cell in which a job crashes each worker that runs it.
  *
@@ -47,6 +56,7 @@
 function settleWithCrashes(cell: Cell, crashing: string): number {
   for (let crashes = 0; crashes < 20; crashes++) {
     cell.settle();
+    if (cell.runs(crashing).length === 0) settleJudgement(cell);
     const [run] = cell.runs(crashing);
     if (run === undefined) return crashes;
     replaceWorker(cell, run.worker);
@@ -84,7 +94,7 @@
   for (const name of names) cell.submit(job(name));
   const starts = new Map<string, number>();
   for (let round = 0; round < 20; round++) {
-    cell.settle();
+    settleJudgement(cell);
     for (const name of names) {
       const [run] = cell.runs(name);
       if (run === undefined) continue;
@@ -104,7 +114,7 @@
   cell.submit(job("bad"));
   cell.settle();
   replaceWorker(cell, cell.runs("bad")[0].worker);
-  cell.settle();
+  settleJudgement(cell);
   const next = createCellOnVms(4);
   next.book.apply({ kind: "submission", spec: cell.book.find("bad")!.spec });
   replaceWorker(next, "w0");
@@ -206,6 +216,8 @@
   }
   cell.pollWorkers();
   cell.scheduler.plan();
+  cell.clock.advance(2_000);
+  cell.scheduler.plan();
   const batch = cell.scheduler.takeBatch()!;
   expect(batch.outcomes).to.have.length(1);
   const [progress] = batch.records.flatMap((record) =>
@@ -235,9 +247,12 @@
     } as WorkerState;
     const runs = names.map((name) => {
       const step = getOrCreateStep(addJob(state, job(name), now), 0, 0);
-      return { step, index: 0, worker, lifetime: 1 } as Run;
+      const confirmedAt = now;
+      return { step, index: 0, worker, lifetime: 1, confirmedAt } as Run;
     });
     blame.recordCrash(worker, runs);
+    now += 2_000;
+    blame.judgeCrashes();
   };
   // Both crash each worker that starts them.
   for (let n = 0; n < 3; n++) crash("a", "b");
--- a/packages/scheduler/__tests__/crash_suspects.test.ts
+++ b/packages/scheduler/__tests__/crash_suspects.test.ts
@@ -36,9 +36,18 @@
       : now - reportedMs;
     const runs = tasks.map(([id, index]) => {
       const step = getOrCreateStep(addJob(state, job(id), now), 0, 0);
-      return { step, index, worker, lifetime: 1, reportedSince } as Run;
+      return {
+        step,
+        index,
+        worker,
+        lifetime: 1,
+        confirmedAt: reportedSince ?? now,
+        reportedSince,
+      } as Run;
     });
     blame.recordCrash(worker, runs);
+    now += 2_000;
+    blame.judgeCrashes();
   };
   return {
     isOver: (id: string) => isOver(state.jobs.get(id)!),
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -68,6 +68,8 @@
    * the answer to its start command or in a report.
    */
   confirmedAt?: Milliseconds;
+  /** Whether an earlier lead has placed it. */
+  isRestored?: boolean;
 }
 
 /** A step of one occurrence of a job. */
--- a/packages/scheduler/src/crash_blame.ts
+++ b/packages/scheduler/src/crash_blame.ts
@@ -7,24 +7,35 @@
   type StepState,
   type WorkerState,
 } from "./cell_state.ts";
+import {
+  confirmedOf,
+  type Crash,
+  type Failure,
+  failureTimeOf,
+  findStartingRuns,
+  hasCommonCause,
+} from "./crash_evidence.ts";
 import { failJob } from "./job_outcomes.ts";
 
 /**
- * Crashes of workers that had a run of one task, as {@link crashKeyOf}, without
+ * Crashes of workers that had a run of one task, as {@link Crash.key}, without
  * those that another task has been blamed for.
  */
 export interface TaskCrashes {
-  /** All of them. */
+  /** Those that the task may have caused by starting. */
   met: Set<string>;
-  /** Those that the task may have caused. */
+  /**
+   * Those that speak against the task: the worker had confirmed its start, and
+   * nothing else explains the crash.
+   */
   suspected: Set<string>;
 }
 
 /** Finds out which tasks crash the workers that start them. */
 export interface CrashBlame {
   /**
-   * Counts the crash of a worker against the tasks that ran on it, and fails
-   * the jobs of tasks that are to blame or have met too many crashes.
+   * Counts the crash of a worker against the tasks that were starting on it. Who
+   * is to blame is decided once other crashes of the time are known.
    *
    * @param worker the worker that crashed
    * @param runs the runs that it lost, all of one lifetime
@@ -36,12 +47,24 @@
     runs: readonly Run[],
     options?: { hadLapsed?: boolean },
   ): void;
+  /**
+   * Judges the crashes of which all simultaneous ones are known: fails the jobs
+   * of tasks that are to blame or have met too many crashes.
+   */
+  judgeCrashes(): void;
   /** Prepares {@link CrashBlame.penaltyOf} for a planning pass. */
   beginPass(): void;
+  /**
+   * @returns whether a task must not be started now: the crash that would be the
+   * last of its job is not judged yet, or it is a long-running one that crashed
+   * its worker a short time before
+   */
+  isHeld(step: StepState, index: number): boolean;
   /**
    * @returns the penalty on the placement score of a worker for a step:
    * suspected tasks are placed away from the runs of other jobs and these away
-   * from them, and VMs with an unexplained crash are used last
+   * from them, and on workers that have answered since the last crash; VMs with
+   * an unexplained crash are used last
    */
   penaltyOf(step: StepState, worker: WorkerState): number;
 }
@@ -55,28 +78,41 @@
   log: Logger;
 }
 
+/** A crash that is not judged yet. */
+interface OpenCrash extends Crash {
+  /** Whether its VM crashed shortly before under other jobs. */
+  isVmToBlame: boolean;
+  /** Runs of tasks that have met too many crashes with this one. */
+  exhausted: readonly Run[];
+}
+
 // Number of suspected crashes at which a task is blamed if no other job was
 // under suspicion at the last one.
 const CRASHES_WHEN_ALONE = 2;
 // Number of suspected crashes at which a task is blamed although tasks of other
 // jobs were under suspicion at the last one.
 const CRASHES_IN_COMPANY = 3;
-// Number of crashes at which a task is given up even if others are suspected
-// of them, which bounds the workers that it can take down.
+// Number of crashes at which a task is given up unless the last one has another
+// likely cause, and at which it is given up in any case. They bound the workers
+// that it can take down while others are suspected too.
 const MAXIMUM_CRASHES = 4;
-// Time for which a reported run may still have crashed its worker by starting.
-const FRESH_RUN_MS: Milliseconds = 5_000;
+const ABSOLUTE_MAXIMUM_CRASHES = 5;
+// Time after the first sign of a crash within which others of the same cause
+// become known.
+const JUDGEMENT_DELAY_MS: Milliseconds = 1_500;
+// Time for which failures are kept to be compared with a crash.
+const FAILURE_MEMORY_MS: Milliseconds = 10_000;
+// Pause before a long-running task that crashes its workers is started again.
+const RESTART_PAUSE_MS: Milliseconds = 3_000;
 // Time for which a VM that crashed is used last. If it crashes again within
 // this time under other tasks, the VM itself is to blame.
 const UNSTABLE_VM_MS: Milliseconds = 30_000;
-// Time for which the crash of a VM is counted in the log beside later ones.
-const RECENT_CRASH_MS: Milliseconds = 1_000;
 // Above any score that a worker gets for its free capacity.
 const PENALTY = 5;
 
 /**
  * Creates the crash records of a cell. Crashes of tasks are kept in their steps,
- * so that they are stored for the next lead; those of VMs only in memory.
+ * so that they are stored for the next lead; all else is kept only in memory.
  *
  * @param options the cell's state, a clock, how to stop a run, and a logger
  * @returns the crash records
@@ -86,9 +122,13 @@
   /** Last unexplained crash of each VM, and the jobs suspected of it. */
   const vmCrashes = new Map<
     string,
-    { key: string; at: Milliseconds; jobs: Set<ActiveJob> }
+    { key: string; at: Milliseconds; jobs: ReadonlySet<ActiveJob> }
   >();
-
+  let openCrashes: OpenCrash[] = [];
+  let recentFailures: Failure[] = [];
+  let lastCrashAt: Milliseconds = -Infinity;
+  /** End of the pause of long-running tasks, by step and task. */
+  const pauses = new Map<StepState, Map<number, Milliseconds>>();
   /** Steps with a suspected task, as of the start of the planning pass. */
   let suspectedSteps = new Set<StepState>();
 
@@ -103,20 +143,23 @@
    * Returns whether the crashes of a VM, and not a task, are the likely cause:
    * it crashed a short time before with none of these jobs.
    */
-  const isUnstable = (worker: WorkerState, jobs: Set<ActiveJob>): boolean => {
+  const isUnstable = (
+    worker: WorkerState,
+    jobs: ReadonlySet<ActiveJob>,
+  ): boolean => {
     const earlier = lastCrashOf(worker.vm);
     return earlier !== undefined &&
       ![...jobs].some((job) => earlier.jobs.has(job));
   };
 
-  /** Clears the other tasks of a crash that one of them has been blamed for. */
-  const explainCrash = (key: string): void => {
+  /** Clears the tasks of other jobs of a crash that one has been blamed for. */
+  const explainCrash = (key: string, blamed: ReadonlySet<ActiveJob>): void => {
     for (const [vm, crash] of vmCrashes) {
       if (crash.key === key) vmCrashes.delete(vm);
     }
     for (const step of stepsOf(state)) {
       // The next lead may have to fail the job once more.
-      if (isOver(step.job)) continue;
+      if (isOver(step.job) || blamed.has(step.job)) continue;
       for (const { met, suspected } of step.crashes.values()) {
         // It still counts for other suspects, one of which may have caused it.
         if (suspected.delete(key) || met.delete(key)) {
@@ -126,87 +169,187 @@
     }
   };
 
+  /** Fails the job of a task; a long-running task pauses instead. */
   const giveUp = (run: Run): void => {
     const { step, index } = run;
     const { job } = step;
     if (isOver(job)) return;
     const { met, suspected } = crashesOf(run);
+    const fields = {
+      job: job.spec.id,
+      step: step.key,
+      task: index,
+      crashes: [...met],
+      suspected: suspected.size,
+    };
+    if (!step.spec.isLongRunning) {
+      log.warn(fields, "job failed: workers crashed under its task");
+      return failJob(state, job, stop);
+    }
     log.warn(
+      { ...fields, pauseMs: RESTART_PAUSE_MS },
+      "long-running task pauses: workers crashed under it",
+    );
+    const stepPauses = pauses.get(step) ?? new Map<number, Milliseconds>();
+    pauses.set(step, stepPauses.set(index, now() + RESTART_PAUSE_MS));
+  };
+
+  /** Returns the failures of workers that are silent for an unknown reason. */
+  const silences = (): Failure[] =>
+    [...state.workers.values()].filter(({ silentSince, isDraining }) =>
+      silentSince !== undefined && !isDraining
+    ).map((worker) => {
+      const runs = [...worker.runs];
+      return {
+        vm: worker.vm ?? worker.id,
+        ...failureTimeOf(worker, runs, now()),
+        suspects: confirmedOf(findStartingRuns(worker, runs)),
+      };
+    });
+
+  /**
+   * Adds a crash to its suspects, and returns those that are to blame: runs of
+   * one job, since with several jobs it is not known which of them caused it.
+   */
+  const findBlamed = (crash: OpenCrash, evidence: readonly Run[]): Run[] => {
+    if (crash.isVmToBlame) return [];
+    const limit = crash.jobs.size === 1
+      ? CRASHES_WHEN_ALONE
+      : CRASHES_IN_COMPANY;
+    const blamed = evidence.filter((run) => {
+      const { suspected } = crashesOf(run);
+      addBounded(suspected, crash.key);
+      state.unsavedSteps.add(run.step);
+      return suspected.size >= limit;
+    });
+    return jobsOf(blamed).size === 1 ? blamed : [];
+  };
+
+  const judge = (crash: OpenCrash): void => {
+    const failures = [...recentFailures, ...silences()];
+    const evidence = crash.suspects.filter(({ step: { job } }) =>
+      state.jobs.get(job.spec.id) === job && !isOver(job) &&
+      !hasCommonCause(crash, job, failures)
+    );
+    const blamed = findBlamed(crash, evidence);
+    log.info(
       {
-        job: job.spec.id,
-        step: step.key,
-        task: index,
-        crashes: [...met],
-        suspected: suspected.size,
+        crash: crash.key,
+        suspects: crash.suspects.map(nameOf),
+        evidence: evidence.map(nameOf),
+        blamed: blamed.map(nameOf),
+        isVmToBlame: crash.isVmToBlame,
+        durationMs: crash.to - crash.from,
       },
-      "job failed: workers crashed under its task",
+      "crash judged",
+    );
+    // Two tasks of a job may share a crash, which is explained once.
+    const explained = new Set(
+      blamed.flatMap((run) => [...crashesOf(run).suspected]),
     );
-    failJob(state, job, stop);
+    const exhausted = crash.exhausted.filter((run) =>
+      crashesOf(run).met.size >= ABSOLUTE_MAXIMUM_CRASHES ||
+      !hasCommonCause(crash, run.step.job, failures)
+    );
+    for (const run of new Set([...blamed, ...exhausted])) giveUp(run);
+    for (const key of explained) explainCrash(key, jobsOf(blamed));
   };
 
+  const isJudged = ({ to }: Crash): boolean => now() - to >= JUDGEMENT_DELAY_MS;
+
   return {
     recordCrash: (worker, runs, { hadLapsed = false } = {}) => {
       if (runs.length === 0) return;
       const key = crashKeyOf(worker, runs[0]);
-      const suspects = hadLapsed ? [] : findSuspects(worker, runs);
-      const jobs = new Set(suspects.map(({ step }) => step.job));
+      const starting = findStartingRuns(worker, runs);
+      const confirmed = confirmedOf(starting);
+      const jobs = jobsOf(hadLapsed ? [] : starting);
       const isVmToBlame = isUnstable(worker, jobs);
-      const recentVmCrashes =
-        [...vmCrashes].filter(([vm, { at }]) =>
-          vm !== worker.vm && now() - at < RECENT_CRASH_MS
-        ).length;
       if (worker.vm !== undefined && !hadLapsed) {
         vmCrashes.set(worker.vm, { key, at: now(), jobs });
       }
-      for (const run of runs) {
-        crashesOf(run).met.add(key);
+      // Of runs of an earlier lead, it is not known whether they had started.
+      const unknown = runs.filter(({ isRestored, confirmedAt }) =>
+        isRestored && confirmedAt === undefined
+      );
+      const met = [...confirmed, ...unknown];
+      for (const run of met) {
+        addBounded(crashesOf(run).met, key);
         // The progress of a job that has ended meanwhile is deleted.
         const { job } = run.step;
         if (state.jobs.get(job.spec.id) === job) {
           state.unsavedSteps.add(run.step);
         }
       }
-      const blamed = isVmToBlame ? [] : findBlamed(suspects, key);
+      const crash = {
+        key,
+        vm: worker.vm ?? worker.id,
+        ...failureTimeOf(worker, runs, now()),
+        jobs,
+        suspects: hadLapsed ? [] : confirmed,
+        exhausted: met.filter((run) =>
+          crashesOf(run).met.size >= MAXIMUM_CRASHES
+        ),
+        isVmToBlame,
+      };
       log.warn(
         {
           worker: worker.id,
           vm: worker.vm,
           crash: key,
           runs: runs.length,
-          suspects: suspects.map(nameOf),
-          confirmed: suspects.filter(({ confirmedAt }) =>
-            confirmedAt !== undefined
-          ).map(nameOf),
+          starting: starting.map(nameOf),
+          confirmed: confirmed.map(nameOf),
+          hadLapsed,
           reportAgeMs: worker.reportedAt === 0
             ? undefined
             : now() - worker.reportedAt,
           silentMs: worker.silentSince === undefined
             ? undefined
             : now() - worker.silentSince,
-          recentVmCrashes,
           isVmToBlame,
-          blamed: blamed.length,
         },
         "worker crashed",
       );
-      for (const run of runs) {
-        const hasMetTooMany = crashesOf(run).met.size >= MAXIMUM_CRASHES;
-        if (hasMetTooMany || blamed.includes(run)) giveUp(run);
-      }
-      // Two tasks of a job may share a crash, which is explained once.
-      const explained = new Set(
-        blamed.flatMap((run) => [...crashesOf(run).suspected]),
+      lastCrashAt = now();
+      if (!hadLapsed) recentFailures.push(crash);
+      openCrashes.push(crash);
+    },
+    judgeCrashes: () => {
+      const due = openCrashes.filter(isJudged);
+      openCrashes = openCrashes.filter((crash) => !isJudged(crash));
+      due.forEach(judge);
+      recentFailures = recentFailures.filter(({ to }) =>
+        now() - to < FAILURE_MEMORY_MS
       );
-      explained.forEach(explainCrash);
+      for (const step of pauses.keys()) {
+        if (isOver(step.job)) pauses.delete(step);
+      }
     },
     beginPass: () => {
       suspectedSteps = new Set([...stepsOf(state)].filter(isSuspected));
+      for (const { suspects } of openCrashes) {
+        for (const { step } of suspects) suspectedSteps.add(step);
+      }
+    },
+    isHeld: (step, index) => {
+      if (now() < (pauses.get(step)?.get(index) ?? -Infinity)) return true;
+      if (openCrashes.length === 0) return false;
+      const isOf = (run: Run) => run.step === step && run.index === index;
+      if (openCrashes.some(({ exhausted }) => exhausted.some(isOf))) {
+        return true;
+      }
+      const open = openCrashes.filter(({ suspects }) => suspects.some(isOf));
+      if (open.length === 0) return false;
+      const judged = step.crashes.get(index)?.suspected.size ?? 0;
+      return judged + open.length >= CRASHES_WHEN_ALONE;
     },
     penaltyOf: (step, worker) => {
       const vmPenalty = lastCrashOf(worker.vm) === undefined ? 0 : PENALTY;
       if (suspectedSteps.size === 0) return vmPenalty;
       const isSuspect = suspectedSteps.has(step);
-      let penalty = 0;
+      const isUnheard = isSuspect && worker.lastAnsweredPollAt <= lastCrashAt;
+      let penalty = isUnheard ? PENALTY : 0;
       for (const run of worker.runs) {
         if (run.step.job === step.job) continue;
         if (suspectedSteps.has(run.step)) penalty = 2 * PENALTY;
@@ -226,38 +369,15 @@
   return `${id}/${lifetime}`;
 }
 
-/**
- * Returns the runs that may have crashed their worker. A task that crashes its
- * worker does so when it starts, so these are the runs that no report has listed
- * yet; if there is none, those that were first listed a short time ago.
- */
-function findSuspects(
-  { reportedAt }: WorkerState,
-  runs: readonly Run[],
-): readonly Run[] {
-  // A restored worker that has not answered this lead may have drained, and
-  // which of its runs were reported is not known.
-  if (reportedAt === 0) return [];
-  const unreported = runs.filter(({ reportedSince }) =>
-    reportedSince === undefined
-  );
-  if (unreported.length > 0) return unreported;
-  return runs.filter(({ reportedSince }) =>
-    reportedAt - reportedSince! < FRESH_RUN_MS
-  );
+function jobsOf(runs: readonly Run[]): Set<ActiveJob> {
+  return new Set(runs.map(({ step }) => step.job));
 }
 
-/**
- * Adds a crash to its suspects, and returns those that are to blame: runs of one
- * job, since with several jobs it is not known which of them caused it.
- */
-function findBlamed(suspects: readonly Run[], key: string): readonly Run[] {
-  const jobs = new Set(suspects.map(({ step }) => step.job));
-  const limit = jobs.size === 1 ? CRASHES_WHEN_ALONE : CRASHES_IN_COMPANY;
-  const blamed = suspects.filter((run) =>
-    crashesOf(run).suspected.add(key).size >= limit
-  );
-  return new Set(blamed.map(({ step }) => step.job)).size === 1 ? blamed : [];
+/** Adds a crash to those of a task; of a long-running one, the last are kept. */
+function addBounded(crashes: Set<string>, key: string): void {
+  crashes.add(key);
+  const [oldest] = crashes;
+  if (crashes.size > ABSOLUTE_MAXIMUM_CRASHES) crashes.delete(oldest);
 }
 
 function crashesOf({ step, index }: Run): TaskCrashes {
--- a/packages/scheduler/src/mod.ts
+++ b/packages/scheduler/src/mod.ts
@@ -3,6 +3,7 @@
 export * from "./cell_state.ts";
 export * from "./cold_workers.ts";
 export * from "./crash_blame.ts";
+export * from "./crash_evidence.ts";
 export * from "./durations.ts";
 export * from "./failed_attempts.ts";
 export * from "./free_room.ts";
--- a/packages/scheduler/src/planner.ts
+++ b/packages/scheduler/src/planner.ts
@@ -386,6 +386,7 @@
       waitingSteps = collectWaitingSteps(state, {
         rules,
         durations,
+        isHeld: crashBlame.isHeld,
         now: now(),
         wallTime: wallTime(),
         isolate,
--- a/packages/scheduler/src/records.ts
+++ b/packages/scheduler/src/records.ts
@@ -23,10 +23,16 @@
   /** Newest checkpoint of each task; a gang keeps one as its task 0. */
   checkpoints: [index: number, checkpoint: string][];
   /**
-   * Unexplained crashes of workers by the task that they ran, and those of them
-   * that it is suspected of.
+   * Unexplained crashes of workers by the task that they ran, those of them that
+   * it is suspected of, and whether its starts were confirmed; records of
+   * earlier versions lack the last.
    */
-  crashes: [index: number, met: string[], suspected: string[]][];
+  crashes: [
+    index: number,
+    met: string[],
+    suspected: string[],
+    areConfirmed?: boolean,
+  ][];
   /**
    * Keys of the records that it was read from; undefined for one record of the
    * whole step.
--- a/packages/scheduler/src/restored_progress.ts
+++ b/packages/scheduler/src/restored_progress.ts
@@ -36,10 +36,11 @@
     );
     step.checkpoints = new Map(record.checkpoints);
     step.storedParts = new Map(record.keys?.map((part) => [part, ""]));
-    for (const [task, met, suspected] of record.crashes) {
+    for (const [task, met, suspected, areConfirmed] of record.crashes) {
       step.crashes.set(task, {
         met: new Set(met),
-        suspected: new Set(suspected),
+        // Earlier versions suspected tasks whose starts had not arrived.
+        suspected: new Set(areConfirmed ? suspected : []),
       });
     }
     // The earlier lead may have ended between the two appends.
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -378,6 +378,7 @@
     handleAdvice: (question, answer) => recordAdvice(question, answer, now()),
     plan: () => {
       roster.releaseLostRuns();
+      crashBlame.judgeCrashes();
       for (const run of findIncompleteGangs(state)) {
         stop(run, "a member of the gang was lost");
       }
--- a/packages/scheduler/src/step_record.ts
+++ b/packages/scheduler/src/step_record.ts
@@ -19,6 +19,7 @@
       index,
       [...met],
       [...suspected],
+      true,
     ]),
   };
 }
--- a/packages/scheduler/src/waiting_work.ts
+++ b/packages/scheduler/src/waiting_work.ts
@@ -5,6 +5,7 @@
   getOrCreateStep,
   isOver,
   isStepDone,
+  type StepState,
 } from "./cell_state.ts";
 import type { DurationEstimator } from "./durations.ts";
 import { dueAt, type JobSpec } from "./job_types.ts";
@@ -22,7 +23,8 @@
  * be ranked is left out.
  *
  * @param state the cell
- * @param view rules, duration estimates, clocks and the isolation of jobs
+ * @param view rules, duration estimates, held tasks, clocks and the isolation of
+ * jobs
  * @returns the steps in planning order
  */
 export function collectWaitingSteps(
@@ -30,13 +32,20 @@
   view: {
     rules: Rules;
     durations: DurationEstimator;
+    /** @returns whether a task must not be started now */
+    isHeld(step: StepState, index: number): boolean;
     now: Milliseconds;
     wallTime: Milliseconds;
     isolate: Isolate;
   },
 ): WaitingStep[] {
-  const { rules, durations, now, wallTime, isolate } = view;
+  const { rules, durations, isHeld, now, wallTime, isolate } = view;
   const guaranteedJobs = findGuaranteedJobs(state, rules, isolate);
+  /** Returns the tasks to place; a gang is placed as a whole. */
+  const withoutHeld = (step: StepState, tasks: number[]): number[] => {
+    const free = tasks.filter((task) => !isHeld(step, task));
+    return step.spec.isGang && free.length < tasks.length ? [] : free;
+  };
   const collectSteps = (job: ActiveJob): WaitingStep[] => {
     const { spec } = job;
     const stepAt = (occurrence: number, index: number) =>
@@ -54,7 +63,9 @@
     };
     /** Measured once for all steps of an occurrence. */
     const jobDurations = new Map<number, JobDuration>();
-    const runnable = findRunnableSteps(job, stepAt, wallTime);
+    const runnable = findRunnableSteps(job, stepAt, wallTime)
+      .map(({ step, tasks }) => ({ step, tasks: withoutHeld(step, tasks) }))
+      .filter(({ tasks }) => tasks.length > 0);
     return runnable.map(({ step, tasks }) => {
       const { occurrence } = step;
       const jobDuration = jobDurations.get(occurrence) ??
--- a/packages/scheduler/src/worker_roster.ts
+++ b/packages/scheduler/src/worker_roster.ts
@@ -391,6 +391,7 @@
         percent: 0,
         percentAt: now(),
         checkpoint: "",
+        isRestored: true,
       };
       addRun(run);
       if (lifetime === 0 || lifetime >= worker.lifetime) return;
