fix(scheduler): a crash speaks against the start that it promptly followed

One worker ended 10 ms after the start, before its answer, so the start was never confirmed. Another crash had happened beside two others, each caused by a task of its own, which read as a common cause.

Now the link reports a start command whose connection ends within 100 ms; if the worker fell silent at that time, the run counts as having reached it. If a worker fails within 500 ms of a start, only such starts are suspects, and other failures that a start explains in this way count for a common cause only from four VMs on.

--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -68,6 +68,11 @@
    * carry out any attempt.
    */
   onStartAnswer(run: Run, answer: StartAnswer, reason?: string): void;
+  /**
+   * Called when the connection ended on which a start command had just been
+   * sent, as when the worker's process ends.
+   */
+  onStartInterrupted?(run: Run): void;
   /**
    * Called when the worker has acknowledged a stop command; the run is
    * undefined when this lead does not know it.
@@ -101,6 +106,9 @@
 const ANSWER_TIMEOUT_MS: Milliseconds = 1_500;
 const START_TIMEOUT_MS: Milliseconds = 700;
 const MAXIMUM_START_ATTEMPTS = 2;
+// Longest time from a start command to the end of its connection at which the
+// end may be due to the command.
+const INTERRUPTION_MS: Milliseconds = 100;
 const RETRY_DELAY_MS: Milliseconds = 250;
 // Delay of a poll beside the long poll, so that the events of several runs share
 // one. Clocks count whole milliseconds.
@@ -305,6 +313,7 @@
         return options.onStartAnswer(run, "refused", "not sent");
       }
       const { lifetime } = worker;
+      const sentAt = clock.now();
       try {
         const result = await connection.start({
           term,
@@ -326,7 +335,12 @@
         const answer = reason === "unhealthy" ? "unhealthy" : "refused";
         return options.onStartAnswer(run, answer, reason);
       } catch (error) {
-        if (!(error instanceof UnavailableError)) mayBeDelivered = true;
+        if (!(error instanceof UnavailableError)) {
+          mayBeDelivered = true;
+          if (clock.now() - sentAt <= INTERRUPTION_MS) {
+            options.onStartInterrupted?.(run);
+          }
+        }
         log.warn(
           { ...describeRun(run), attempt, error: describeError(error) },
           "start command not answered",
--- a/packages/cell/src/worker_links.ts
+++ b/packages/cell/src/worker_links.ts
@@ -79,6 +79,7 @@
         scheduler()?.handleStartAnswer(run, answer, reason);
         if (answer !== "started") onChange();
       },
+      onStartInterrupted: (run) => scheduler()?.recordInterruptedStart(run),
       onNoAnswer: () => scheduler()?.recordNoAnswer(worker),
       onReplacement: () => {
         scheduler()?.recordReplacement(worker);
--- a/packages/scheduler/__tests__/crash_evidence.test.ts
+++ b/packages/scheduler/__tests__/crash_evidence.test.ts
@@ -179,3 +179,23 @@
   const { crashes } = cell.book.find("bad")!.steps.get("bad.0.0")!;
   expect(crashes).to.deep.equal([[0, ["w0/1"], ["w0/1"], true]]);
 });
+
+// Its worker ends before it can answer the start.
+it("crash evidence: a task whose starts are never confirmed is bounded", () => {
+  const cell = createCellOnVms(4);
+  cell.submit(job("bad"));
+  let starts = 0;
+  for (let round = 0; round < 10; round++) {
+    settleJudgement(cell);
+    const { jobs } = cell.scheduler.state;
+    const [run] = jobs.get("bad")?.steps.get("bad.0.0")?.runs.values() ?? [];
+    if (run === undefined) break;
+    starts = run.number;
+    run.reportedSince = undefined;
+    run.confirmedAt = undefined;
+    cell.scheduler.recordInterruptedStart(run);
+    replace(cell, run.worker.id, `next-${round}`);
+  }
+  expect(cell.book.stateOf("bad")).to.equal("failed");
+  expect(starts).to.be.at.most(5);
+});
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -68,6 +68,11 @@
    * the answer to its start command or in a report.
    */
   confirmedAt?: Milliseconds;
+  /**
+   * Monotonic time at which the connection ended on which its start command had
+   * just been sent; whether its worker has received the command is not known.
+   */
+  interruptedAt?: Milliseconds;
   /** Whether an earlier lead has placed it. */
   isRestored?: boolean;
 }
--- a/packages/scheduler/src/crash_blame.ts
+++ b/packages/scheduler/src/crash_blame.ts
@@ -8,24 +8,21 @@
   type WorkerState,
 } from "./cell_state.ts";
 import {
-  confirmedOf,
-  type Crash,
+  assessFailure,
   type Failure,
-  failureTimeOf,
-  findStartingRuns,
   hasCommonCause,
 } from "./crash_evidence.ts";
 import { failJob } from "./job_outcomes.ts";
 
 /**
- * Crashes of workers that had a run of one task, as {@link Crash.key}, without
- * those that another task has been blamed for.
+ * Crashes of workers that had a run of one task, without those that
+ * another task has been blamed for, each by its worker and lifetime.
  */
 export interface TaskCrashes {
   /** Those that the task may have caused by starting. */
   met: Set<string>;
   /**
-   * Those that speak against the task: the worker had confirmed its start, and
+   * Those that speak against the task: its start had reached the worker, and
    * nothing else explains the crash.
    */
   suspected: Set<string>;
@@ -63,8 +60,7 @@
   /**
    * @returns the penalty on the placement score of a worker for a step:
    * suspected tasks are placed away from the runs of other jobs and these away
-   * from them, and on workers that have answered since the last crash; VMs with
-   * an unexplained crash are used last
+   * from them, and VMs with an unexplained crash are used last
    */
   penaltyOf(step: StepState, worker: WorkerState): number;
 }
@@ -79,7 +75,9 @@
 }
 
 /** A crash that is not judged yet. */
-interface OpenCrash extends Crash {
+interface OpenCrash extends Failure {
+  /** Identifies the crash by the worker and its lifetime. */
+  key: string;
   /** Whether its VM crashed shortly before under other jobs. */
   isVmToBlame: boolean;
   /** Runs of tasks that have met too many crashes with this one. */
@@ -126,7 +124,6 @@
   >();
   let openCrashes: OpenCrash[] = [];
   let recentFailures: Failure[] = [];
-  let lastCrashAt: Milliseconds = -Infinity;
   /** End of the pause of long-running tasks, by step and task. */
   const pauses = new Map<StepState, Map<number, Milliseconds>>();
   /** Steps with a suspected task, as of the start of the planning pass. */
@@ -198,14 +195,7 @@
   const silences = (): Failure[] =>
     [...state.workers.values()].filter(({ silentSince, isDraining }) =>
       silentSince !== undefined && !isDraining
-    ).map((worker) => {
-      const runs = [...worker.runs];
-      return {
-        vm: worker.vm ?? worker.id,
-        ...failureTimeOf(worker, runs, now()),
-        suspects: confirmedOf(findStartingRuns(worker, runs)),
-      };
-    });
+    ).map((worker) => assessFailure(worker, worker.runs, now()));
 
   /**
    * Adds a crash to its suspects, and returns those that are to blame: runs of
@@ -213,7 +203,7 @@
    */
   const findBlamed = (crash: OpenCrash, evidence: readonly Run[]): Run[] => {
     if (crash.isVmToBlame) return [];
-    const limit = crash.jobs.size === 1
+    const limit = jobsOf(likelyRunsOf(crash)).size === 1
       ? CRASHES_WHEN_ALONE
       : CRASHES_IN_COMPANY;
     const blamed = evidence.filter((run) => {
@@ -255,15 +245,16 @@
     for (const key of explained) explainCrash(key, jobsOf(blamed));
   };
 
-  const isJudged = ({ to }: Crash): boolean => now() - to >= JUDGEMENT_DELAY_MS;
+  const isJudged = ({ to }: OpenCrash): boolean =>
+    now() - to >= JUDGEMENT_DELAY_MS;
 
   return {
     recordCrash: (worker, runs, { hadLapsed = false } = {}) => {
       if (runs.length === 0) return;
       const key = crashKeyOf(worker, runs[0]);
-      const starting = findStartingRuns(worker, runs);
-      const confirmed = confirmedOf(starting);
-      const jobs = jobsOf(hadLapsed ? [] : starting);
+      const failure = assessFailure(worker, runs, now());
+      const { starting, suspects } = failure;
+      const jobs = jobsOf(hadLapsed ? [] : likelyRunsOf(failure));
       const isVmToBlame = isUnstable(worker, jobs);
       if (worker.vm !== undefined && !hadLapsed) {
         vmCrashes.set(worker.vm, { key, at: now(), jobs });
@@ -272,7 +263,7 @@
       const unknown = runs.filter(({ isRestored, confirmedAt }) =>
         isRestored && confirmedAt === undefined
       );
-      const met = [...confirmed, ...unknown];
+      const met = [...suspects, ...unknown];
       for (const run of met) {
         addBounded(crashesOf(run).met, key);
         // The progress of a job that has ended meanwhile is deleted.
@@ -282,11 +273,9 @@
         }
       }
       const crash = {
+        ...failure,
         key,
-        vm: worker.vm ?? worker.id,
-        ...failureTimeOf(worker, runs, now()),
-        jobs,
-        suspects: hadLapsed ? [] : confirmed,
+        suspects: hadLapsed ? [] : suspects,
         exhausted: met.filter((run) =>
           crashesOf(run).met.size >= MAXIMUM_CRASHES
         ),
@@ -299,7 +288,8 @@
           crash: key,
           runs: runs.length,
           starting: starting.map(nameOf),
-          confirmed: confirmed.map(nameOf),
+          suspects: suspects.map(nameOf),
+          isPrompt: failure.isPrompt,
           hadLapsed,
           reportAgeMs: worker.reportedAt === 0
             ? undefined
@@ -311,7 +301,6 @@
         },
         "worker crashed",
       );
-      lastCrashAt = now();
       if (!hadLapsed) recentFailures.push(crash);
       openCrashes.push(crash);
     },
@@ -348,8 +337,7 @@
       const vmPenalty = lastCrashOf(worker.vm) === undefined ? 0 : PENALTY;
       if (suspectedSteps.size === 0) return vmPenalty;
       const isSuspect = suspectedSteps.has(step);
-      const isUnheard = isSuspect && worker.lastAnsweredPollAt <= lastCrashAt;
-      let penalty = isUnheard ? PENALTY : 0;
+      let penalty = 0;
       for (const run of worker.runs) {
         if (run.step.job === step.job) continue;
         if (suspectedSteps.has(run.step)) penalty = 2 * PENALTY;
@@ -369,6 +357,11 @@
   return `${id}/${lifetime}`;
 }
 
+/** Returns the runs of which one has made a worker fail, if any has. */
+function likelyRunsOf({ isPrompt, suspects, starting }: Failure) {
+  return isPrompt ? suspects : starting;
+}
+
 function jobsOf(runs: readonly Run[]): Set<ActiveJob> {
   return new Set(runs.map(({ step }) => step.job));
 }
--- a/packages/scheduler/src/crash_evidence.ts
+++ b/packages/scheduler/src/crash_evidence.ts
@@ -1,50 +1,90 @@
 import type { Milliseconds } from "@rattanhill/shared";
-import type { ActiveJob, Run, WorkerState } from "./cell_state.ts";
+import {
+  type ActiveJob,
+  type Run,
+  RunPhase,
+  type WorkerState,
+} from "./cell_state.ts";
 
-/** The crash of a worker, and what is known of its cause. */
-export interface Crash {
-  /** Identifies the crash by the worker and its lifetime. */
-  key: string;
-  /** VM of the worker; the worker itself if its VM is not known. */
+/** The failure of a worker, by a crash or for another reason. */
+export interface Failure {
+  /** Its VM; the worker itself if its VM is not known. */
   vm: string;
   /** Monotonic time of the worker's last sign of life. */
   from: Milliseconds;
   /** Monotonic time of the first sign of its end. */
   to: Milliseconds;
-  /** Jobs with a run that may have been starting. */
-  jobs: ReadonlySet<ActiveJob>;
-  /** Runs that were starting and that the worker had confirmed. */
+  /** Runs that may have been starting. */
+  starting: readonly Run[];
+  /**
+   * Those of them that had provably reached the worker. If it failed right after
+   * some of them did, only these.
+   */
   suspects: readonly Run[];
+  /** Whether the worker failed right after the suspects had reached it. */
+  isPrompt: boolean;
 }
 
-/** The failure of a worker, which may be silent for another reason. */
-export type Failure = Pick<Crash, "vm" | "from" | "to" | "suspects">;
-
 // Time as a confirmed run after which a task has not crashed its worker by
 // starting.
 const STARTING_MS: Milliseconds = 5_000;
-// Slack between two failures of a common cause, since each is noticed by a call
-// of its own.
+// Longest time between a start and a failure that follows it promptly.
+const PROMPT_MS: Milliseconds = 500;
+// Slack between two signs of the same failure, and between two failures of a
+// common cause, since each is noticed by a call of its own.
 const SIMULTANEOUS_MS: Milliseconds = 300;
-// Number of other VMs that fail with a worker, and that a job cannot have caused
-// to, from which on a common cause is likelier than a task of the job.
+// Number of other VMs that fail with a worker from which on a common cause is
+// likelier than a task; and a larger one if each may have a cause of its own,
+// since it failed promptly after a start.
 const COMMON_CAUSE_VMS = 2;
+const COMMON_CAUSE_PROMPT_VMS = 4;
+
+/**
+ * Assesses which runs may have made a worker fail by starting.
+ *
+ * @param worker the worker, which has crashed or is silent
+ * @param runs its runs of one lifetime
+ * @param now monotonic time
+ * @returns the time of the failure and the runs
+ */
+export function assessFailure(
+  worker: WorkerState,
+  runs: Iterable<Run>,
+  now: Milliseconds,
+): Failure {
+  const starting = findStartingRuns(worker, runs);
+  const reachedAt = new Map<Run, Milliseconds>();
+  for (const run of starting) {
+    const at = run.confirmedAt ?? findInterruption(run, worker);
+    if (at !== undefined) reachedAt.set(run, at);
+  }
+  const to = Math.min(worker.silentSince ?? now, now);
+  const prompt = [...reachedAt].filter(([, at]) =>
+    Math.abs(to - at) <= PROMPT_MS
+  ).map(([run]) => run);
+  return {
+    vm: worker.vm ?? worker.id,
+    from: Math.min(to, Math.max(worker.reportedAt, ...reachedAt.values())),
+    to,
+    starting,
+    suspects: prompt.length > 0 ? prompt : [...reachedAt.keys()],
+    isPrompt: prompt.length > 0,
+  };
+}
 
 /**
  * Returns the runs that may have been starting when their worker failed: those
  * that no report has listed yet; if there is none, those that were first listed
- * a short time before its last report.
- *
- * @param worker the worker
- * @param runs runs of its current lifetime
- * @returns the runs; not those of earlier leads, of which it is not known since
- * when their worker has them
+ * a short time before its last report. Since when a worker has the runs of
+ * earlier leads is not known.
  */
-export function findStartingRuns(
+function findStartingRuns(
   { reportedAt }: WorkerState,
   runs: Iterable<Run>,
 ): Run[] {
-  const sent = [...runs].filter(({ isRestored }) => !isRestored);
+  const sent = [...runs].filter(({ isRestored, phase }) =>
+    !isRestored && phase !== RunPhase.storing
+  );
   const unreported = sent.filter(({ reportedSince }) =>
     reportedSince === undefined
   );
@@ -54,38 +94,29 @@
   );
 }
 
-/** @returns the runs that their worker has confirmed */
-export function confirmedOf(runs: readonly Run[]): Run[] {
-  return runs.filter(({ confirmedAt }) => confirmedAt !== undefined);
-}
-
 /**
- * Bounds the time at which a worker failed.
- *
- * @param worker the worker, which has crashed or is silent
- * @param runs its runs
- * @param now monotonic time at which its end became known
- * @returns its last sign of life and the first sign of its end
+ * Returns when the connection ended on which a start command had just been sent,
+ * if the worker failed at that time; undefined otherwise.
  */
-export function failureTimeOf(
-  { reportedAt, silentSince = Infinity }: WorkerState,
-  runs: readonly Run[],
-  now: Milliseconds,
-): { from: Milliseconds; to: Milliseconds } {
-  const confirmations = runs.map(({ confirmedAt = 0 }) => confirmedAt);
-  const to = Math.min(silentSince, now);
-  const from = Math.min(to, Math.max(reportedAt, ...confirmations));
-  return { from, to };
+function findInterruption(
+  { interruptedAt }: Run,
+  { silentSince }: WorkerState,
+): Milliseconds | undefined {
+  if (interruptedAt === undefined || silentSince === undefined) {
+    return undefined;
+  }
+  return Math.abs(silentSince - interruptedAt) <= SIMULTANEOUS_MS
+    ? interruptedAt
+    : undefined;
 }
 
 /**
- * Tests whether a crash probably has another cause than a job: several other VMs
- * failed at the same time, without a confirmed run of the job that was starting
- * there.
+ * Tests whether a failure probably has another cause than a job: several other
+ * VMs failed at the same time, without a task of the job that explains it.
  *
- * @param crash the crash
+ * @param failure the failure
  * @param job a job that may have caused it
- * @param failures all failures of the time, which may include the crash
+ * @param failures all failures of the time, which may include the first one
  */
 export function hasCommonCause(
   { vm, from, to }: Failure,
@@ -93,12 +124,15 @@
   failures: Iterable<Failure>,
 ): boolean {
   const others = new Set<string>();
+  const unexplained = new Set<string>();
   for (const other of failures) {
     const isSimultaneous = other.from <= to + SIMULTANEOUS_MS &&
       other.to >= from - SIMULTANEOUS_MS;
     const isOfJob = other.suspects.some(({ step }) => step.job === job);
-    if (isSimultaneous && !isOfJob) others.add(other.vm);
+    if (!isSimultaneous || isOfJob || other.vm === vm) continue;
+    others.add(other.vm);
+    if (!other.isPrompt) unexplained.add(other.vm);
   }
-  others.delete(vm);
-  return others.size >= COMMON_CAUSE_VMS;
+  return unexplained.size >= COMMON_CAUSE_VMS ||
+    others.size >= COMMON_CAUSE_PROMPT_VMS;
 }
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -103,6 +103,11 @@
    * process has therefore ended.
    */
   recordReplacement(worker: WorkerState): void;
+  /**
+   * Records that the connection ended on which a start command had just been
+   * sent.
+   */
+  recordInterruptedStart(run: Run): void;
   /** Applies the answer to a start command. */
   handleStartAnswer(run: Run, answer: StartAnswer, reason?: string): void;
   /**
@@ -363,6 +368,9 @@
     },
     recordReplacement: (worker) =>
       roster.recordProcessEnd(worker, "another worker answers at its address"),
+    recordInterruptedStart: (run) => {
+      run.interruptedAt ??= now();
+    },
     handleStartAnswer: (run, answer, reason) => {
       applyStartAnswer(run, { answer, reason }, {
         state,
