fix(cell): calls meant for the former lifetime of a worker are rejected by the next

A call names the id of its worker, which stays when it restarts, and the restarted worker has forgotten the stops of its former lifetime. A start that had been unanswered, stopped, proved absent and given to another worker was carried out by the restarted worker seconds later: two runs of one task at once. Read, not shown by a test: in the same way a late poll makes it forget ends by the former positions, and a late renewal by the former clock grants a lease longer than the lead waits for.

The lead now raises the fencing token of its calls to a worker that has restarted. From its first call on, the new process rejects whatever was sent before. The number of restarts is that of the cell: a worker that was deleted from the list and found again must not get a lower token than it has seen. Should a lead see more than 10,000 restarts, tokens stay at the last, as before.

Not closed: a late call that reaches the new process before the lead's first call to it.

Test 'former lifetime: a late start of a released run does not run in the next' before the change: the run is running in the restarted worker beside its successor ('expected [ { task: ..., number: 1 } ] to deeply equal []', 1 failing). After it passes.

--- a/packages/cell/__tests__/former_lifetime.test.ts
+++ b/packages/cell/__tests__/former_lifetime.test.ts
@@ -62,3 +62,27 @@
   lead.close();
   expect(worker.startedRuns.length, lines.join("\n")).to.equal(2);
 }).timeout(TIMEOUT_MS);
+
+// A start that was unanswered, stopped and replaced by one on another worker ran
+// beside it, since its restarted worker knew nothing of the stop.
+it("former lifetime: a late start of a released run does not run in the next", async () => {
+  const { lead, submit, lines, workers: [first, second], list } =
+    await startCell(2);
+  for (const worker of [first, second]) worker.holdStarts(true);
+  submit("a");
+  const heldBy = () =>
+    [first, second].find(({ heldStarts }) => heldStarts.length > 1);
+  await waitUntil(() => heldBy() !== undefined);
+  const holder = heldBy()!;
+  const other = holder === first ? second : first;
+  for (const worker of [first, second]) worker.holdStarts(false);
+  await waitUntil(() => other.running().length === 1);
+  holder.crash();
+  holder.restart();
+  const pollsBefore = holder.polls.length;
+  list();
+  await waitUntil(() => holder.polls.length > pollsBefore + 1);
+  holder.carryOut(holder.heldStarts[0]);
+  lead.close();
+  expect(holder.running(), lines.join("\n")).to.deep.equal([]);
+}).timeout(TIMEOUT_MS);
--- a/packages/cell/__tests__/restartable_worker.ts
+++ b/packages/cell/__tests__/restartable_worker.ts
@@ -92,9 +92,10 @@
       };
     },
     start: async (call) => {
-      if (holdsStarts) heldStarts.push(call);
-      await pause(holdsStarts ? 20 : 1);
-      if (holdsStarts || isDown) throw unanswered;
+      const isHeld = holdsStarts;
+      if (isHeld) heldStarts.push(call);
+      await pause(isHeld ? 20 : 1);
+      if (isHeld || isDown) throw unanswered;
       return carryOut(call);
     },
     stop: async ({ term, task, number }) => {
--- a/packages/cell/__tests__/worker_link.test.ts
+++ b/packages/cell/__tests__/worker_link.test.ts
@@ -60,6 +60,7 @@
   const worker = {
     id: "w",
     lifetime: 1,
+    tokenOffset: 0,
     runs: new Set<Run>(),
     leasesEndBy: 0,
     lastHandledEnd: 0,
--- a/packages/cell/src/lead_lease.ts
+++ b/packages/cell/src/lead_lease.ts
@@ -58,7 +58,7 @@
   electionPriority: number;
   /**
    * Called when this process becomes the lead. The term is higher than every
-   * earlier one.
+   * fencing token of earlier leads; see {@link TOKENS_PER_TERM}.
    */
   onGained(term: number): void;
   /** Called when this process is no longer the lead. */
@@ -76,6 +76,11 @@
  * sent. The lease outlasts two failed renewals.
  */
 export const LEAD_LEASE_MS: Milliseconds = 1_500;
+/**
+ * Number of fencing tokens that a lead may use, from its term on. The next term
+ * is higher than all of them.
+ */
+export const TOKENS_PER_TERM = 10_000;
 const RENEWAL_INTERVAL_MS: Milliseconds = 400;
 // A lead regards its lease as expired this long before another process may take
 // it, to allow for timers that fire late.
@@ -95,6 +100,7 @@
 interface LeadRecord {
   /** VM and incarnation of the lead. */
   holder: string;
+  /** Highest fencing token that the lead may use. */
   term: number;
   /**
    * Sequence number of the append within its process, by which the process
@@ -153,7 +159,7 @@
       return;
     }
     if (newestRecord?.holder !== record.holder) {
-      log.info({ lead: record.holder, term: record.term }, "lead changed");
+      log.info({ lead: record.holder, lastToken: record.term }, "lead changed");
     }
     newestRecord = record;
     newestSeenAt = clock.now();
@@ -241,7 +247,12 @@
     const term = (newestRecord?.term ?? 0) + 1;
     renewal += 1;
     if (
-      !await appendLeaseRecord({ holder, term, renewal, isReleased: false })
+      !await appendLeaseRecord({
+        holder,
+        term: lastTokenOf(term),
+        renewal,
+        isReleased: false,
+      })
     ) return;
     if (isClosed || isReleasing) return;
     held = { term, ...sentAt };
@@ -264,7 +275,7 @@
     renewal += 1;
     const isStored = await appendLeaseRecord({
       holder,
-      term,
+      term: lastTokenOf(term),
       renewal,
       isReleased: false,
     });
@@ -278,7 +289,12 @@
     const { term } = held;
     loseLead("released");
     renewal += 1;
-    await appendLeaseRecord({ holder, term, renewal, isReleased: true });
+    await appendLeaseRecord({
+      holder,
+      term: lastTokenOf(term),
+      renewal,
+      isReleased: true,
+    });
   };
 
   /** Checks whether this process may campaign for the lease now. */
@@ -341,6 +357,11 @@
 // that waits 1 s, and the store's answer.
 const MAXIMUM_AGE_MS: Milliseconds = 1_800;
 
+/** @returns the highest fencing token of a term */
+function lastTokenOf(term: number): number {
+  return term + TOKENS_PER_TERM - 1;
+}
+
 /** @returns the record; undefined when it is not valid, which callers log */
 function parseLeadRecord(value: string): LeadRecord | undefined {
   try {
--- a/packages/cell/src/stop_commands.ts
+++ b/packages/cell/src/stop_commands.ts
@@ -26,8 +26,8 @@
 export interface StopCommandsOptions {
   worker: WorkerState;
   connection: Pick<WorkerConnection, "stop">;
-  /** Fencing token of this lead. */
-  term: number;
+  /** @returns the fencing token of a call that is sent now */
+  fencingToken(): number;
   /** Turns of the commands to the worker. */
   commands: CommandQueue;
   log: Logger;
@@ -57,7 +57,7 @@
  * @returns the stop commands
  */
 export function createStopCommands(options: StopCommandsOptions): StopCommands {
-  const { worker, connection, term, commands, log, isActive } = options;
+  const { worker, connection, commands, log, isActive } = options;
   /** How often pauses were ended. */
   let resumptions = 0;
   /** Ends the pauses of commands that wait to be repeated. */
@@ -83,7 +83,7 @@
   const sendOnce = async ({ task, number }: StopCommand): Promise<boolean> => {
     const { lifetime } = worker;
     const isAcknowledged = await connection.stop({
-      term,
+      term: options.fencingToken(),
       task,
       number,
       timeoutMs: STOP_TIMEOUT_MS,
--- a/packages/cell/src/worker_calls.ts
+++ b/packages/cell/src/worker_calls.ts
@@ -16,8 +16,8 @@
 /** Parameters of every call to a worker. */
 export interface WorkerCall {
   /**
-   * Fencing token of the calling lead; workers reject any token below the
-   * highest that they have seen.
+   * Fencing token of the calling lead for this lifetime of the worker; workers
+   * reject any token below the highest that they have seen.
    */
   term: number;
   timeoutMs: Milliseconds;
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -17,6 +17,7 @@
 } from "@rattanhill/scheduler";
 import { createCommandQueue } from "./command_queue.ts";
 import { createEndAcknowledgements } from "./end_acknowledgements.ts";
+import { TOKENS_PER_TERM } from "./lead_lease.ts";
 import { createMergedCall } from "./merged_call.ts";
 import { pollUntilAnswered } from "./repeated_poll.ts";
 import { createStopCommands } from "./stop_commands.ts";
@@ -46,7 +47,7 @@
 export interface WorkerLinkOptions {
   worker: WorkerState;
   connection: WorkerConnection;
-  /** Fencing token of this lead. */
+  /** Term of this lead. */
   term: number;
   clock: Clock;
   log: Logger;
@@ -142,6 +143,10 @@
   const commands = createCommandQueue(MAXIMUM_COMMANDS_UNDER_WAY);
   const acknowledgements = createEndAcknowledgements(worker, clock.now);
 
+  /** Returns the fencing token of calls that are meant for this lifetime. */
+  const fencingToken = (): number =>
+    term + Math.min(worker.tokenOffset, TOKENS_PER_TERM - 1);
+
   const recordClock = (value: Milliseconds): void => {
     clockReading = { clock: value, at: clock.now() };
   };
@@ -179,7 +184,7 @@
     const askedAt = clock.now();
     const { lifetime: askedLifetime } = worker;
     const answer = await connection.hold({
-      term,
+      term: fencingToken(),
       // A worker that does not answer gets no renewal, so that its leases
       // expire.
       leaseUntil: failures > 0 ? undefined : extendLease(),
@@ -336,7 +341,7 @@
       const sentAt = clock.now();
       try {
         const result = await connection.start({
-          term,
+          term: fencingToken(),
           task: taskName,
           number: run.number,
           payload: run.step.job.spec.payload,
@@ -385,7 +390,7 @@
   const stops = createStopCommands({
     worker,
     connection,
-    term,
+    fencingToken,
     commands,
     log,
     isActive: () => !isClosed && isLeading(),
--- a/packages/cell/src/worker_links.ts
+++ b/packages/cell/src/worker_links.ts
@@ -30,7 +30,7 @@
 
 /** Options of {@link createWorkerLinks}. */
 export interface WorkerLinksOptions {
-  /** Fencing token of this lead. */
+  /** Term of this lead. */
   term: number;
   clock: Clock;
   log: Logger;
--- a/packages/scheduler/__tests__/earlier_lifetime.test.ts
+++ b/packages/scheduler/__tests__/earlier_lifetime.test.ts
@@ -88,3 +88,19 @@
   cell.settle();
   expect(cell.runs("a").map(({ number }) => number)).to.deep.equal([1]);
 });
+
+// Its process has seen the higher token, and would reject every call.
+it("roster: the fencing token of a worker that is found again does not fall", () => {
+  const cell = createCell({ workers: 1 });
+  const { workers } = cell.scheduler.state;
+  expect(workers.get("w0")!.tokenOffset).to.equal(0);
+  cell.fleet.get("w0")!.crash();
+  cell.settle();
+  expect(workers.get("w0")!.tokenOffset).to.equal(1);
+  const [entry] = cell.entries.splice(0);
+  cell.updateListing();
+  expect(workers.has("w0")).to.equal(false);
+  cell.entries.push(entry);
+  cell.updateListing();
+  expect(workers.get("w0")!.tokenOffset).to.equal(1);
+});
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -162,6 +162,12 @@
 export interface WorkerState extends WorkerEntry {
   /** Its earlier lifetimes. */
   pastLifetimes: Set<number>;
+  /**
+   * Added to the term of the lead for the fencing token of calls to it. It rises
+   * when the worker restarts, which then rejects late calls that were meant for
+   * its earlier lifetime.
+   */
+  tokenOffset: number;
   /** Monotonic time at which its current lifetime was first read. */
   lifetimeReadAt: Milliseconds;
   /**
--- a/packages/scheduler/src/worker_roster.ts
+++ b/packages/scheduler/src/worker_roster.ts
@@ -108,6 +108,11 @@
   const { state, now, stop, onCrash, isolate, log } = options;
   /** Runs whose leases expired before it was known whether they had crashed. */
   let expiredLosses: ExpiredLoss[] = [];
+  /**
+   * Number of restarts of all workers, so that the token of a worker that was
+   * deleted meanwhile does not fall.
+   */
+  let restarts = 0;
   /** Restored runs whose worker had restarted before, by worker. */
   const restoredLosses = new Map<WorkerState, Run[]>();
 
@@ -116,6 +121,7 @@
       id,
       lifetime: 0,
       pastLifetimes: new Set(),
+      tokenOffset: restarts,
       lifetimeReadAt: 0,
       listedLifetime: 0,
       service: "",
@@ -167,6 +173,8 @@
     worker.lifetime = lifetime;
     worker.lifetimeReadAt = now();
     if (isFirst) return;
+    restarts += 1;
+    worker.tokenOffset = restarts;
     log.warn({ worker: worker.id, lifetime }, "worker restarted");
     worker.lastHandledEnd = 0;
     worker.lastStoredEnd = 0;
