fix(cell): a lease is never asked for by the clock of a former lifetime

Callers saw nothing; found by reading the paths of a restart. When the list of workers told of a restart while a poll was waiting, the link went on with the clock reading of the former lifetime. A restarted worker cuts such a lease to the longest one, counted from the moment at which it carries the call out; if that is seconds late, the lease outlives the time that the lead waits before it gives the run to another worker. A late answer of the former lifetime also dropped a valid reading of the current one.

A clock reading now names the lifetime to which the clock belongs. Until the worker has answered in its current lifetime, polls renew no lease and starts are not sent.

Test 'former lifetime: no start has a lease by the clock of the former one' before the change: 'expected [ { task: { job: 'a', ... } } ] to deeply equal []', the start was sent (1 failing). After it passes.

--- a/packages/cell/__tests__/former_lifetime.test.ts
+++ b/packages/cell/__tests__/former_lifetime.test.ts
@@ -1,5 +1,12 @@
 import { expect } from "chai";
-import { type Milliseconds, pause } from "@rattanhill/shared";
+import {
+  createSystemClock,
+  type Milliseconds,
+  pause,
+  silentLogger,
+} from "@rattanhill/shared";
+import type { Run, WorkerState } from "@rattanhill/scheduler";
+import { createWorkerLink } from "../src/mod.ts";
 import { createLead, ENTRY } from "./lead_fixture.ts";
 import {
   createRestartableWorker,
@@ -86,3 +93,44 @@
   lead.close();
   expect(holder.running(), lines.join("\n")).to.deep.equal([]);
 }).timeout(TIMEOUT_MS);
+
+// The restarted worker cuts a lease by the former clock to the longest one from
+// when it carries the start out, however late, and so beyond what is waited for.
+it("former lifetime: no start has a lease by the clock of the former one", async () => {
+  const { connection, startedRuns, polls } = createRestartableWorker();
+  const worker = {
+    id: "w",
+    lifetime: 1,
+    tokenOffset: 0,
+    runs: new Set<Run>(),
+    leasesEndBy: 0,
+    lastHandledEnd: 0,
+    lastStoredEnd: 0,
+  } as WorkerState;
+  const job = { spec: { id: "a", payload: "" } };
+  const step = { job, occurrence: 0, index: 0, key: "a.0.0" };
+  const run = { step, index: 0, number: 1, worker, checkpoint: "" } as Run;
+  const answers: [string, string?][] = [];
+  const link = createWorkerLink({
+    worker,
+    connection,
+    term: 1,
+    clock: createSystemClock(),
+    log: silentLogger,
+    isLeading: () => true,
+    mayStart: () => true,
+    onReport: () => {},
+    onNoAnswer: () => {},
+    onReplacement: () => {},
+    onStartAnswer: (_run, answer, reason) => answers.push([answer, reason]),
+    onStopAnswer: () => {},
+  });
+  await waitUntil(() => polls.some(({ waitMs }) => waitMs > 0));
+  // The list of workers tells of the restart while a poll waits.
+  worker.lifetime = 2;
+  link.sendCommand({ kind: "start", run });
+  await waitUntil(() => answers.length > 0);
+  link.close();
+  expect(startedRuns).to.deep.equal([]);
+  expect(answers).to.deep.equal([["refused", "not sent"]]);
+});
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -133,10 +133,12 @@
 export function createWorkerLink(options: WorkerLinkOptions): WorkerLink {
   const { worker, connection, term, clock, log, isLeading } = options;
   /**
-   * Last reading of the worker's clock, and the lead's monotonic time at which
-   * it arrived.
+   * Last reading of the worker's clock, the lifetime to which the clock belongs,
+   * and the lead's monotonic time at which the reading arrived.
    */
-  let clockReading: { clock: Milliseconds; at: Milliseconds } | undefined;
+  let lastReading:
+    | { clock: Milliseconds; lifetime: number; at: Milliseconds }
+    | undefined;
   let isClosed = false;
   let failures = 0;
   let resolveEndsStored: (() => void) | undefined;
@@ -148,9 +150,14 @@
     term + Math.min(worker.tokenOffset, TOKENS_PER_TERM - 1);
 
   const recordClock = (value: Milliseconds): void => {
-    clockReading = { clock: value, at: clock.now() };
+    const { lifetime } = worker;
+    lastReading = { clock: value, lifetime, at: clock.now() };
   };
 
+  /** Returns the last reading of the clock of the worker's current lifetime. */
+  const currentReading = () =>
+    lastReading?.lifetime === worker.lifetime ? lastReading : undefined;
+
   /**
    * Computes a new end of the lease by the worker's clock, and records the
    * latest time at which it can end by the lead's clock.
@@ -158,13 +165,14 @@
    * @returns the end by the worker's clock; undefined before its clock is known
    */
   const extendLease = (): Milliseconds | undefined => {
-    if (clockReading === undefined) return undefined;
+    const reading = currentReading();
+    if (reading === undefined) return undefined;
     const now = clock.now();
     const leaseUntil = Math.floor(
-      clockReading.clock + (now - clockReading.at) + WORKER_LEASE_MS,
+      reading.clock + (now - reading.at) + WORKER_LEASE_MS,
     );
-    const latestEnd = clockReading.at +
-      (leaseUntil - clockReading.clock) / MINIMUM_CLOCK_RATE;
+    const latestEnd = reading.at +
+      (leaseUntil - reading.clock) / MINIMUM_CLOCK_RATE;
     worker.leasesEndBy = Math.max(
       worker.leasesEndBy,
       latestEnd,
@@ -213,7 +221,7 @@
         worker.lifetime,
         askedLifetime === worker.lifetime ? acknowledgedEnd : 0,
       );
-    } else clockReading = undefined;
+    }
   };
 
   /** Polls without waiting for a run to end, until one poll is answered. */
@@ -258,7 +266,7 @@
         continue;
       }
       try {
-        const isRenewal = failures === 0 && clockReading !== undefined;
+        const isRenewal = failures === 0 && currentReading() !== undefined;
         if (failures > 0) await pollRepeatedly();
         else {
           const acknowledgedEnd = acknowledgements.next();
