test(scheduler): late calls of a former lifetime reach the next one in the model

The model dropped all calls to a worker that restarted, on the assumption that they are rejected. They now arrive, with the fencing token that they carry, once a call of the lead has reached the new process.

--- a/packages/scheduler/__tests__/takeover.test.ts
+++ b/packages/scheduler/__tests__/takeover.test.ts
@@ -55,14 +55,41 @@
   "store",
 ];
 
-const failingEvents: fc.Arbitrary<ModelEvent[]> = fc.array(
-  fc.tuple(
-    ...FAILING_ROUND.map((kind) =>
-      fc.record({ kind: fc.constant(kind), pick: fc.nat({ max: 1_000 }) })
+// A start that is stopped and replaced, and carried out late after a restart.
+const RESTARTING_ROUND: readonly ModelEvent["kind"][] = [
+  "poll",
+  "poll",
+  "plan",
+  "store",
+  "timeOut",
+  "poll",
+  "plan",
+  "deliver",
+  "poll",
+  "plan",
+  "store",
+  "deliver",
+  "restart",
+  "poll",
+  "deliver",
+  "deliver",
+];
+
+function repeatRounds(
+  round: readonly ModelEvent["kind"][],
+): fc.Arbitrary<ModelEvent[]> {
+  return fc.array(
+    fc.tuple(
+      ...round.map((kind) =>
+        fc.record({ kind: fc.constant(kind), pick: fc.nat({ max: 1_000 }) })
+      ),
     ),
-  ),
-  { minLength: 4, maxLength: 10, size: "max" },
-).map((rounds) => rounds.flat());
+    { minLength: 4, maxLength: 10, size: "max" },
+  ).map((rounds) => rounds.flat());
+}
+
+const failingEvents = repeatRounds(FAILING_ROUND);
+const restartingEvents = repeatRounds(RESTARTING_ROUND);
 
 // Guards against a task that runs on two workers, runs again after its end was
 // stored, or fails more often than it may. All can happen around a change of
@@ -88,6 +115,25 @@
   }).timeout(TIMEOUT_MS);
 }
 
+it("takeover: no late call of a former lifetime makes a task run twice", () => {
+  const result = checkEvents(
+    (series) => simulateTakeovers(series, { steps: [step()] }),
+    restartingEvents,
+  );
+  expect(result.counterexample, JSON.stringify(result.counterexample)).to.equal(
+    null,
+  );
+}).timeout(TIMEOUT_MS);
+
+it("takeover: the model detects the injected fault constantToken", () => {
+  const result = checkEvents(
+    (series) =>
+      simulateTakeovers(series, { fault: "constantToken", steps: [step()] }),
+    restartingEvents,
+  );
+  expect(result.failed).to.equal(true);
+}).timeout(TIMEOUT_MS);
+
 it("takeover: no task starts too often while its runs fail", () => {
   const result = checkEvents(
     (series) => simulateTakeovers(series, { workerCount: 6 }),
--- a/packages/scheduler/__tests__/takeover_events.ts
+++ b/packages/scheduler/__tests__/takeover_events.ts
@@ -59,5 +59,7 @@
   | "takeoverWithoutWait"
   /** A lead sends start commands after its own lease has expired. */
   | "startAfterLease"
+  /** The fencing token is not raised when a worker restarts under its id. */
+  | "constantToken"
   /** A refusal is taken for the answer to a start command that timed out. */
   | "refusalAfterTimeout";
--- a/packages/scheduler/__tests__/takeover_model.ts
+++ b/packages/scheduler/__tests__/takeover_model.ts
@@ -37,6 +37,7 @@
   type Lead,
   LEAD_LEASE_MS,
   MAXIMUM_ATTEMPTS,
+  TOKENS_PER_TERM,
   WORKER_LEASE_MS,
 } from "./takeover_parts.ts";
 
@@ -100,6 +101,11 @@
   const failures = new Map<string, number>();
   let crashes = 0;
   let calls: Call[] = [];
+  /**
+   * Calls that were meant for the earlier lifetime of a worker. They arrive only
+   * once a call of the lead has reached the current one.
+   */
+  let formerCalls: Call[] = [];
   /** Answers of workers that have not reached the lead. */
   let answers: (() => void)[] = [];
   let lead = takeOver();
@@ -127,7 +133,7 @@
   }
 
   function takeOver(): Lead {
-    storeTerm += 1;
+    storeTerm += TOKENS_PER_TERM;
     const book = restoreBook();
     const commands: WorkerCommand[] = [];
     const scheduler = createScheduler({
@@ -182,9 +188,7 @@
   const sendCommands = (): void => {
     if (!isLeading(lead)) return;
     for (const command of lead.commands.splice(0)) {
-      const worker = command.kind === "start"
-        ? command.run.worker
-        : command.worker;
+      const worker = workerOf(command);
       const leaseUntil = clock.now() + WORKER_LEASE_MS;
       if (command.kind === "start") extendLease(worker, leaseUntil);
       calls.push(createCall(lead, command, { leaseUntil, hasTimedOut: false }));
@@ -198,20 +202,27 @@
   ): Call => {
     const isOutOfAttempts = command.kind === "start" &&
       attempts.isOutOfAttempts(taskKeyOf(taskNameOf(command.run)));
-    return { lead: caller, command, ...options, isOutOfAttempts };
+    const token = tokenOf(caller, workerOf(command));
+    return { lead: caller, command, ...options, token, isOutOfAttempts };
   };
 
+  const tokenOf = ({ term }: Lead, { tokenOffset }: WorkerState): number =>
+    term + (fault === "constantToken" ? 0 : tokenOffset);
+
+  const workerOf = (command: WorkerCommand): WorkerState =>
+    command.kind === "start" ? command.run.worker : command.worker;
+
   const extendLease = (worker: WorkerState, until: number): void => {
     worker.leasesEndBy = Math.max(worker.leasesEndBy, until + 300);
   };
 
   /** Executes a call on its worker. */
   const executeCall = (
-    { lead: caller, command, leaseUntil, isOutOfAttempts }: Call,
+    { command, token, leaseUntil, isOutOfAttempts }: Call,
   ) => {
     if (command.kind === "stop") {
       const worker = workers.get(command.worker.id);
-      return worker?.stop(caller.term, command.task, command.number) ?? false;
+      return worker?.stop(token, command.task, command.number) ?? false;
     }
     const { run } = command;
     const worker = workers.get(run.worker.id);
@@ -220,7 +231,7 @@
     const taskKey = taskKeyOf(taskNameOf(run));
     const before = worker.started.length;
     const answer = worker.start(
-      caller.term,
+      token,
       {
         task: taskNameOf(run),
         number: run.number,
@@ -283,8 +294,18 @@
       position <= acknowledged
     );
     const askedAt = clock.now();
-    const report = worker.hold(asking.term, acknowledged, leaseUntil, askedAt);
+    const report = worker.hold(
+      tokenOf(asking, known),
+      acknowledged,
+      leaseUntil,
+      askedAt,
+    );
     if (report === undefined) return;
+    if (known.lifetime === worker.lifetime) {
+      const isMeant = ({ command }: Call) => workerOf(command).id === worker.id;
+      calls.push(...formerCalls.filter(isMeant));
+      formerCalls = formerCalls.filter((call) => !isMeant(call));
+    }
     attempts.recordAcknowledgement(worker, acknowledged);
     for (const { task, end } of acknowledgedEnds) {
       if (end === "done") doneTasks.add(taskKeyOf(task));
@@ -498,13 +519,10 @@
         return;
       case "restart":
         if (pick % 4 !== 0) return;
-        // The model assumes that commands sent to the earlier lifetime are
-        // rejected, so it drops them.
-        calls = calls.filter(({ command }) =>
-          (command.kind === "start" ? command.run.worker : command.worker)
-            .id !==
-            worker.id
+        formerCalls.push(
+          ...calls.filter(({ command }) => workerOf(command).id === worker.id),
         );
+        calls = calls.filter((each) => !formerCalls.includes(each));
         worker.crash();
         crashes += 1;
         attempts.recordLapse(worker);
--- a/packages/scheduler/__tests__/takeover_parts.ts
+++ b/packages/scheduler/__tests__/takeover_parts.ts
@@ -18,10 +18,14 @@
   command: WorkerCommand;
   leaseUntil: number;
   hasTimedOut: boolean;
+  /** Fencing token that it carries. */
+  token: number;
   /** Whether its task was known to be out of attempts when it was sent. */
   isOutOfAttempts: boolean;
 }
 
+/** Number of fencing tokens that a lead may use. */
+export const TOKENS_PER_TERM = 1_000;
 /** Number of failed runs of a task at which its job fails. */
 export const MAXIMUM_ATTEMPTS = 2;
 /** Time for which a lead leads after a renewal. */
