fix(scheduler): a late entry does not make the lead deaf to a restarted worker

Callers would see a worker that gets no tasks, and runs on it that are never released; found by reading, not seen in a play. A worker restarted twice within the lag of the list, and the clock of its VM stepped back. The lead had heard of the second process by a poll, when the entry of the first arrived, which names a later start. The lead took it for the newer one, the running process for a past one, and ignored each of its reports for good.

A report that was requested after the current lifetime was read comes from a process that is running, so it counts even if its lifetime was superseded.

Test 'roster: a late entry of a lifetime that is over does not replace the current one' before the change: 'expected [] to deeply equal [ 1 ]' (1 failing), after it passes.

--- a/packages/scheduler/__tests__/earlier_lifetime.test.ts
+++ b/packages/scheduler/__tests__/earlier_lifetime.test.ts
@@ -104,3 +104,24 @@
   cell.updateListing();
   expect(workers.get("w0")!.tokenOffset).to.equal(1);
 });
+
+// Guards against a worker whose reports are ignored for good: it has restarted
+// twice while its clock stepped back, and the entry of the first time is late.
+it("roster: a late entry of a lifetime that is over does not replace the current one", () => {
+  const cell = createCell({ workers: 1 });
+  const worker = cell.fleet.get("w0")!;
+  cell.entries[0] = { ...cell.entries[0], lifetime: 5 };
+  worker.lifetime = 5;
+  cell.updateListing();
+  cell.settle();
+  worker.crash();
+  worker.lifetime = 3;
+  cell.clock.advance(1);
+  cell.pollWorkers();
+  cell.entries[0] = { ...cell.entries[0], lifetime: 4 };
+  cell.updateListing();
+  cell.settle();
+  cell.submit(job("a"));
+  cell.settle();
+  expect(cell.runs("a").map(({ number }) => number)).to.deep.equal([1]);
+});
--- a/packages/scheduler/src/worker_roster.ts
+++ b/packages/scheduler/src/worker_roster.ts
@@ -170,6 +170,7 @@
     const isFirst = worker.lifetime === 0;
     if (!isFirst && !worker.hasEnded) reportCrash(worker, findLostRuns(worker));
     if (!isFirst) worker.pastLifetimes.add(worker.lifetime);
+    worker.pastLifetimes.delete(lifetime);
     worker.lifetime = lifetime;
     worker.lifetimeReadAt = now();
     if (isFirst) return;
@@ -346,10 +347,11 @@
   return {
     updateLifetime: (worker, lifetime, askedAt) => {
       if (lifetime === 0 || lifetime === worker.lifetime) return true;
-      // The clock of a VM may step back, so a restarted worker may name an
-      // earlier start.
-      const isLate = worker.pastLifetimes.has(lifetime) ||
-        lifetime < worker.lifetime && askedAt <= worker.lifetimeReadAt;
+      // The process that answers a later request is running. It may name an
+      // earlier start, since the clock of a VM may step back, even one that a
+      // late entry of the list has superseded.
+      const isLate = askedAt <= worker.lifetimeReadAt &&
+        (worker.pastLifetimes.has(lifetime) || lifetime < worker.lifetime);
       if (!isLate) setLifetime(worker, lifetime);
       return !isLate;
     },
