test(cell): starts that a restarted worker carries out do not run a second time

Two interleavings that hold, with a stand-in that restarts under its id: a start that was unanswered and then carried out by the next lifetime, and one that the next lifetime confirmed while the lead knew only the former one.

--- a/packages/cell/__tests__/former_lifetime.test.ts
+++ b/packages/cell/__tests__/former_lifetime.test.ts
@@ -35,7 +35,9 @@
   });
   await lead.start();
   await waitUntil(() =>
-    [...workers.values()].every(({ polls }) => polls.length > 1)
+    [...workers.values()].every(({ polls }) =>
+      polls.some(({ waitMs }) => waitMs > 0)
+    )
   );
   return {
     lead,
@@ -134,3 +136,55 @@
   expect(startedRuns).to.deep.equal([]);
   expect(answers).to.deep.equal([["refused", "not sent"]]);
 });
+
+/** Watches two workers for a task that runs on both. */
+function watchDoubleRuns(workers: RestartableWorker[]) {
+  let doubleRuns = 0;
+  const timer = setInterval(() => {
+    const active = workers.filter((worker) => worker.running().length > 0);
+    if (active.length > 1) doubleRuns += 1;
+  }, 1);
+  return () => {
+    clearInterval(timer);
+    return doubleRuns;
+  };
+}
+
+it("former lifetime: a late start that the next one carried out is no second run", async () => {
+  const { lead, submit, lines, workers } = await startCell(2);
+  const stopWatching = watchDoubleRuns(workers);
+  for (const worker of workers) worker.holdStarts(true);
+  submit("a");
+  const holderOf = () =>
+    workers.find(({ heldStarts }) => heldStarts.length > 0);
+  await waitUntil(() => holderOf() !== undefined);
+  const holder = holderOf()!;
+  holder.crash();
+  holder.restart();
+  for (const worker of workers) worker.holdStarts(false);
+  holder.carryOut(holder.heldStarts[0]);
+  await pause(3_000);
+  lead.close();
+  expect(stopWatching(), lines.join("\n")).to.equal(0);
+  const active = workers.filter(({ running }) => running().length > 0);
+  expect(active.length, lines.join("\n")).to.equal(1);
+}).timeout(TIMEOUT_MS);
+
+it("former lifetime: a start that the next one confirmed is no second run", async () => {
+  const { lead, submit, lines, workers, list } = await startCell(2);
+  const stopWatching = watchDoubleRuns(workers);
+  for (const worker of workers) {
+    worker.crash({ isNoticed: false });
+    worker.restart();
+  }
+  submit("a");
+  await waitUntil(() => workers.some(({ running }) => running().length > 0));
+  expect(lines.join("\n")).not.to.include("worker restarted");
+  await waitUntil(() => lines.join().includes("worker restarted"));
+  list();
+  await pause(2_000);
+  lead.close();
+  expect(stopWatching(), lines.join("\n")).to.equal(0);
+  const active = workers.filter(({ running }) => running().length > 0);
+  expect(active.length, lines.join("\n")).to.equal(1);
+}).timeout(TIMEOUT_MS);
--- a/packages/cell/__tests__/restartable_worker.ts
+++ b/packages/cell/__tests__/restartable_worker.ts
@@ -123,10 +123,13 @@
     carryOut,
     /** Ends all runs. */
     endRuns: (end: RunEnd) => running.forEach((run) => endRun(run, end)),
-    /** Ends the process, without an answer to open polls. */
-    crash: () => {
+    /**
+     * Ends the process, without an answer to open polls; these fail at once
+     * unless that is not noticed.
+     */
+    crash: ({ isNoticed = true } = {}) => {
       isDown = true;
-      wake();
+      if (isNoticed) wake();
     },
     /** Starts the next process, which knows nothing of the earlier one. */
     restart: () => {
