fix(scheduler): tasks of one job on all workers of a zone are no cause of its failure

A job with a task on each worker of a zone was shown as failed after two zones had restarted.

Cause: failures with a suspect of the same job did not count for a common cause, as if the job explained them. Of a job with many tasks, one is nearly always starting on each of the workers.

Now all simultaneous failures on other VMs count, whoever had tasks there. Tasks of one job that crash their workers together are bounded by the crashes that they have met, as those of several jobs are.

The first test fails before ('expected failed to equal running'); the second, a job of which all six tasks crash their workers, passes before and after. crash_evidence, crash_blame and crash_suspects pass, unchanged.

--- /dev/null
+++ b/packages/scheduler/__tests__/crash_review.test.ts
@@ -0,0 +1,80 @@
+import { expect } from "chai";
+import { createCell, job, step } from "./cell_fixture.ts";
+import { createFakeWorker } from "./fake_worker.ts";
+
+type Cell = ReturnType<typeof createCell>;
+
+/** Creates a cell whose workers are each on a VM of their own. */
+function createCellOnVms(workers: number): Cell {
+  const cell = createCell({ workers });
+  cell.entries.forEach((entry, index) => {
+    cell.entries[index] = { ...entry, vm: `m${index}` };
+  });
+  cell.updateListing();
+  return cell;
+}
+
+/** Restarts workers under their ids, and lets the cell hear of it. */
+function restart(cell: Cell, ids: readonly string[]): void {
+  for (const id of ids) cell.fleet.get(id)!.crash();
+  cell.clock.advance(1);
+  for (const id of ids) cell.pollWorker(id);
+  cell.scheduler.plan();
+}
+
+/** Makes a worker refuse connections. */
+function silence(cell: Cell, id: string): void {
+  cell.fleet.delete(id);
+  cell.scheduler.recordNoAnswer(cell.scheduler.state.workers.get(id)!);
+}
+
+/** Lets a worker with another id answer on the VM of a silent one. */
+function succeed(cell: Cell, id: string, nextId: string): void {
+  const index = cell.entries.findIndex((entry) => entry.id === id);
+  cell.fleet.set(nextId, createFakeWorker(nextId));
+  cell.entries[index] = { ...cell.entries[index], id: nextId };
+  cell.updateListing();
+}
+
+/** Settles a cell until all crashes so far are judged. */
+function settleJudgement(cell: Cell): void {
+  cell.clock.advance(4_000);
+  cell.settle();
+}
+
+it("crash review: zones that restart fail no job with a task on each worker", () => {
+  const cell = createCellOnVms(16);
+  const ids = [...cell.fleet.keys()];
+  cell.submit(job("a", { steps: [step({ taskCount: 8, accelerators: 8 })] }));
+  for (const zone of [ids.slice(0, 8), ids.slice(8)]) {
+    cell.scheduler.plan();
+    cell.storeBatch();
+    cell.executeCommands();
+    restart(cell, zone);
+    cell.executeCommands();
+    cell.clock.advance(1);
+    cell.pollWorkers();
+  }
+  settleJudgement(cell);
+  expect(cell.book.stateOf("a")).to.equal("running");
+});
+
+it("crash review: a job of which every task crashes its worker is bounded", () => {
+  const cell = createCellOnVms(8);
+  const spec = step({ taskCount: 6, accelerators: 8 });
+  cell.submit(job("bad", { steps: [spec] }));
+  let starts = 0;
+  for (let round = 0; round < 10; round++) {
+    cell.settle();
+    const runs = cell.runs("bad");
+    if (runs.length > 0) starts += 1;
+    for (const { worker } of runs) {
+      silence(cell, worker);
+      succeed(cell, worker, `${worker}+`);
+    }
+    cell.clock.advance(1);
+    settleJudgement(cell);
+  }
+  expect(cell.book.stateOf("bad")).to.equal("failed");
+  expect(starts).to.be.at.most(5);
+});
--- a/packages/scheduler/src/crash_blame.ts
+++ b/packages/scheduler/src/crash_blame.ts
@@ -217,9 +217,9 @@
 
   const judge = (crash: OpenCrash): void => {
     const failures = [...recentFailures, ...silences()];
+    const isCommon = hasCommonCause(crash, failures);
     const evidence = crash.suspects.filter(({ step: { job } }) =>
-      state.jobs.get(job.spec.id) === job && !isOver(job) &&
-      !hasCommonCause(crash, job, failures)
+      !isCommon && state.jobs.get(job.spec.id) === job && !isOver(job)
     );
     const blamed = findBlamed(crash, evidence);
     log.info(
@@ -238,8 +238,7 @@
       blamed.flatMap((run) => [...crashesOf(run).suspected]),
     );
     const exhausted = crash.exhausted.filter((run) =>
-      crashesOf(run).met.size >= ABSOLUTE_MAXIMUM_CRASHES ||
-      !hasCommonCause(crash, run.step.job, failures)
+      !isCommon || crashesOf(run).met.size >= ABSOLUTE_MAXIMUM_CRASHES
     );
     for (const run of new Set([...blamed, ...exhausted])) giveUp(run);
     for (const key of explained) explainCrash(key, jobsOf(blamed));
--- a/packages/scheduler/src/crash_evidence.ts
+++ b/packages/scheduler/src/crash_evidence.ts
@@ -1,10 +1,5 @@
 import type { Milliseconds } from "@rattanhill/shared";
-import {
-  type ActiveJob,
-  type Run,
-  RunPhase,
-  type WorkerState,
-} from "./cell_state.ts";
+import { type Run, RunPhase, type WorkerState } from "./cell_state.ts";
 
 /** The failure of a worker, by a crash or for another reason. */
 export interface Failure {
@@ -111,16 +106,14 @@
 }
 
 /**
- * Tests whether a failure probably has another cause than a job: several other
- * VMs failed at the same time, without a task of the job that explains it.
+ * Tests whether a failure probably has another cause than a task: several other
+ * VMs failed at the same time. Tasks of one job may well be on all of them.
  *
  * @param failure the failure
- * @param job a job that may have caused it
  * @param failures all failures of the time, which may include the first one
  */
 export function hasCommonCause(
   { vm, from, to }: Failure,
-  job: ActiveJob,
   failures: Iterable<Failure>,
 ): boolean {
   const others = new Set<string>();
@@ -128,8 +121,7 @@
   for (const other of failures) {
     const isSimultaneous = other.from <= to + SIMULTANEOUS_MS &&
       other.to >= from - SIMULTANEOUS_MS;
-    const isOfJob = other.suspects.some(({ step }) => step.job === job);
-    if (!isSimultaneous || isOfJob || other.vm === vm) continue;
+    if (!isSimultaneous || other.vm === vm) continue;
     others.add(other.vm);
     if (!other.isPrompt) unexplained.add(other.vm);
   }
