fix(scheduler): the restart of an idle worker counts for a common cause

A job was shown as failed after two restarts of a zone in which its workers were the only busy ones.

Cause: the crash of a worker without runs was not recorded at all, so a zone that failed with one busy worker looked like one worker that failed alone.

Now its failure is kept for the comparison with others.

The new test fails before ('expected failed to equal running').

--- a/packages/scheduler/__tests__/crash_review.test.ts
+++ b/packages/scheduler/__tests__/crash_review.test.ts
@@ -78,3 +78,18 @@
   expect(cell.book.stateOf("bad")).to.equal("failed");
   expect(starts).to.be.at.most(5);
 });
+
+it("crash review: a zone whose other workers are idle fails no job", () => {
+  const cell = createCellOnVms(16);
+  const ids = [...cell.fleet.keys()];
+  cell.submit(job("a"));
+  for (let crash = 0; crash < 2; crash++) {
+    cell.settle();
+    restart(cell, ids);
+    cell.executeCommands();
+    cell.clock.advance(1);
+    cell.pollWorkers();
+    settleJudgement(cell);
+  }
+  expect(cell.book.stateOf("a")).to.equal("running");
+});
--- a/packages/scheduler/src/crash_blame.ts
+++ b/packages/scheduler/src/crash_blame.ts
@@ -249,9 +249,12 @@
 
   return {
     recordCrash: (worker, runs, { hadLapsed = false } = {}) => {
-      if (runs.length === 0) return;
-      const key = crashKeyOf(worker, runs[0]);
       const failure = assessFailure(worker, runs, now());
+      if (runs.length === 0) {
+        recentFailures.push(failure);
+        return;
+      }
+      const key = crashKeyOf(worker, runs[0]);
       const { starting, suspects } = failure;
       const jobs = jobsOf(hadLapsed ? [] : likelyRunsOf(failure));
       const isVmToBlame = isUnstable(worker, jobs);
