fix(scheduler): an idle worker that is replaced counts for a common cause

A job was shown as failed after two failures of a zone whose workers came back under other ids, if the other workers of the zone were idle.

Cause: an idle worker is deleted with its entry, and so is the only sign of its failure, before the crash of the busy one is judged.

Now its failure is kept if it was silent when it was no longer listed and was not draining.

The new test fails before ('expected failed to equal running').

--- a/packages/scheduler/__tests__/crash_review.test.ts
+++ b/packages/scheduler/__tests__/crash_review.test.ts
@@ -93,3 +93,18 @@
   }
   expect(cell.book.stateOf("a")).to.equal("running");
 });
+
+it("crash review: a zone whose idle workers are replaced fails no job", () => {
+  const cell = createCellOnVms(8);
+  cell.submit(job("a"));
+  for (let crash = 0; crash < 2; crash++) {
+    cell.settle();
+    const ids = [...cell.fleet.keys()];
+    for (const id of ids) silence(cell, id);
+    cell.clock.advance(3_000);
+    for (const id of ids) succeed(cell, id, `${id}+`);
+    cell.settle();
+    settleJudgement(cell);
+  }
+  expect(cell.book.stateOf("a")).to.equal("running");
+});
--- a/packages/scheduler/src/worker_roster.ts
+++ b/packages/scheduler/src/worker_roster.ts
@@ -372,6 +372,10 @@
             { worker: worker.id, left: worker.hasLeft },
             "worker no longer listed by the platform",
           );
+          // It is deleted at once, but others may have failed with it.
+          const { silentSince, hasEnded, runs } = worker;
+          const isFailed = silentSince !== undefined && !hasEnded;
+          if (isFailed && runs.size === 0) reportCrash(worker, []);
         }
         worker.isListed = false;
         deleteIfUnused(worker);
