fix(scheduler): the next lead starts no task that has met its last crash

Cause: open crashes, and so what holds their tasks back, are only in memory; the next lead looked at the number of crashes only after another one.

Now a restored job fails if one of its tasks, which is neither done nor long-running, has met the most crashes that any task may.

The new test fails before ('expected [...] to have a length of +0 but got 1').

--- a/packages/scheduler/__tests__/crash_review.test.ts
+++ b/packages/scheduler/__tests__/crash_review.test.ts
@@ -42,6 +42,19 @@
   cell.settle();
 }
 
+/** Returns the only run of a job with one task. */
+function runOf(cell: Cell, id: string) {
+  const { jobs } = cell.scheduler.state;
+  return [...jobs.get(id)?.steps.get(`${id}.0.0`)?.runs.values() ?? []][0];
+}
+
+/** Restores a job from the records of an earlier lead. */
+function restore(from: Cell, to: Cell, id: string): void {
+  const stored = from.book.find(id)!;
+  to.book.apply({ kind: "submission", spec: stored.spec });
+  to.scheduler.restore(stored, to.clock.now() + 10_300);
+}
+
 it("crash review: zones that restart fail no job with a task on each worker", () => {
   const cell = createCellOnVms(16);
   const ids = [...cell.fleet.keys()];
@@ -59,6 +72,24 @@
   expect(cell.book.stateOf("a")).to.equal("running");
 });
 
+it("crash review: a task that met the last crash is not started by the next lead", () => {
+  const cell = createCellOnVms(4);
+  cell.submit(job("bad"));
+  cell.settle();
+  const { crashes } = runOf(cell, "bad")!.step;
+  const met = new Set(["v0/1", "v1/1", "v2/1", "v3/1"]);
+  crashes.set(0, { met, suspected: new Set() });
+  // The fifth crash is stored, and its lead ends before it judges it.
+  restart(cell, [cell.runs("bad")[0].worker]);
+  cell.storeBatch();
+  const next = createCellOnVms(4);
+  restore(cell, next, "bad");
+  next.settle();
+  settleJudgement(next);
+  expect(next.runs("bad")).to.have.length(0);
+  expect(next.book.stateOf("bad")).to.equal("failed");
+});
+
 it("crash review: a job of which every task crashes its worker is bounded", () => {
   const cell = createCellOnVms(8);
   const spec = step({ taskCount: 6, accelerators: 8 });
--- a/packages/scheduler/src/crash_blame.ts
+++ b/packages/scheduler/src/crash_blame.ts
@@ -49,6 +49,11 @@
    * of tasks that are to blame or have met too many crashes.
    */
   judgeCrashes(): void;
+  /**
+   * Fails a restored job of which a task has met as many crashes as it may: its
+   * lead may have ended before it judged the last one.
+   */
+  judgeRestored(job: ActiveJob): void;
   /** Prepares {@link CrashBlame.penaltyOf} for a planning pass. */
   beginPass(): void;
   /**
@@ -167,11 +172,11 @@
   };
 
   /** Fails the job of a task; a long-running task pauses instead. */
-  const giveUp = (run: Run): void => {
-    const { step, index } = run;
+  const giveUp = (task: Pick<Run, "step" | "index">): void => {
+    const { step, index } = task;
     const { job } = step;
     if (isOver(job)) return;
-    const { met, suspected } = crashesOf(run);
+    const { met, suspected } = crashesOf(task);
     const fields = {
       job: job.spec.id,
       step: step.key,
@@ -317,6 +322,17 @@
         if (isOver(step.job)) pauses.delete(step);
       }
     },
+    judgeRestored: (job) => {
+      for (const step of job.steps.values()) {
+        if (step.spec.isLongRunning) continue;
+        for (const [index, { met }] of step.crashes) {
+          if (met.size < ABSOLUTE_MAXIMUM_CRASHES || step.done.has(index)) {
+            continue;
+          }
+          giveUp({ step, index });
+        }
+      }
+    },
     beginPass: () => {
       suspectedSteps = new Set([...stepsOf(state)].filter(isSuspected));
       for (const { suspects } of openCrashes) {
@@ -375,7 +391,9 @@
   if (crashes.size > ABSOLUTE_MAXIMUM_CRASHES) crashes.delete(oldest);
 }
 
-function crashesOf({ step, index }: Run): TaskCrashes {
+function crashesOf(
+  { step, index }: Pick<Run, "step" | "index">,
+): TaskCrashes {
   const known = step.crashes.get(index);
   if (known !== undefined) return known;
   const crashes = { met: new Set<string>(), suspected: new Set<string>() };
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -318,6 +318,7 @@
       else if (isCancelled) cancel(spec.id);
       completeJobIfDone(state, job);
       checkAttempts(job);
+      crashBlame.judgeRestored(job);
     },
     removeProgress,
     submit: (spec) => {
