fix(scheduler): the pause of a long-running task counts from the crash

A long-running task stood still for over 6 s after each crash of its workers (LOST): 3 s until the successor on the VM answered, and a pause of 3 s after it.

Cause: the pause began when the crash was judged, which is as late as the worker is replaced.

Now it begins at the first sign of the crash.

The new test fails before ('expected [] to have a length of 1 but got +0').

--- a/packages/scheduler/__tests__/crash_review.test.ts
+++ b/packages/scheduler/__tests__/crash_review.test.ts
@@ -90,6 +90,22 @@
   expect(next.book.stateOf("bad")).to.equal("failed");
 });
 
+it("crash review: a long-running task whose successor is slow starts within 6 s", () => {
+  const cell = createCellOnVms(6);
+  cell.submit(job("a", { steps: [step({ isLongRunning: true })] }));
+  for (let crash = 0; crash < 4; crash++) {
+    cell.settle();
+    const [{ worker }] = cell.runs("a");
+    silence(cell, worker);
+    cell.clock.advance(3_000);
+    succeed(cell, worker, `next-${crash}`);
+    cell.settle();
+    cell.clock.advance(2_500);
+    cell.settle();
+    expect(cell.runs("a")).to.have.length(1);
+  }
+});
+
 it("crash review: a job of which every task crashes its worker is bounded", () => {
   const cell = createCellOnVms(8);
   const spec = step({ taskCount: 6, accelerators: 8 });
--- a/packages/scheduler/src/crash_blame.ts
+++ b/packages/scheduler/src/crash_blame.ts
@@ -172,7 +172,10 @@
   };
 
   /** Fails the job of a task; a long-running task pauses instead. */
-  const giveUp = (task: Pick<Run, "step" | "index">): void => {
+  const giveUp = (
+    task: Pick<Run, "step" | "index">,
+    crashedAt: Milliseconds,
+  ): void => {
     const { step, index } = task;
     const { job } = step;
     if (isOver(job)) return;
@@ -188,12 +191,14 @@
       log.warn(fields, "job failed: workers crashed under its task");
       return failJob(state, job, stop);
     }
+    // Of a worker that is replaced seconds later, the crash is known only then.
+    const pausedUntil = crashedAt + RESTART_PAUSE_MS;
     log.warn(
-      { ...fields, pauseMs: RESTART_PAUSE_MS },
+      { ...fields, pauseMs: Math.max(0, pausedUntil - now()) },
       "long-running task pauses: workers crashed under it",
     );
     const stepPauses = pauses.get(step) ?? new Map<number, Milliseconds>();
-    pauses.set(step, stepPauses.set(index, now() + RESTART_PAUSE_MS));
+    pauses.set(step, stepPauses.set(index, pausedUntil));
   };
 
   /** Returns the failures of workers that are silent for an unknown reason. */
@@ -245,7 +250,9 @@
     const exhausted = crash.exhausted.filter((run) =>
       !isCommon || crashesOf(run).met.size >= ABSOLUTE_MAXIMUM_CRASHES
     );
-    for (const run of new Set([...blamed, ...exhausted])) giveUp(run);
+    for (const run of new Set([...blamed, ...exhausted])) {
+      giveUp(run, crash.to);
+    }
     for (const key of explained) explainCrash(key, jobsOf(blamed));
   };
 
@@ -329,7 +336,7 @@
           if (met.size < ABSOLUTE_MAXIMUM_CRASHES || step.done.has(index)) {
             continue;
           }
-          giveUp({ step, index });
+          giveUp({ step, index }, now());
         }
       }
     },
