fix(scheduler): a run that was listed just before the crash stays a suspect

A task that crashes its workers was started without bound (BUDGET): its worker listed it at once, as when another run's end answers a poll, and was then told to start another task before it ended.

Cause: being listed was taken as innocence as long as any other run of the worker had not been listed. The crash spoke against the other start, which had not even arrived, or against nobody.

The new test fails before ('expected running to equal failed').

--- a/packages/scheduler/__tests__/crash_review.test.ts
+++ b/packages/scheduler/__tests__/crash_review.test.ts
@@ -72,6 +72,32 @@
   expect(cell.book.stateOf("a")).to.equal("running");
 });
 
+it("crash review: a crashing task that was reported before another start is bounded", () => {
+  const cell = createCellOnVms(1);
+  let starts = 0;
+  cell.submit(job("bad"));
+  for (let round = 0; round < 10; round++) {
+    settleJudgement(cell);
+    const run = runOf(cell, "bad");
+    if (run === undefined) break;
+    starts = run.number;
+    const { worker } = run;
+    run.reportedSince = cell.clock.now();
+    run.confirmedAt = cell.clock.now();
+    cell.submit(job(`x${round}`));
+    cell.scheduler.plan();
+    cell.storeBatch();
+    // The starts of the others are on their way when the worker ends.
+    cell.commands.splice(0);
+    cell.clock.advance(10);
+    silence(cell, worker.id);
+    cell.clock.advance(3_000);
+    succeed(cell, worker.id, `next-${round}`);
+  }
+  expect(cell.book.stateOf("bad")).to.equal("failed");
+  expect(starts).to.be.at.most(5);
+});
+
 it("crash review: a task that met the last crash is not started by the next lead", () => {
   const cell = createCellOnVms(4);
   cell.submit(job("bad"));
--- a/packages/scheduler/src/crash_evidence.ts
+++ b/packages/scheduler/src/crash_evidence.ts
@@ -47,16 +47,15 @@
   runs: Iterable<Run>,
   now: Milliseconds,
 ): Failure {
-  const starting = findStartingRuns(worker, runs);
+  const to = Math.min(worker.silentSince ?? now, now);
+  const starting = findStartingRuns(worker, runs, to);
   const reachedAt = new Map<Run, Milliseconds>();
   for (const run of starting) {
     const at = run.confirmedAt ?? findInterruption(run, worker);
     if (at !== undefined) reachedAt.set(run, at);
   }
-  const to = Math.min(worker.silentSince ?? now, now);
-  const prompt = [...reachedAt].filter(([, at]) =>
-    Math.abs(to - at) <= PROMPT_MS
-  ).map(([run]) => run);
+  const prompt = [...reachedAt].filter(([, at]) => isPrompt(at, to))
+    .map(([run]) => run);
   return {
     vm: worker.vm ?? worker.id,
     from: Math.min(to, Math.max(worker.reportedAt, ...reachedAt.values())),
@@ -67,23 +66,31 @@
   };
 }
 
+/** @returns whether a worker failed promptly after the start of a run */
+function isPrompt(startedAt: Milliseconds, failedAt: Milliseconds): boolean {
+  return Math.abs(failedAt - startedAt) <= PROMPT_MS;
+}
+
 /**
  * Returns the runs that may have been starting when their worker failed: those
- * that no report has listed yet; if there is none, those that were first listed
- * a short time before its last report. Since when a worker has the runs of
- * earlier leads is not known.
+ * that no report has listed yet or that were confirmed just before; if there is
+ * none, those that were first listed a short time before its last report. Since
+ * when a worker has the runs of earlier leads is not known.
  */
 function findStartingRuns(
   { reportedAt }: WorkerState,
   runs: Iterable<Run>,
+  failedAt: Milliseconds,
 ): Run[] {
   const sent = [...runs].filter(({ isRestored, phase }) =>
     !isRestored && phase !== RunPhase.storing
   );
-  const unreported = sent.filter(({ reportedSince }) =>
-    reportedSince === undefined
+  // Being listed soon after its start does not clear a run.
+  const latest = sent.filter(({ reportedSince, confirmedAt }) =>
+    reportedSince === undefined ||
+    confirmedAt !== undefined && isPrompt(confirmedAt, failedAt)
   );
-  if (unreported.length > 0) return unreported;
+  if (latest.length > 0) return latest;
   return sent.filter(({ reportedSince }) =>
     reportedAt - reportedSince! < STARTING_MS
   );
