fix(scheduler): a start that broke off counts though the silence is noticed later

Cause: a start that broke off counts as arrived only if the worker fell silent within 300 ms of it, but polls pause for up to 500 ms while ends are stored, and the polls beside them don't report silence.

Now the end of that connection is the first sign of the failure if a poll fails within 800 ms.

The new test fails before ('expected running to equal failed').

--- a/packages/scheduler/__tests__/crash_review.test.ts
+++ b/packages/scheduler/__tests__/crash_review.test.ts
@@ -132,6 +132,27 @@
   }
 });
 
+it("crash review: a start that broke off before the silence was noticed is bounded", () => {
+  const cell = createCellOnVms(4);
+  cell.submit(job("bad"));
+  let starts = 0;
+  for (let round = 0; round < 10; round++) {
+    settleJudgement(cell);
+    const run = runOf(cell, "bad");
+    if (run === undefined) break;
+    starts = run.number;
+    run.reportedSince = undefined;
+    run.confirmedAt = undefined;
+    cell.scheduler.recordInterruptedStart(run);
+    cell.clock.advance(500);
+    silence(cell, run.worker.id);
+    cell.clock.advance(2_500);
+    succeed(cell, run.worker.id, `next-${round}`);
+  }
+  expect(cell.book.stateOf("bad")).to.equal("failed");
+  expect(starts).to.be.at.most(5);
+});
+
 it("crash review: a job of which every task crashes its worker is bounded", () => {
   const cell = createCellOnVms(8);
   const spec = step({ taskCount: 6, accelerators: 8 });
--- a/packages/scheduler/src/crash_blame.ts
+++ b/packages/scheduler/src/crash_blame.ts
@@ -205,7 +205,7 @@
   const silences = (): Failure[] =>
     [...state.workers.values()].filter(({ silentSince, isDraining }) =>
       silentSince !== undefined && !isDraining
-    ).map((worker) => assessFailure(worker, worker.runs, now()));
+    ).map((worker) => assessFailure(worker, [...worker.runs], now()));
 
   /**
    * Adds a crash to its suspects, and returns those that are to blame: runs of
--- a/packages/scheduler/src/crash_evidence.ts
+++ b/packages/scheduler/src/crash_evidence.ts
@@ -25,6 +25,9 @@
 const STARTING_MS: Milliseconds = 5_000;
 // Longest time between a start and a failure that follows it promptly.
 const PROMPT_MS: Milliseconds = 500;
+// Longest time without a poll: 500 ms for the ends of runs to be stored, and time
+// for the next poll to fail.
+const POLL_PAUSE_MS: Milliseconds = 800;
 // Slack between two signs of the same failure, and between two failures of a
 // common cause, since each is noticed by a call of its own.
 const SIMULTANEOUS_MS: Milliseconds = 300;
@@ -44,14 +47,14 @@
  */
 export function assessFailure(
   worker: WorkerState,
-  runs: Iterable<Run>,
+  runs: readonly Run[],
   now: Milliseconds,
 ): Failure {
-  const to = Math.min(worker.silentSince ?? now, now);
+  const to = findFailureTime(worker, runs, now);
   const starting = findStartingRuns(worker, runs, to);
   const reachedAt = new Map<Run, Milliseconds>();
   for (const run of starting) {
-    const at = run.confirmedAt ?? findInterruption(run, worker);
+    const at = run.confirmedAt ?? findInterruption(run, worker, to);
     if (at !== undefined) reachedAt.set(run, at);
   }
   const prompt = [...reachedAt].filter(([, at]) => isPrompt(at, to))
@@ -96,6 +99,25 @@
   );
 }
 
+/**
+ * Returns the time of the first sign of a failure. A poll that fails may come
+ * later than the end of the connection of a start command, since polls pause
+ * while run ends are being stored.
+ */
+function findFailureTime(
+  { silentSince }: WorkerState,
+  runs: readonly Run[],
+  now: Milliseconds,
+): Milliseconds {
+  if (silentSince === undefined) return now;
+  const interruptions = runs.flatMap(({ interruptedAt: at }) =>
+    at !== undefined && at <= silentSince && silentSince - at <= POLL_PAUSE_MS
+      ? [at]
+      : []
+  );
+  return Math.min(silentSince, now, ...interruptions);
+}
+
 /**
  * Returns when the connection ended on which a start command had just been sent,
  * if the worker failed at that time; undefined otherwise.
@@ -103,11 +125,12 @@
 function findInterruption(
   { interruptedAt }: Run,
   { silentSince }: WorkerState,
+  failedAt: Milliseconds,
 ): Milliseconds | undefined {
   if (interruptedAt === undefined || silentSince === undefined) {
     return undefined;
   }
-  return Math.abs(silentSince - interruptedAt) <= SIMULTANEOUS_MS
+  return Math.abs(failedAt - interruptedAt) <= SIMULTANEOUS_MS
     ? interruptedAt
     : undefined;
 }
