fix(scheduler): what the next lead cannot know counts only for the upper bound

A job was shown as failed after a worker had restarted four times, each time between two leads, although no lead knew whether the task had ever started there.

Cause: of a run that an earlier lead stored and that no report has listed since, nothing is known; it counted as met all the same, also for the lower bound of four crashes, which no common cause had to explain.

Now such a crash alone fails a job only at the bound of five, which has to hold whatever is known.

The new test fails before ('lead 5': expected 'failed' not to equal 'failed').

--- a/packages/scheduler/__tests__/crash_review.test.ts
+++ b/packages/scheduler/__tests__/crash_review.test.ts
@@ -153,6 +153,29 @@
   expect(starts).to.be.at.most(5);
 });
 
+it("crash review: four restarts between leads fail no job", () => {
+  let cell = createCellOnVms(1);
+  cell.submit(job("a"));
+  cell.scheduler.plan();
+  cell.storeBatch();
+  for (let lead = 2; lead <= 5; lead++) {
+    const next = createCellOnVms(1);
+    next.entries[0] = { ...next.entries[0], lifetime: lead };
+    next.fleet.get("w0")!.lifetime = lead;
+    next.updateListing();
+    restore(cell, next, "a");
+    next.scheduler.plan();
+    next.executeCommands();
+    next.clock.advance(1);
+    next.pollWorkers();
+    next.clock.advance(2_000);
+    next.scheduler.plan();
+    next.storeBatch();
+    expect(next.book.stateOf("a"), `lead ${lead}`).not.to.equal("failed");
+    cell = next;
+  }
+});
+
 it("crash review: a job of which every task crashes its worker is bounded", () => {
   const cell = createCellOnVms(8);
   const spec = step({ taskCount: 6, accelerators: 8 });
--- a/packages/scheduler/src/crash_blame.ts
+++ b/packages/scheduler/src/crash_blame.ts
@@ -290,9 +290,15 @@
         ...failure,
         key,
         suspects: hadLapsed ? [] : suspects,
-        exhausted: met.filter((run) =>
-          crashesOf(run).met.size >= MAXIMUM_CRASHES
-        ),
+        // Of what is unknown, only the upper bound is taken.
+        exhausted: [
+          ...suspects.filter((run) =>
+            crashesOf(run).met.size >= MAXIMUM_CRASHES
+          ),
+          ...unknown.filter((run) =>
+            crashesOf(run).met.size >= ABSOLUTE_MAXIMUM_CRASHES
+          ),
+        ],
         isVmToBlame,
       };
       log.warn(
