fix(cell): a start that a restarted worker confirms is uncertain in its old life

A job could be shown as failed for restarts of single workers under their ids: a start was sent in one life and answered by the next one, before a report named that life.

Cause: an answer to a start names no life, and it was read as one of the life that the lead knew. The task counted as started just before the crash of the old life, in which it never ran.

Now such an answer is uncertain if its reading of the worker's clock, which starts anew with each life, is lower than one that the lead had before it sent the command. In one life it can't be. An answer of a life whose clock has already passed that reading is not recognised.

The new test fails before ('started' for 'uncertain').

--- a/packages/cell/__tests__/worker_link.test.ts
+++ b/packages/cell/__tests__/worker_link.test.ts
@@ -424,6 +424,17 @@
   expect(await start()).to.deep.equal([["uncertain", undefined]]);
 });
 
+it("worker link: a start confirmed by a restarted worker is uncertain", async () => {
+  const { start } = await openLink({
+    hold: async () => {
+      await pause(POLL_INTERVAL_MS);
+      return { clock: 5_000, lifetime: 1, running: [], ended: [] };
+    },
+    start: () => Promise.resolve({ kind: "started", clock: 100 }),
+  });
+  expect(await start()).to.deep.equal([["uncertain", undefined]]);
+});
+
 it("worker link: a stop acknowledged by an earlier lifetime is repeated", async () => {
   let stops = 0;
   const { sendStop, link, worker } = await openLink({
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -347,6 +347,7 @@
       }
       const { lifetime } = worker;
       const sentAt = clock.now();
+      const clockBefore = currentReading()?.clock ?? -Infinity;
       try {
         const result = await connection.start({
           term: fencingToken(),
@@ -358,8 +359,11 @@
           ticket: run.ticket?.text,
           timeoutMs: START_TIMEOUT_MS,
         });
-        // The confirmation of an earlier lifetime says nothing about this one.
-        if (worker.lifetime !== lifetime) mayBeDelivered = true;
+        // The confirmation of an earlier lifetime says nothing about this one,
+        // nor does that of a later one, whose clock starts anew.
+        const isOfOther = worker.lifetime !== lifetime ||
+          result.kind === "started" && result.clock < clockBefore;
+        if (isOfOther) mayBeDelivered = true;
         else if (result.kind === "started") {
           return options.onStartAnswer(run, "started");
         }
