fix(scheduler): a task that has run for a second is suspected of no crash

Jobs were shown as failed after two restarts of single workers, each seconds after a start of their task: workers that flap, or VMs that were cut off and crashed behind the cut.

Cause: whatever a worker had confirmed less than 5 s before counted as starting, so any two failures within that time convicted a task that was alone. Tasks that crash their workers do so 10 to 40 ms after the start.

Now a crash speaks only against starts that were confirmed, or broke off, less than 800 ms before its first sign: 500 ms for which polls pause, and time for the next one to fail. A task that crashes its workers later is no longer bounded.

The new test fails before ('expected failed to equal running').

--- a/packages/scheduler/__tests__/crash_review.test.ts
+++ b/packages/scheduler/__tests__/crash_review.test.ts
@@ -72,6 +72,21 @@
   expect(cell.book.stateOf("a")).to.equal("running");
 });
 
+it("crash review: workers that restart seconds after a start fail no job", () => {
+  const cell = createCellOnVms(6);
+  cell.submit(job("a"));
+  for (let crash = 0; crash < 6; crash++) {
+    cell.settle();
+    cell.clock.advance(2_500);
+    cell.pollWorkers();
+    const [run] = cell.runs("a");
+    if (run === undefined) break;
+    restart(cell, [run.worker]);
+    settleJudgement(cell);
+  }
+  expect(cell.book.stateOf("a")).to.equal("running");
+});
+
 it("crash review: a crashing task that was reported before another start is bounded", () => {
   const cell = createCellOnVms(1);
   let starts = 0;
--- a/packages/scheduler/src/crash_evidence.ts
+++ b/packages/scheduler/src/crash_evidence.ts
@@ -11,23 +11,18 @@
   to: Milliseconds;
   /** Runs that may have been starting. */
   starting: readonly Run[];
-  /**
-   * Those of them that had provably reached the worker. If it failed right after
-   * some of them did, only these.
-   */
+  /** Those of them that had provably reached the worker just before. */
   suspects: readonly Run[];
-  /** Whether the worker failed right after the suspects had reached it. */
+  /** Whether there are suspects, which may explain the failure. */
   isPrompt: boolean;
 }
 
-// Time as a confirmed run after which a task has not crashed its worker by
-// starting.
-const STARTING_MS: Milliseconds = 5_000;
-// Longest time between a start and a failure that follows it promptly.
-const PROMPT_MS: Milliseconds = 500;
 // Longest time without a poll: 500 ms for the ends of runs to be stored, and time
 // for the next poll to fail.
 const POLL_PAUSE_MS: Milliseconds = 800;
+// Longest time between a start and the first sign of a failure that it may have
+// caused. Tasks that crash their workers do so within 40 ms.
+const PROMPT_MS: Milliseconds = POLL_PAUSE_MS;
 // Slack between two signs of the same failure, and between two failures of a
 // common cause, since each is noticed by a call of its own.
 const SIMULTANEOUS_MS: Milliseconds = 300;
@@ -51,21 +46,24 @@
   now: Milliseconds,
 ): Failure {
   const to = findFailureTime(worker, runs, now);
-  const starting = findStartingRuns(worker, runs, to);
   const reachedAt = new Map<Run, Milliseconds>();
-  for (const run of starting) {
+  const starting: Run[] = [];
+  for (const run of runs) {
+    // Since when a worker has the runs of earlier leads is not known.
+    if (run.isRestored || run.phase === RunPhase.storing) continue;
     const at = run.confirmedAt ?? findInterruption(run, worker, to);
+    const isLate = at !== undefined && !isPrompt(at, to);
+    if (isLate) continue;
     if (at !== undefined) reachedAt.set(run, at);
+    starting.push(run);
   }
-  const prompt = [...reachedAt].filter(([, at]) => isPrompt(at, to))
-    .map(([run]) => run);
   return {
     vm: worker.vm ?? worker.id,
     from: Math.min(to, Math.max(worker.reportedAt, ...reachedAt.values())),
     to,
     starting,
-    suspects: prompt.length > 0 ? prompt : [...reachedAt.keys()],
-    isPrompt: prompt.length > 0,
+    suspects: [...reachedAt.keys()],
+    isPrompt: reachedAt.size > 0,
   };
 }
 
@@ -74,31 +72,6 @@
   return Math.abs(failedAt - startedAt) <= PROMPT_MS;
 }
 
-/**
- * Returns the runs that may have been starting when their worker failed: those
- * that no report has listed yet or that were confirmed just before; if there is
- * none, those that were first listed a short time before its last report. Since
- * when a worker has the runs of earlier leads is not known.
- */
-function findStartingRuns(
-  { reportedAt }: WorkerState,
-  runs: Iterable<Run>,
-  failedAt: Milliseconds,
-): Run[] {
-  const sent = [...runs].filter(({ isRestored, phase }) =>
-    !isRestored && phase !== RunPhase.storing
-  );
-  // Being listed soon after its start does not clear a run.
-  const latest = sent.filter(({ reportedSince, confirmedAt }) =>
-    reportedSince === undefined ||
-    confirmedAt !== undefined && isPrompt(confirmedAt, failedAt)
-  );
-  if (latest.length > 0) return latest;
-  return sent.filter(({ reportedSince }) =>
-    reportedAt - reportedSince! < STARTING_MS
-  );
-}
-
 /**
  * Returns the time of the first sign of a failure. A poll that fails may come
  * later than the end of the connection of a start command, since polls pause
