fix(scheduler): a crash is judged once the other workers have answered since

A job was shown as failed after two failures of a zone if the others of the zone were noticed over 1.5 s after its worker: a poll that waits on a dead connection takes up to 3.5 s to fail.

Cause: a worker without a sign of failure was taken to be sound, although its last answer was older than the crash.

Now the judgement waits, 4 s at most, until each worker that has answered before has done so again, fell silent or restarted.

The new test fails before ('expected failed to equal running').

--- a/packages/scheduler/__tests__/crash_review.test.ts
+++ b/packages/scheduler/__tests__/crash_review.test.ts
@@ -191,6 +191,29 @@
   }
 });
 
+it("crash review: a zone whose other restarts are noticed 2 s later fails no job", () => {
+  const cell = createCellOnVms(16);
+  const ids = [...cell.fleet.keys()];
+  cell.submit(job("a", { steps: [step({ accelerators: 8 })] }));
+  for (let crash = 0; crash < 2; crash++) {
+    cell.settle();
+    const [{ worker }] = cell.runs("a");
+    const others = ids.filter((id) => id !== worker);
+    for (const id of others) cell.fleet.get(id)!.crash();
+    restart(cell, [worker]);
+    cell.executeCommands();
+    cell.clock.advance(1);
+    cell.pollWorker(worker);
+    cell.clock.advance(1_600);
+    cell.scheduler.plan();
+    cell.clock.advance(400);
+    cell.pollWorkers();
+    cell.settle();
+    settleJudgement(cell);
+  }
+  expect(cell.book.stateOf("a")).to.equal("running");
+});
+
 it("crash review: a job of which every task crashes its worker is bounded", () => {
   const cell = createCellOnVms(8);
   const spec = step({ taskCount: 6, accelerators: 8 });
--- a/packages/scheduler/src/crash_blame.ts
+++ b/packages/scheduler/src/crash_blame.ts
@@ -103,6 +103,9 @@
 // Time after the first sign of a crash within which others of the same cause
 // become known.
 const JUDGEMENT_DELAY_MS: Milliseconds = 1_500;
+// Upper bound of that time. A worker that shows no sign until then is silent by
+// its next poll, which waits for up to 3.5 s.
+const MAXIMUM_JUDGEMENT_DELAY_MS: Milliseconds = 4_000;
 // Time for which failures are kept to be compared with a crash.
 const FAILURE_MEMORY_MS: Milliseconds = 10_000;
 // Pause before a long-running task that crashes its workers is started again.
@@ -256,8 +259,19 @@
     for (const key of explained) explainCrash(key, jobsOf(blamed));
   };
 
-  const isJudged = ({ to }: OpenCrash): boolean =>
-    now() - to >= JUDGEMENT_DELAY_MS;
+  /** Returns whether workers may have failed at a time without any sign yet. */
+  const areOthersUnknown = (at: Milliseconds): boolean =>
+    [...state.workers.values()].some(
+      ({ hasAnswered, hasEnded, silentSince, reportedAt }) =>
+        hasAnswered && !hasEnded && silentSince === undefined &&
+        reportedAt <= at,
+    );
+
+  const isJudged = ({ to }: OpenCrash): boolean => {
+    const passedMs = now() - to;
+    if (passedMs < JUDGEMENT_DELAY_MS) return false;
+    return passedMs >= MAXIMUM_JUDGEMENT_DELAY_MS || !areOthersUnknown(to);
+  };
 
   return {
     recordCrash: (worker, runs, { hadLapsed = false } = {}) => {
