fix(scheduler): a crash shared with a job that was given up speaks against no other

A job was shown as failed after one crash that it shared with a task that crashes its workers, and one flap of a worker right after its start.

Cause: a task is cleared of the crashes for which another is blamed, but only of those judged before. At a later judgement the suspects of the given-up job are left out, so the neighbour was the only one left.

Now a crash with a suspect whose job was given up for its crashes is explained. It remains among those that its tasks have met.

The new test fails before ('expected true to equal false').

--- a/packages/scheduler/__tests__/crash_review.test.ts
+++ b/packages/scheduler/__tests__/crash_review.test.ts
@@ -1,4 +1,13 @@
 import { expect } from "chai";
+import { silentLogger } from "@rattanhill/shared";
+import {
+  addJob,
+  createCellState,
+  createCrashBlame,
+  getOrCreateStep,
+  type Run,
+  type WorkerState,
+} from "../src/mod.ts";
 import { createCell, job, step } from "./cell_fixture.ts";
 import { createFakeWorker } from "./fake_worker.ts";
 
@@ -42,6 +51,47 @@
   cell.settle();
 }
 
+/** Creates the crash records of a cell whose workers are on VMs of their own. */
+function createCrashes() {
+  const state = createCellState();
+  let now = 0;
+  let workers = 0;
+  const blame = createCrashBlame({
+    state,
+    now: () => now,
+    stop: () => {},
+    log: silentLogger,
+  });
+  const stepOf = (name: string) =>
+    getOrCreateStep(addJob(state, job(name), now), 0, 0);
+  return {
+    /** Crashes a worker that has just confirmed a task of each of these jobs. */
+    crash: (...names: string[]): void => {
+      workers += 1;
+      const worker = { id: `w${workers}`, vm: `m${workers}`, reportedAt: now };
+      const runs = names.map((name) => ({
+        step: stepOf(name),
+        index: 0,
+        worker,
+        lifetime: 1,
+        confirmedAt: now,
+      }));
+      blame.recordCrash(worker as WorkerState, runs as Run[]);
+    },
+    judge: (): void => {
+      now += 5_000;
+      blame.judgeCrashes();
+    },
+    isFailed: (name: string) => state.jobs.get(name)?.outcome === "failed",
+    /** @returns the penalty of a job on a worker that runs another one */
+    penaltyBeside: (name: string, other: string) => {
+      const worker = { id: "w", runs: new Set([{ step: stepOf(other) }]) };
+      blame.beginPass();
+      return blame.penaltyOf(stepOf(name), worker as unknown as WorkerState);
+    },
+  };
+}
+
 /** Returns the only run of a job with one task. */
 function runOf(cell: Cell, id: string) {
   const { jobs } = cell.scheduler.state;
@@ -263,3 +313,16 @@
   }
   expect(cell.book.stateOf("a")).to.equal("running");
 });
+
+it("crash review: a crash shared with a job that was given up speaks against no other", () => {
+  const { crash, judge, isFailed } = createCrashes();
+  crash("bad");
+  judge();
+  crash("bad");
+  crash("bad", "good");
+  judge();
+  expect(isFailed("bad")).to.equal(true);
+  crash("good");
+  judge();
+  expect(isFailed("good")).to.equal(false);
+});
--- a/packages/scheduler/src/crash_blame.ts
+++ b/packages/scheduler/src/crash_blame.ts
@@ -132,6 +132,8 @@
   >();
   let openCrashes: OpenCrash[] = [];
   let recentFailures: Failure[] = [];
+  /** Jobs that failed for their crashes, which explain those they share. */
+  const givenUpJobs = new WeakSet<ActiveJob>();
   /** End of the pause of long-running tasks, by step and task. */
   const pauses = new Map<StepState, Map<number, Milliseconds>>();
   /** Steps with a suspected task, as of the start of the planning pass. */
@@ -192,6 +194,7 @@
     };
     if (!step.spec.isLongRunning) {
       log.warn(fields, "job failed: workers crashed under its task");
+      givenUpJobs.add(job);
       return failJob(state, job, stop);
     }
     // Of a worker that is replaced seconds later, the crash is known only then.
@@ -231,8 +234,10 @@
   const judge = (crash: OpenCrash): void => {
     const failures = [...recentFailures, ...silences()];
     const isCommon = hasCommonCause(crash, failures);
+    const isExplained = isCommon ||
+      crash.suspects.some(({ step }) => givenUpJobs.has(step.job));
     const evidence = crash.suspects.filter(({ step: { job } }) =>
-      !isCommon && state.jobs.get(job.spec.id) === job && !isOver(job)
+      !isExplained && state.jobs.get(job.spec.id) === job && !isOver(job)
     );
     const blamed = findBlamed(crash, evidence);
     log.info(
