fix(scheduler): tasks that met a crash of a common cause are placed apart

Jobs were given up with a task that crashes its workers, beside which they were placed again and again.

Cause: when several such tasks crash their workers at once, this reads as a common cause and speaks against nobody. Then nobody was kept apart either, while each crash still counted toward the bound of those that a task may meet.

Now whoever may have caused a crash is placed apart, whether it was judged to speak against it or not.

The new test fails before ('expected +0 to be above +0').

--- a/packages/scheduler/__tests__/crash_review.test.ts
+++ b/packages/scheduler/__tests__/crash_review.test.ts
@@ -326,3 +326,11 @@
   judge();
   expect(isFailed("good")).to.equal(false);
 });
+
+it("crash review: tasks that met a crash of a common cause are placed apart", () => {
+  const { crash, judge, penaltyBeside } = createCrashes();
+  crash("bad", "good");
+  for (const name of ["b", "c", "d", "e"]) crash(name);
+  judge();
+  expect(penaltyBeside("bad", "good")).to.be.above(0);
+});
--- a/packages/scheduler/src/crash_blame.ts
+++ b/packages/scheduler/src/crash_blame.ts
@@ -433,11 +433,12 @@
   return crashes;
 }
 
-/** @returns whether an unfinished task of the step is suspected of a crash */
+/** @returns whether an unfinished task of the step has met a crash */
 function isSuspected({ job, crashes, done }: StepState): boolean {
   if (crashes.size === 0 || isOver(job)) return false;
-  return [...crashes].some(([index, { suspected }]) =>
-    suspected.size > 0 && !done.has(index)
+  // A common cause may be a mistake, and crashes that were met bound a task.
+  return [...crashes].some(([index, { met, suspected }]) =>
+    met.size + suspected.size > 0 && !done.has(index)
   );
 }
 
