fix(scheduler): a task that crashes its workers after seconds is bounded

Cause: the same narrow time held for what may convict a task and for what bounds it. Now a run that its worker had listed for less than 5 s counts as met by the crash, unless a later start explains it; such crashes alone convict nobody, and end a job at the fifth.

The new test fails before ('expected 10 to equal 5').

--- a/packages/scheduler/__tests__/crash_suspects.test.ts
+++ b/packages/scheduler/__tests__/crash_suspects.test.ts
@@ -105,3 +105,13 @@
   }
   expect([isOver("a"), isOver("b")]).to.deep.equal([false, true]);
 });
+
+it("crash blame: a task that crashes its workers after seconds is bounded", () => {
+  const { crashOn, isOver } = createCrashes();
+  let crashes = 0;
+  while (crashes < 10 && (crashes === 0 || !isOver("a"))) {
+    crashes += 1;
+    crashOn(`m${crashes}`, [["a", 0]], { reportedMs: 4_000 });
+  }
+  expect(crashes).to.equal(5);
+});
--- a/packages/scheduler/src/crash_blame.ts
+++ b/packages/scheduler/src/crash_blame.ts
@@ -296,7 +296,10 @@
       const unknown = runs.filter(({ isRestored, confirmedAt }) =>
         isRestored && confirmedAt === undefined
       );
-      const met = [...suspects, ...unknown];
+      const met = [
+        ...(failure.isPrompt ? suspects : failure.recent),
+        ...unknown,
+      ];
       for (const run of met) {
         addBounded(crashesOf(run).met, key);
         // The progress of a job that has ended meanwhile is deleted.
@@ -314,7 +317,7 @@
           ...suspects.filter((run) =>
             crashesOf(run).met.size >= MAXIMUM_CRASHES
           ),
-          ...unknown.filter((run) =>
+          ...met.filter((run) =>
             crashesOf(run).met.size >= ABSOLUTE_MAXIMUM_CRASHES
           ),
         ],
--- a/packages/scheduler/src/crash_evidence.ts
+++ b/packages/scheduler/src/crash_evidence.ts
@@ -13,6 +13,8 @@
   starting: readonly Run[];
   /** Those of them that had provably reached the worker just before. */
   suspects: readonly Run[];
+  /** Runs that the worker had confirmed seconds before; they include suspects. */
+  recent: readonly Run[];
   /** Whether there are suspects, which may explain the failure. */
   isPrompt: boolean;
 }
@@ -23,6 +25,8 @@
 // Longest time between a start and the first sign of a failure that it may have
 // caused. Tasks that crash their workers do so within 40 ms.
 const PROMPT_MS: Milliseconds = POLL_PAUSE_MS;
+// Time as a listed run after which a task is not met by a crash of its worker.
+const RECENT_MS: Milliseconds = 5_000;
 // Slack between two signs of the same failure, and between two failures of a
 // common cause, since each is noticed by a call of its own.
 const SIMULTANEOUS_MS: Milliseconds = 300;
@@ -63,10 +67,18 @@
     to,
     starting,
     suspects: [...reachedAt.keys()],
+    recent: runs.filter((run) => reachedAt.has(run) || isRecent(run, worker)),
     isPrompt: reachedAt.size > 0,
   };
 }
 
+/** @returns whether a worker first listed a run shortly before its last report */
+function isRecent(run: Run, { reportedAt }: WorkerState): boolean {
+  const { isRestored, confirmedAt, reportedSince = reportedAt } = run;
+  return !isRestored && confirmedAt !== undefined &&
+    reportedAt - reportedSince < RECENT_MS;
+}
+
 /** @returns whether a worker failed promptly after the start of a run */
 function isPrompt(startedAt: Milliseconds, failedAt: Milliseconds): boolean {
   return Math.abs(failedAt - startedAt) <= PROMPT_MS;
