fix(cell): only a connection that ends under a start speaks for its arrival

A start could count as arrived on a worker that crashed although nothing had ended its connection: the worker had answered it with an unexpected status, or the lead had closed the link, as when a restarted worker has a new address.

Cause: every failure of a start within 100 ms was taken for the end of its connection by the worker.

Now only a failure without any answer counts, and only while the link is open.

Two of the three new tests fail before ('expected 2 to equal +0', 'expected 1 to equal +0'); the third, of the case that has to count, passes before and after.

--- a/packages/cell/__tests__/worker_link.test.ts
+++ b/packages/cell/__tests__/worker_link.test.ts
@@ -79,6 +79,7 @@
   let lastReportAt: Milliseconds = 0;
   let replacements = 0;
   let silences = 0;
+  let interruptions = 0;
   const link = createWorkerLink({
     worker,
     connection: {
@@ -106,6 +107,7 @@
     onNoAnswer: () => silences += 1,
     onReplacement: () => replacements += 1,
     onStartAnswer: (_run, answer, reason) => answers.push([answer, reason]),
+    onStartInterrupted: () => interruptions += 1,
     onStopAnswer: () => {},
   });
   openLinks.add(link);
@@ -117,6 +119,7 @@
     warnings,
     replacements: () => replacements,
     silences: () => silences,
+    interruptions: () => interruptions,
     lastReportAt: () => lastReportAt,
     loseLead: () => isLeading = false,
     forbidStarts: () => mayStart = false,
@@ -436,6 +439,41 @@
   expect(await start()).to.deep.equal([["uncertain", undefined]]);
 });
 
+it("worker link: a start whose connection ends was interrupted", async () => {
+  const { start, interruptions } = await openLink({
+    start: () => Promise.reject(unanswered),
+  });
+  await start();
+  expect(interruptions()).to.be.above(0);
+});
+
+it("worker link: a start with an unusable answer was not interrupted", async () => {
+  const unusable = new UncertainError(
+    ErrorCode.workerRefused,
+    "worker responded with unexpected status 500",
+    CONTEXT,
+  );
+  const { start, interruptions } = await openLink({
+    start: () => Promise.reject(unusable),
+  });
+  await start();
+  expect(interruptions()).to.equal(0);
+});
+
+it("worker link: a start that the closing link breaks off was not interrupted", async () => {
+  const { link, run, interruptions } = await openLink({
+    start: async () => {
+      await pause(POLL_INTERVAL_MS);
+      throw unanswered;
+    },
+  });
+  link.sendCommand({ kind: "start", run });
+  await pause(POLL_INTERVAL_MS / 2);
+  link.close();
+  await pause(2 * POLL_INTERVAL_MS);
+  expect(interruptions()).to.equal(0);
+});
+
 it("worker link: a stop acknowledged by an earlier lifetime is repeated", async () => {
   let stops = 0;
   const { sendStop, link, worker } = await openLink({
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -1,10 +1,12 @@
 import {
   type Clock,
   describeError,
+  ErrorCode,
   type Logger,
   type Milliseconds,
   pause,
   UnavailableError,
+  UncertainError,
 } from "@rattanhill/shared";
 import {
   describeRun,
@@ -329,9 +331,11 @@
       } catch (error) {
         if (!(error instanceof UnavailableError)) {
           mayBeDelivered = true;
-          if (clock.now() - sentAt <= INTERRUPTION_MS) {
-            options.onStartInterrupted?.(run);
-          }
+          // Closing the link ends its connections too, and a worker that gives
+          // an unusable answer has not ended.
+          const isInterrupted = !isClosed && isUnreachable(error) &&
+            clock.now() - sentAt <= INTERRUPTION_MS;
+          if (isInterrupted) options.onStartInterrupted?.(run);
         }
         log.warn(
           { ...describeRun(run), attempt, error: describeError(error) },
@@ -394,3 +398,9 @@
     },
   };
 }
+
+/** @returns whether a call failed without any answer */
+function isUnreachable(error: unknown): boolean {
+  return error instanceof UncertainError &&
+    error.code === ErrorCode.workerUnreachable;
+}
