fix(scheduler): hold a step's state only from its turn to the storing of its end

Cause: a planning pass created the state of every step of every job, to see whether it is done: eight maps and sets, nearly all empty, 1,544 bytes a step on top of 136 for the step itself (measured: heapUsed over 20 jobs of 2,000 steps). 55 such jobs are 185 MB.

Change: - A step has a state from the moment when its turn has come until its end is stored; then only its index is kept. A step that has met crashes, or whose progress is stored in parts, keeps its state, since more is read from it. - Maps and sets of a state take 32 bytes while they are empty: 512 bytes a step. - The checkpoint of a done task is dropped. - Empty lists of decoded progress are shared (365 to 238 bytes a step), and the progress of a job is released once the job is restored. The log line of an exhausted attempt limit names the failed attempts of steps that have a state, no longer of all steps.

takeover_model.ts read the done tasks of a step from its state, which a done step no longer has; it now asks whether the step is done, and otherwise reads the state as before, so it is as strict.

--- a/packages/cell/src/cell_restore.ts
+++ b/packages/cell/src/cell_restore.ts
@@ -56,7 +56,10 @@
   };
   const endSlice = startWorkSlices(options.clock);
   for (const job of book.jobs()) {
-    restoreJob(withProgress(job, progress.get(job.spec.id)));
+    const { id } = job.spec;
+    restoreJob(withProgress(job, progress.get(id)));
+    // Held twice, it would take as much memory as the jobs themselves.
+    progress.delete(id);
     await endSlice();
     if (!isLeading()) return false;
   }
--- a/packages/scheduler/__tests__/takeover_model.ts
+++ b/packages/scheduler/__tests__/takeover_model.ts
@@ -10,7 +10,9 @@
   createScheduler,
   decodeRecord,
   encodeRecord,
+  findStep,
   isProgressRecord,
+  isStepDoneAt,
   type JobBook,
   stepKey,
   type StepSpec,
@@ -418,14 +420,12 @@
       [...workers.values()].flatMap(({ running }) => [...running.keys()]),
     );
     return steps.flatMap(({ taskCount, after }, index) => {
-      const doneOf = (position: number) =>
-        active?.steps.get(stepKey(JOB_ID, 0, position))?.done ?? new Set();
-      const isReady = after.every((position) =>
-        doneOf(position).size === steps[position].taskCount
-      );
-      if (!isReady) return [];
+      const isDone = (position: number) =>
+        active !== undefined && isStepDoneAt(active, 0, position);
+      if (isDone(index) || !after.every(isDone)) return [];
+      const done = active && findStep(active, 0, index)?.done;
       const keys = Array.from({ length: taskCount }, (_, task) => task)
-        .filter((task) => !doneOf(index).has(task))
+        .filter((task) => !done?.has(task))
         .map((task) => `${stepKey(JOB_ID, 0, index)}.${task}`);
       return keys.filter((key) => !runningKeys.has(key));
     }).map((key) => `${key} neither runs nor is done`);
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -2,15 +2,17 @@
 import {
   type JobOutcome,
   type JobSpec,
-  stepKey,
   type StepSpec,
   type TaskName,
 } from "./job_types.ts";
 import type { StepAdvice, Ticket } from "./advice.ts";
 import type { TaskCrashes } from "./crash_blame.ts";
+import { storedKeysOf } from "./job_steps.ts";
+import type { LazyMap, LazySet } from "./lazy_collections.ts";
 import type { ProgressParts } from "./progress_parts.ts";
 import { addResources, type Resources } from "./resources.ts";
 
+export { getOrCreateStep, isStepDone } from "./job_steps.ts";
 export { addResources, type Resources } from "./resources.ts";
 
 /** Phase of a run, from its placement to its release. */
@@ -97,24 +99,24 @@
   /** Highest run number assigned so far. */
   highestRun: number;
   /** Indices of the tasks that ended successfully. */
-  done: Set<number>;
+  done: LazySet<number>;
   /** Current run of each task, by task index. */
-  runs: Map<number, Run>;
+  runs: LazyMap<number, Run>;
   /** Numbers of the failed runs by task index; a gang counts as its task 0. */
-  failedRuns: Map<number, Set<number>>;
+  failedRuns: LazyMap<number, Set<number>>;
   /** Newest checkpoint by task index; a gang keeps one as its task 0. */
-  checkpoints: Map<number, string>;
+  checkpoints: LazyMap<number, string>;
   /** Crashes of workers by the index of a task that they ran. */
-  crashes: Map<number, TaskCrashes>;
+  crashes: LazyMap<number, TaskCrashes>;
   /** Stored parts of its progress; none if it is stored as a whole. */
-  storedParts: ProgressParts;
+  storedParts: ProgressParts | LazyMap<string, string>;
   /** Whether the store has rejected its progress for good. */
   isUnstorable?: boolean;
   /**
    * Workers on which a run of the step failed or made no progress, with the
    * monotonic time of the last one.
    */
-  avoidedWorkers: Map<string, Milliseconds>;
+  avoidedWorkers: LazyMap<string, Milliseconds>;
   /**
    * Advice of the policy of the job's queue; undefined until the policy is
    * first asked.
@@ -131,8 +133,16 @@
   /** Whether the record of its first start is stored. */
   hasStarted: boolean;
   outcome?: JobOutcome;
-  /** Steps by step key, created on first use. */
+  /**
+   * Steps by step key: those whose turn has come, up to the storing of their
+   * end.
+   */
   steps: Map<string, StepState>;
+  /**
+   * By occurrence, the indices of the steps that are done and of which nothing
+   * else has to be known.
+   */
+  droppedSteps: Map<number, Set<number>>;
   /** Number of runs of all steps. */
   runCount: number;
   /** Occurrences whose steps have all ended successfully. */
@@ -277,6 +287,7 @@
     isCancelled: false,
     hasStarted: false,
     steps: new Map(),
+    droppedSteps: new Map(),
     runCount: 0,
     finishedOccurrences: new Set(),
     leadingDoneSteps: new Map(),
@@ -285,43 +296,6 @@
   return job;
 }
 
-/**
- * @returns a step of an occurrence, created on first use
- * @throws RangeError when the job has no step with this index
- */
-export function getOrCreateStep(
-  job: ActiveJob,
-  occurrence: number,
-  index: number,
-): StepState {
-  const key = stepKey(job.spec.id, occurrence, index);
-  let step = job.steps.get(key);
-  if (step === undefined) {
-    const spec = job.spec.steps[index];
-    if (spec === undefined) {
-      const { length } = job.spec.steps;
-      throw new RangeError(`step ${key}: the job has ${length} steps`);
-    }
-    step = {
-      job,
-      occurrence,
-      index,
-      spec,
-      key,
-      highestRun: 0,
-      done: new Set(),
-      runs: new Map(),
-      failedRuns: new Map(),
-      checkpoints: new Map(),
-      crashes: new Map(),
-      storedParts: new Map(),
-      avoidedWorkers: new Map(),
-    };
-    job.steps.set(key, step);
-  }
-  return step;
-}
-
 /** @returns the name of the task that a run executes */
 export function taskNameOf(run: Run): TaskName {
   const { job, occurrence, index } = run.step;
@@ -341,11 +315,6 @@
   };
 }
 
-/** @returns whether all tasks of the step have ended successfully */
-export function isStepDone(step: StepState): boolean {
-  return step.done.size >= step.spec.taskCount;
-}
-
 /**
  * @returns whether the job is cancelled or has ended, so that none of its tasks
  * may start
@@ -408,7 +377,6 @@
   state.jobs.delete(job.spec.id);
   for (const step of job.steps.values()) {
     state.unsavedSteps.delete(step);
-    state.removedSteps.add(step.key);
-    for (const key of step.storedParts.keys()) state.removedSteps.add(key);
   }
+  for (const key of storedKeysOf(job)) state.removedSteps.add(key);
 }
--- a/packages/scheduler/src/job_outcomes.ts
+++ b/packages/scheduler/src/job_outcomes.ts
@@ -2,10 +2,10 @@
   type ActiveJob,
   type CellState,
   isOver,
-  isStepDone,
   type Run,
 } from "./cell_state.ts";
-import { type JobOutcome, occurrencesOf, stepKey } from "./job_types.ts";
+import { isStepDoneAt } from "./job_steps.ts";
+import { type JobOutcome, occurrencesOf } from "./job_types.ts";
 
 /** Sets the outcome of a job once all steps of all occurrences are done. */
 export function completeJobIfDone(state: CellState, job: ActiveJob): void {
@@ -29,13 +29,12 @@
  * count ended, since a step that is done stays so.
  */
 function countLeadingDoneSteps(
-  { spec, steps, leadingDoneSteps }: ActiveJob,
+  job: ActiveJob,
   occurrence: number,
 ): number {
+  const { spec: { steps }, leadingDoneSteps } = job;
   let count = leadingDoneSteps.get(occurrence) ?? 0;
-  while (count < spec.steps.length) {
-    const step = steps.get(stepKey(spec.id, occurrence, count));
-    if (step === undefined || !isStepDone(step)) break;
+  while (count < steps.length && isStepDoneAt(job, occurrence, count)) {
     count += 1;
   }
   return count;
--- a/packages/scheduler/src/job_prospects.ts
+++ b/packages/scheduler/src/job_prospects.ts
@@ -2,12 +2,11 @@
 import {
   type ActiveJob,
   type CellState,
-  getOrCreateStep,
   isOver,
-  isStepDone,
   type StepState,
 } from "./cell_state.ts";
 import type { DurationEstimator } from "./durations.ts";
+import { findStep, isStepDoneAt } from "./job_steps.ts";
 import { dueAt, type JobSpec } from "./job_types.ts";
 import type { PlanningPolicy } from "./planning_policy.ts";
 import { workOf } from "./preemption.ts";
@@ -92,8 +91,8 @@
     if (meanWork <= 0) return 0;
     return valueOfMeanJob(rulesOf(rules(), spec).priority) / meanWork;
   };
+  /** Returns the remaining time of a step that is not done. */
   const remainingOfStep = (step: StepState): Milliseconds => {
-    if (isStepDone(step)) return 0;
     const { spec, runs, done } = step;
     let remainingMs = runs.size + done.size < spec.taskCount
       ? expectedOf(step.job.spec, spec.estimateMs)
@@ -110,8 +109,11 @@
     let totalMs = 0;
     let remainingMs = 0;
     spec.steps.forEach(({ estimateMs }, index) => {
-      totalMs += expectedOf(spec, estimateMs);
-      remainingMs += remainingOfStep(getOrCreateStep(job, occurrence, index));
+      const expectedMs = expectedOf(spec, estimateMs);
+      totalMs += expectedMs;
+      if (isStepDoneAt(job, occurrence, index)) return;
+      const step = findStep(job, occurrence, index);
+      remainingMs += step === undefined ? expectedMs : remainingOfStep(step);
     });
     const waitedMs = spec.repetition === undefined
       ? now() - job.waitingSince
--- a/packages/scheduler/src/record_batch.ts
+++ b/packages/scheduler/src/record_batch.ts
@@ -10,6 +10,7 @@
   type StepState,
   type WorkerState,
 } from "./cell_state.ts";
+import { dropIfDone } from "./job_steps.ts";
 import { isEligible } from "./placement.ts";
 import {
   type ProgressParts,
@@ -96,6 +97,9 @@
       const { ends, outcomes, startedJobs } = batch;
       for (const job of startedJobs) job.hasStarted = true;
       for (const [step, parts] of batch.parts) step.storedParts = parts;
+      for (const step of batch.steps) {
+        if (!state.unsavedSteps.has(step)) dropIfDone(step);
+      }
       for (const job of outcomes) state.unsavedOutcomes.delete(job);
       for (const [worker, { position, lifetime }] of ends) {
         // Positions start anew when a worker restarts.
--- a/packages/scheduler/src/records.ts
+++ b/packages/scheduler/src/records.ts
@@ -174,11 +174,11 @@
         progress: {
           highestRun,
           done,
-          runs,
+          runs: shareIfEmpty(runs),
           // Records of earlier versions lack the last two.
-          failedRuns: failedRuns ?? failures.map(toFailedRuns),
-          checkpoints,
-          crashes: crashes ?? [],
+          failedRuns: shareIfEmpty(failedRuns ?? failures.map(toFailedRuns)),
+          checkpoints: shareIfEmpty(checkpoints),
+          crashes: shareIfEmpty(crashes ?? []),
         },
       };
     }
@@ -192,6 +192,13 @@
   }
 }
 
+const NO_ITEMS: never[] = [];
+
+/** Returns one list for all empty ones, of which stored progress has many. */
+function shareIfEmpty<Item>(list: Item[]): Item[] {
+  return list.length === 0 ? NO_ITEMS : list;
+}
+
 /**
  * Returns failed runs for the count of an earlier version, which did not store
  * their numbers. The numbers are those of no run.
--- a/packages/scheduler/src/restored_progress.ts
+++ b/packages/scheduler/src/restored_progress.ts
@@ -5,6 +5,7 @@
   type StepState,
 } from "./cell_state.ts";
 import type { StoredJob } from "./job_book.ts";
+import { dropIfDone } from "./job_steps.ts";
 import type { StepRecord } from "./records.ts";
 
 /** Options of {@link restoreProgress}. */
@@ -30,12 +31,14 @@
     const [, occurrence, index] = key.split(".").map(Number);
     const step = getOrCreateStep(job, occurrence, index);
     step.highestRun = record.highestRun;
-    step.done = new Set(record.done);
-    step.failedRuns = new Map(
-      record.failedRuns.map(([task, runs]) => [task, new Set(runs)]),
-    );
-    step.checkpoints = new Map(record.checkpoints);
-    step.storedParts = new Map(record.keys?.map((part) => [part, ""]));
+    for (const task of record.done) step.done.add(task);
+    for (const [task, runs] of record.failedRuns) {
+      step.failedRuns.set(task, new Set(runs));
+    }
+    for (const [task, checkpoint] of record.checkpoints) {
+      step.checkpoints.set(task, checkpoint);
+    }
+    for (const part of record.keys ?? []) step.storedParts.set(part, "");
     for (const [task, met, suspected, areConfirmed] of record.crashes) {
       step.crashes.set(task, {
         met: new Set(met),
@@ -50,5 +53,6 @@
     for (const run of record.runs) {
       restoreRun(step, run);
     }
+    if (!state.unsavedSteps.has(step)) dropIfDone(step);
   }
 }
--- a/packages/scheduler/src/run_ends.ts
+++ b/packages/scheduler/src/run_ends.ts
@@ -2,16 +2,24 @@
 import {
   type ActiveJob,
   type CellState,
+  getOrCreateStep,
   isStepDone,
   releaseRun,
   type Run,
   RunPhase,
+  type StepState,
   type WorkerState,
 } from "./cell_state.ts";
 import { completeJobIfDone } from "./job_outcomes.ts";
 import { confirmRun } from "./confirmed_runs.ts";
 import { countFailedRun } from "./failed_attempts.ts";
-import { type RunEnd, stepKey, type TaskName } from "./job_types.ts";
+import { isDropped } from "./job_steps.ts";
+import {
+  occurrencesOf,
+  type RunEnd,
+  stepKey,
+  type TaskName,
+} from "./job_types.ts";
 
 /** A run that a worker reports as running. */
 export interface ReportedRun {
@@ -180,12 +188,12 @@
 ): void {
   const { task, number, end, position } = reported;
   const { index } = task;
-  const key = stepKey(task.job, task.occurrence, task.step);
-  const step = options.state.jobs.get(task.job)?.steps.get(key);
+  const job = options.state.jobs.get(task.job);
+  const step = job && findNamedStep(job, task);
   options.log.warn(
     {
       job: task.job,
-      step: key,
+      step: stepKey(task.job, task.occurrence, task.step),
       task: index,
       run: number,
       worker: worker.id,
@@ -205,6 +213,20 @@
   }
 }
 
+/**
+ * Returns the step of a task that a worker names; undefined if the job has none,
+ * or if the step is done and was dropped.
+ */
+function findNamedStep(
+  job: ActiveJob,
+  { occurrence, step: index }: TaskName,
+): StepState | undefined {
+  const isKnown = index < job.spec.steps.length &&
+    occurrence < occurrencesOf(job.spec);
+  if (!isKnown || isDropped(job, occurrence, index)) return undefined;
+  return getOrCreateStep(job, occurrence, index);
+}
+
 /** A run that has ended, released or not. */
 type EndedRun = Pick<Run, "step" | "index" | "number" | "worker">;
 
@@ -225,6 +247,7 @@
   } else {
     step.done.add(index);
   }
+  step.checkpoints.delete(spec.isGang ? 0 : index);
   options.state.unsavedSteps.add(step);
   if (isStepDone(step)) completeJobIfDone(options.state, job);
 }
--- a/packages/scheduler/src/step_ranking.ts
+++ b/packages/scheduler/src/step_ranking.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from "@rattanhill/shared";
-import { type ActiveJob, isStepDone, type StepState } from "./cell_state.ts";
+import type { ActiveJob, StepState } from "./cell_state.ts";
+import { isStepDoneAt } from "./job_steps.ts";
 import { dueAt } from "./job_types.ts";
 import type { QueueRules } from "./rules.ts";
 
@@ -110,7 +111,7 @@
  * Finds the steps of a job that may run now and have tasks without a run.
  *
  * @param job the job
- * @param stepAt returns a step of an occurrence
+ * @param stepAt returns a step of an occurrence whose turn has come
  * @param wallTime current wall time
  * @returns the steps, each with the tasks to place
  */
@@ -128,12 +129,12 @@
       break;
     }
     for (let index = 0; index < spec.steps.length; index++) {
-      const step = stepAt(occurrence, index);
-      if (isStepDone(step)) continue;
-      const isReady = step.spec.after.every((predecessor) =>
-        isStepDone(stepAt(occurrence, predecessor))
+      if (isStepDoneAt(job, occurrence, index)) continue;
+      const isReady = spec.steps[index].after.every((predecessor) =>
+        isStepDoneAt(job, occurrence, predecessor)
       );
       if (!isReady) continue;
+      const step = stepAt(occurrence, index);
       const tasks = tasksWithoutRun(step);
       if (tasks.length > 0) runnable.push({ step, tasks });
     }
--- a/packages/scheduler/src/waiting_work.ts
+++ b/packages/scheduler/src/waiting_work.ts
@@ -4,10 +4,10 @@
   type CellState,
   getOrCreateStep,
   isOver,
-  isStepDone,
   type StepState,
 } from "./cell_state.ts";
 import type { DurationEstimator } from "./durations.ts";
+import { isStepDoneAt } from "./job_steps.ts";
 import { dueAt, type JobSpec } from "./job_types.ts";
 import {
   compareRanks,
@@ -55,7 +55,7 @@
       spec.steps.forEach(({ estimateMs }, index) => {
         const expectedMs = durations.expectedDuration(spec, estimateMs);
         duration.totalMs += expectedMs;
-        if (!isStepDone(stepAt(occurrence, index))) {
+        if (!isStepDoneAt(job, occurrence, index)) {
           duration.remainingMs += expectedMs;
         }
       });
