fix(cell): bound the memory of accepted jobs

The memory budget of the platform counts requests in progress only. All entries hold all stored jobs, and the next lead reads them all again.

Change: - Each entry estimates the memory of all jobs that it knows: 2 KB each, 1 KB a step, 160 bytes a task, their strings; periodic jobs by the occurrences that are due; ended jobs with less. The estimate follows from the job alone, so all entries agree, and it covers a lead that takes over. - A submission that does not fit gets 503 before anything is stored, with a Retry-After by the rate at which jobs release memory (1 to 10 s). A smaller one that fits is accepted, and so is a repetition of an accepted job. - Several entries accept at the same time: one may have accepted a sixteenth of the remaining room before it has read these jobs back; more submissions wait for that, for up to half of their deadline. - The bound is half of what the smaller of the heap limit and the VM's memory leaves beside 64 MB (`job_memory_mb` overrides it): 102 MB with the heap of the deploy file on a VM of 350 MB. Log line, counter and /state show it. The limits on the steps, tasks and body of a job are as they were.

Failed trials: a bound of 40% of the heap limit, without the 64 MB of an idle process, was too high for a heap of 64 MB (ended at 18 jobs of 2,000 independent steps). Refusing instead of waiting for jobs to be read back refused the second of two large jobs in a row, and small ones behind it.

--- a/packages/cell/__tests__/job_service.test.ts
+++ b/packages/cell/__tests__/job_service.test.ts
@@ -55,6 +55,7 @@
     catchUpBook = () => Promise.resolve(),
     clock = createManualClock(),
     append,
+    maximumJobBytes,
   }: {
     faults?: AppendFault[];
     configAgeMs?: number;
@@ -64,6 +65,7 @@
     catchUpBook?: (book: JobBook) => Promise<void>;
     clock?: Clock;
     append?: Store["append"];
+    maximumJobBytes?: number;
   } = {},
 ) {
   const memory = createMemoryStore(faults);
@@ -90,6 +92,7 @@
     maximumConfigAgeMs: 4_000,
     maximumBookAgeMs: 2_500,
     storeOutageMs: () => outageMs,
+    maximumJobBytes,
     onUnknownJob: (answer) => unknownJobs.push(answer),
     metrics: createMetrics(),
   });
@@ -285,3 +288,20 @@
     hasEarlyRecords: true,
   }]);
 });
+
+// All accepted jobs were held in memory, until the heap of every entry was full.
+it("job service: a job that does not fit into memory is refused unstored", async () => {
+  const { call, recordsOf } = createService({ maximumJobBytes: 1_000 });
+  const reply = await call();
+  expect(reply).to.include({ kind: "unavailable" });
+  expect(recordsOf("t")).to.deep.equal([]);
+});
+
+it("job service: without room for jobs, a repetition is accepted", async () => {
+  const { call, book } = createService({ maximumJobBytes: 3_000 });
+  expect((await call()).kind).to.equal("accepted");
+  const other = { path: "/a/00000000000000ff" };
+  expect((await call(other)).kind).to.equal("unavailable");
+  expect((await call()).kind).to.equal("accepted");
+  expect(book.stateOf(ID)).to.equal("queued");
+});
--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -73,6 +73,8 @@
    * Asks the advice service; undefined in deployments without one.
    */
   advise?: Advise;
+  /** See {@link JobAdmissionOptions.maximumJobBytes}; unbounded by default. */
+  maximumJobBytes?: number;
   metrics: Metrics;
   /** @returns a uniformly distributed random number from 0 to 1 */
   random(): number;
@@ -284,6 +286,7 @@
     waitForBook: journalFollower.waitForOffset,
     maximumConfigAgeMs: limits.revocationMs - REVOCATION_MARGIN_MS,
     maximumBookAgeMs: limits.visibleMs - VISIBILITY_MARGIN_MS,
+    maximumJobBytes: options.maximumJobBytes,
     storeOutageMs: () =>
       Math.max(0, journalFollower.ageMs() - JOURNAL_READ_WAIT_MS),
     onUnknownJob: createUnknownJobLog({
@@ -368,6 +371,8 @@
       configAgeMs: configFollower.ageMs(),
       bookAgeMs: journalFollower.ageMs(),
       jobs: [...book.jobs()].length,
+      jobBytes: book.memory.heldBytes(clock.wallTime()),
+      maximumJobBytes: options.maximumJobBytes,
       evacuatedZones: [...evacuations.zones()],
       evacuatedWorkers: [...lead?.scheduler()?.state.workers.values() ?? []]
         .filter(({ zone }) => evacuations.zones().has(zone)).length,
--- a/packages/cell/src/job_service.ts
+++ b/packages/cell/src/job_service.ts
@@ -23,6 +23,7 @@
   mayAccessJob,
 } from "./job_access.ts";
 import type { Metrics } from "./metrics.ts";
+import { createJobAdmission } from "./job_admission.ts";
 import { createRecordWriter } from "./record_writer.ts";
 import type { Store } from "./store.ts";
 import { createSubmissionsInProgress } from "./submissions_in_progress.ts";
@@ -78,6 +79,8 @@
   maximumBookAgeMs: Milliseconds;
   /** @returns the time since the store stopped answering; 0 while it answers */
   storeOutageMs(): Milliseconds;
+  /** See {@link JobAdmissionOptions.maximumJobBytes}; unbounded by default. */
+  maximumJobBytes?: number;
   /** Called for each call that is answered with "unknown job". */
   onUnknownJob?(answer: UnknownJobAnswer): void;
   metrics: Metrics;
@@ -118,6 +121,10 @@
   const recordRefusal = createAccessRefusals(options);
   const refusals = new WeakSet<CallerReply>();
   const writing = createSubmissionsInProgress();
+  const admission = createJobAdmission({
+    ...options,
+    maximumJobBytes: options.maximumJobBytes ?? Infinity,
+  });
 
   const unavailable = (reason: string): CallerReply => ({
     kind: "unavailable",
@@ -232,6 +239,9 @@
       return unavailable("another job with the same ID is being stored");
     }
     try {
+      const waitUntil = (clock.now() + deadline) / 2;
+      const refusal = await admission.admit(spec, waitUntil);
+      if (refusal !== undefined) return { kind: "unavailable", ...refusal };
       const outcome = await storeRecord(value, deadline);
       if (outcome === "refused") return unavailable("the store refuses writes");
       if (outcome === "rejected") {
@@ -249,6 +259,7 @@
       return reply.kind === "unavailable" ? { kind: "uncertain" } : reply;
     } finally {
       writing.end(id);
+      admission.end(spec);
     }
   };
 
--- a/packages/cell/src/mod.ts
+++ b/packages/cell/src/mod.ts
@@ -10,6 +10,7 @@
 export * from "./evacuation_requests.ts";
 export * from "./granted_lease.ts";
 export * from "./job_access.ts";
+export * from "./job_admission.ts";
 export * from "./job_service.ts";
 export * from "./journal.ts";
 export * from "./lead_lease.ts";
--- a/packages/scheduler/src/job_book.ts
+++ b/packages/scheduler/src/job_book.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@rattanhill/shared";
+import { createJobMemory, type JobMemory } from "./job_memory.ts";
 import {
   isSameSubmission,
   type JobOutcome,
@@ -60,6 +61,8 @@
   hasEarlyRecords(id: string): boolean;
   /** @returns the jobs whose submissions have been read from the journal */
   jobs(): Iterable<StoredJob>;
+  /** Estimated memory of the jobs, confirmed or not. */
+  readonly memory: Pick<JobMemory, "heldBytes" | "releasedBytes">;
 }
 
 /** Callbacks of a {@link JobBook}. */
@@ -88,7 +91,10 @@
   const earlyRecords = new Map<string, CellRecord[]>();
   /** Number of pending jobs by queue; see {@link JobBook.pending}. */
   const pendingCounts = new Map<string, number>();
+  const memory = createJobMemory();
 
+  const updateMemory = ({ spec, outcome }: StoredJob): void =>
+    memory.update(spec.id, spec, outcome !== undefined);
   const isPending = (job: StoredJob) =>
     !job.hasStarted && !job.isCancelled && job.outcome === undefined;
   /** Applies a change to a job and adjusts the number of pending jobs. */
@@ -115,6 +121,7 @@
     } else if (record.kind === "outcome") {
       applyChange(job, () => job.outcome = record.outcome);
       job.endedAt = record.at;
+      updateMemory(job);
     }
   };
 
@@ -127,6 +134,7 @@
       unconfirmedUntil,
     };
     jobs.set(spec.id, job);
+    updateMemory(job);
     pendingCounts.set(spec.queue, (pendingCounts.get(spec.queue) ?? 0) + 1);
     return job;
   };
@@ -144,6 +152,7 @@
       pendingCounts.set(spec.queue, (pendingCounts.get(spec.queue) ?? 0) + 1);
     }
     job.spec = spec;
+    updateMemory(job);
   };
 
   /** Replaces an unconfirmed submission by the first one in the journal. */
@@ -178,6 +187,7 @@
         // Marked as cancelled so that it no longer counts as pending.
         if (job !== undefined) applyChange(job, () => job.isCancelled = true);
         jobs.delete(record.job);
+        memory.remove(record.job);
         return;
       }
       const id = record.kind === "progress" ||
@@ -199,6 +209,7 @@
       if (job.isCancelled) return "cancelled";
       return job.hasStarted ? "running" : "queued";
     },
+    memory,
     hasEarlyRecords: (id) => earlyRecords.has(id),
     pending: (queue) => pendingCounts.get(queue) ?? 0,
     jobs: function* () {
--- a/packages/scheduler/src/mod.ts
+++ b/packages/scheduler/src/mod.ts
@@ -10,6 +10,7 @@
 export * from "./free_room.ts";
 export * from "./idle_jobs.ts";
 export * from "./job_book.ts";
+export * from "./job_memory.ts";
 export * from "./job_outcomes.ts";
 export * from "./job_prospects.ts";
 export * from "./job_steps.ts";
