refactor(scheduler): crashes of VMs and pauses of tasks have files of their own

The record of VM crashes was never pruned and held jobs that had ended; it now drops crashes that no longer count.

--- a/packages/scheduler/src/crash_blame.ts
+++ b/packages/scheduler/src/crash_blame.ts
@@ -13,10 +13,12 @@
   hasCommonCause,
 } from "./crash_evidence.ts";
 import { failJob } from "./job_outcomes.ts";
+import { createRestartPauses } from "./restart_pauses.ts";
+import { createVmCrashes } from "./vm_crashes.ts";
 
 /**
- * Crashes of workers that had a run of one task, without those that
- * another task has been blamed for, each by its worker and lifetime.
+ * Crashes of workers that had a run of one task, each by its worker and lifetime,
+ * without those that another task has been blamed for.
  */
 export interface TaskCrashes {
   /** Those that the task may have caused by starting. */
@@ -110,9 +112,6 @@
 const FAILURE_MEMORY_MS: Milliseconds = 10_000;
 // Pause before a long-running task that crashes its workers is started again.
 const RESTART_PAUSE_MS: Milliseconds = 3_000;
-// Time for which a VM that crashed is used last. If it crashes again within
-// this time under other tasks, the VM itself is to blame.
-const UNSTABLE_VM_MS: Milliseconds = 30_000;
 // Above any score that a worker gets for its free capacity.
 const PENALTY = 5;
 
@@ -125,45 +124,18 @@
  */
 export function createCrashBlame(options: CrashBlameOptions): CrashBlame {
   const { state, now, stop, log } = options;
-  /** Last unexplained crash of each VM, and the jobs suspected of it. */
-  const vmCrashes = new Map<
-    string,
-    { key: string; at: Milliseconds; jobs: ReadonlySet<ActiveJob> }
-  >();
+  const vmCrashes = createVmCrashes(now);
+  const pauses = createRestartPauses(now);
   let openCrashes: OpenCrash[] = [];
   let recentFailures: Failure[] = [];
   /** Jobs that failed for their crashes, which explain those they share. */
   const givenUpJobs = new WeakSet<ActiveJob>();
-  /** End of the pause of long-running tasks, by step and task. */
-  const pauses = new Map<StepState, Map<number, Milliseconds>>();
   /** Steps with a suspected task, as of the start of the planning pass. */
   let suspectedSteps = new Set<StepState>();
 
-  const lastCrashOf = (vm: string | undefined) => {
-    const crash = vm === undefined ? undefined : vmCrashes.get(vm);
-    return crash !== undefined && now() - crash.at < UNSTABLE_VM_MS
-      ? crash
-      : undefined;
-  };
-
-  /**
-   * Returns whether the crashes of a VM, and not a task, are the likely cause:
-   * it crashed a short time before with none of these jobs.
-   */
-  const isUnstable = (
-    worker: WorkerState,
-    jobs: ReadonlySet<ActiveJob>,
-  ): boolean => {
-    const earlier = lastCrashOf(worker.vm);
-    return earlier !== undefined &&
-      ![...jobs].some((job) => earlier.jobs.has(job));
-  };
-
   /** Clears the tasks of other jobs of a crash that one has been blamed for. */
   const explainCrash = (key: string, blamed: ReadonlySet<ActiveJob>): void => {
-    for (const [vm, crash] of vmCrashes) {
-      if (crash.key === key) vmCrashes.delete(vm);
-    }
+    vmCrashes.explain(key);
     for (const step of stepsOf(state)) {
       // The next lead may have to fail the job once more.
       if (isOver(step.job) || blamed.has(step.job)) continue;
@@ -203,8 +175,7 @@
       { ...fields, pauseMs: Math.max(0, pausedUntil - now()) },
       "long-running task pauses: workers crashed under it",
     );
-    const stepPauses = pauses.get(step) ?? new Map<number, Milliseconds>();
-    pauses.set(step, stepPauses.set(index, pausedUntil));
+    pauses.set(step, index, pausedUntil);
   };
 
   /** Returns the failures of workers that are silent for an unknown reason. */
@@ -288,9 +259,9 @@
       const key = crashKeyOf(worker, runs[0]);
       const { starting, suspects } = failure;
       const jobs = jobsOf(hadLapsed ? [] : likelyRunsOf(failure));
-      const isVmToBlame = isUnstable(worker, jobs);
+      const isVmToBlame = vmCrashes.isUnstable(worker.vm, jobs);
       if (worker.vm !== undefined && !hadLapsed) {
-        vmCrashes.set(worker.vm, { key, at: now(), jobs });
+        vmCrashes.record(worker.vm, key, jobs);
       }
       // Of runs of an earlier lead, it is not known whether they had started.
       const unknown = runs.filter(({ isRestored, confirmedAt }) =>
@@ -353,9 +324,8 @@
       recentFailures = recentFailures.filter(({ to }) =>
         now() - to < FAILURE_MEMORY_MS
       );
-      for (const step of pauses.keys()) {
-        if (isOver(step.job)) pauses.delete(step);
-      }
+      pauses.prune();
+      vmCrashes.prune();
     },
     judgeRestored: (job) => {
       for (const step of job.steps.values()) {
@@ -375,7 +345,7 @@
       }
     },
     isHeld: (step, index) => {
-      if (now() < (pauses.get(step)?.get(index) ?? -Infinity)) return true;
+      if (pauses.isPaused(step, index)) return true;
       if (openCrashes.length === 0) return false;
       const isOf = (run: Run) => run.step === step && run.index === index;
       if (openCrashes.some(({ exhausted }) => exhausted.some(isOf))) {
@@ -387,7 +357,7 @@
       return judged + open.length >= CRASHES_WHEN_ALONE;
     },
     penaltyOf: (step, worker) => {
-      const vmPenalty = lastCrashOf(worker.vm) === undefined ? 0 : PENALTY;
+      const vmPenalty = vmCrashes.hasCrashed(worker.vm) ? PENALTY : 0;
       if (suspectedSteps.size === 0) return vmPenalty;
       const isSuspect = suspectedSteps.has(step);
       let penalty = 0;
