test(scheduler): tests of crashes share a fixture

The four files repeated how a cell on VMs is made, how a worker restarts or is replaced and how a cell settles until all crashes are judged.

--- a/packages/scheduler/__tests__/crash_blame.test.ts
+++ b/packages/scheduler/__tests__/crash_blame.test.ts
@@ -11,41 +11,20 @@
   type WorkerState,
 } from "../src/mod.ts";
 import { createCell, job, step } from "./cell_fixture.ts";
+import {
+  type Cell,
+  createCellOnVms,
+  replaceWorker as replaceWorkerBy,
+  settleJudgement,
+} from "./crash_fixture.ts";
 import { createFakeWorker } from "./fake_worker.ts";
 
-type Cell = ReturnType<typeof createCell>;
-
-/** Creates a cell with one worker on each of its VMs `m0`, `m1` and so on. */
-function createCellOnVms(workers: number): Cell {
-  const cell = createCell({ workers });
-  cell.entries.forEach((entry, index) => {
-    cell.entries[index] = { ...entry, vm: `m${index}` };
-  });
-  cell.updateListing();
-  return cell;
-}
-
 let lastId = 0;
 
 /** Replaces a worker by one with another id on the same VM. */
 function replaceWorker(cell: Cell, id: string): void {
-  const index = cell.entries.findIndex((entry) => entry.id === id);
   lastId += 1;
-  const entry = { ...cell.entries[index], id: `next-${lastId}` };
-  cell.fleet.delete(id);
-  cell.fleet.set(entry.id, createFakeWorker(entry.id));
-  cell.scheduler.recordNoAnswer(cell.scheduler.state.workers.get(id)!);
-  cell.entries.splice(index, 1, entry);
-  cell.updateListing();
-}
-
-/** Settles a cell until all crashes so far are judged; its runs progress. */
-function settleJudgement(cell: Cell): void {
-  for (const { running } of cell.fleet.values()) {
-    for (const run of running.values()) run.percent += 1;
-  }
-  cell.clock.advance(2_000);
-  cell.settle();
+  replaceWorkerBy(cell, id, `next-${lastId}`);
 }
 
 /**
--- a/packages/scheduler/__tests__/crash_evidence.test.ts
+++ b/packages/scheduler/__tests__/crash_evidence.test.ts
@@ -1,19 +1,13 @@
 import { expect } from "chai";
 import { decodeRecord, encodeRecord, stepRecordOf } from "../src/mod.ts";
-import { createCell, job, step } from "./cell_fixture.ts";
-import { createFakeWorker } from "./fake_worker.ts";
-
-type Cell = ReturnType<typeof createCell>;
-
-/** Creates a cell whose workers are each on a VM of their own. */
-function createCellOnVms(workers: number): Cell {
-  const cell = createCell({ workers });
-  cell.entries.forEach((entry, index) => {
-    cell.entries[index] = { ...entry, vm: `m${index}` };
-  });
-  cell.updateListing();
-  return cell;
-}
+import { job, step } from "./cell_fixture.ts";
+import {
+  type Cell,
+  createCellOnVms,
+  replaceWorker,
+  restartWorkers,
+  settleJudgement,
+} from "./crash_fixture.ts";
 
 /** Plans and stores, and executes only the starts on some workers. */
 function startOn(cell: Cell, isReached: (worker: string) => boolean): void {
@@ -26,31 +20,6 @@
   cell.executeCommands();
 }
 
-/** Restarts workers under their ids, and lets the cell hear of it. */
-function restart(cell: Cell, ids: readonly string[]): void {
-  for (const id of ids) cell.fleet.get(id)!.crash();
-  cell.clock.advance(1);
-  cell.pollWorkers();
-  cell.scheduler.plan();
-}
-
-/** Replaces a worker that fell silent by one with another id on its VM. */
-function replace(cell: Cell, id: string, nextId: string): void {
-  const index = cell.entries.findIndex((entry) => entry.id === id);
-  const entry = { ...cell.entries[index], id: nextId };
-  cell.fleet.delete(id);
-  cell.fleet.set(nextId, createFakeWorker(nextId));
-  cell.scheduler.recordNoAnswer(cell.scheduler.state.workers.get(id)!);
-  cell.entries.splice(index, 1, entry);
-  cell.updateListing();
-}
-
-/** Settles a cell until all crashes so far are judged. */
-function settleJudgement(cell: Cell): void {
-  cell.clock.advance(2_000);
-  cell.settle();
-}
-
 it("crash evidence: starts that never reached their workers fail no job", () => {
   const cell = createCellOnVms(6);
   cell.submit(job("a"));
@@ -58,7 +27,7 @@
     startOn(cell, () => false);
     expect(cell.book.stateOf("a")).not.to.equal("failed");
     const { runs } = cell.scheduler.state.jobs.get("a")!.steps.get("a.0.0")!;
-    restart(cell, [runs.get(0)!.worker.id]);
+    restartWorkers(cell, [runs.get(0)!.worker.id]);
     cell.executeCommands();
     cell.clock.advance(1);
     cell.pollWorkers();
@@ -76,7 +45,7 @@
   }
   for (const zone of [ids.slice(0, 8), ids.slice(8)]) {
     startOn(cell, () => true);
-    restart(cell, zone);
+    restartWorkers(cell, zone);
     cell.executeCommands();
     cell.clock.advance(1);
     cell.pollWorkers();
@@ -93,7 +62,7 @@
   cell.settle();
   for (let crash = 0; crash < 8; crash++) {
     const [{ worker }] = cell.runs("a");
-    replace(cell, worker, `next-${crash}`);
+    replaceWorker(cell, worker, `next-${crash}`);
     cell.clock.advance(1);
     cell.settle();
     // A task that crashes its workers pauses.
@@ -113,7 +82,7 @@
     const [run] = cell.runs("a");
     if (run !== undefined) {
       starts = run.number;
-      replace(cell, run.worker, `next-${second}`);
+      replaceWorker(cell, run.worker, `next-${second}`);
     }
     cell.clock.advance(1_000);
     cell.settle();
@@ -135,9 +104,9 @@
     const [run] = cell.runs("bad");
     if (run !== undefined) {
       starts = run.number;
-      replace(cell, run.worker, `next-${round}`);
+      replaceWorker(cell, run.worker, `next-${round}`);
     }
-    restart(cell, zone.filter((id) => cell.fleet.has(id)));
+    restartWorkers(cell, zone.filter((id) => cell.fleet.has(id)));
     settleJudgement(cell);
   }
   expect(cell.book.stateOf("bad")).to.equal("failed");
@@ -161,7 +130,7 @@
   next.settle();
   settleJudgement(next);
   const [{ worker }] = next.runs("a");
-  replace(next, worker, "next");
+  replaceWorker(next, worker, "next");
   next.clock.advance(1);
   next.settle();
   settleJudgement(next);
@@ -172,7 +141,7 @@
   const cell = createCellOnVms(4);
   cell.submit(job("bad"));
   cell.settle();
-  replace(cell, cell.runs("bad")[0].worker, "next-0");
+  replaceWorker(cell, cell.runs("bad")[0].worker, "next-0");
   cell.clock.advance(1);
   cell.settle();
   settleJudgement(cell);
@@ -194,7 +163,7 @@
     run.reportedSince = undefined;
     run.confirmedAt = undefined;
     cell.scheduler.recordInterruptedStart(run);
-    replace(cell, run.worker.id, `next-${round}`);
+    replaceWorker(cell, run.worker.id, `next-${round}`);
   }
   expect(cell.book.stateOf("bad")).to.equal("failed");
   expect(starts).to.be.at.most(5);
--- a/packages/scheduler/__tests__/crash_review.test.ts
+++ b/packages/scheduler/__tests__/crash_interleavings.test.ts
@@ -8,48 +8,15 @@
   type Run,
   type WorkerState,
 } from "../src/mod.ts";
-import { createCell, job, step } from "./cell_fixture.ts";
-import { createFakeWorker } from "./fake_worker.ts";
-
-type Cell = ReturnType<typeof createCell>;
-
-/** Creates a cell whose workers are each on a VM of their own. */
-function createCellOnVms(workers: number): Cell {
-  const cell = createCell({ workers });
-  cell.entries.forEach((entry, index) => {
-    cell.entries[index] = { ...entry, vm: `m${index}` };
-  });
-  cell.updateListing();
-  return cell;
-}
-
-/** Restarts workers under their ids, and lets the cell hear of it. */
-function restart(cell: Cell, ids: readonly string[]): void {
-  for (const id of ids) cell.fleet.get(id)!.crash();
-  cell.clock.advance(1);
-  for (const id of ids) cell.pollWorker(id);
-  cell.scheduler.plan();
-}
-
-/** Makes a worker refuse connections. */
-function silence(cell: Cell, id: string): void {
-  cell.fleet.delete(id);
-  cell.scheduler.recordNoAnswer(cell.scheduler.state.workers.get(id)!);
-}
-
-/** Lets a worker with another id answer on the VM of a silent one. */
-function succeed(cell: Cell, id: string, nextId: string): void {
-  const index = cell.entries.findIndex((entry) => entry.id === id);
-  cell.fleet.set(nextId, createFakeWorker(nextId));
-  cell.entries[index] = { ...cell.entries[index], id: nextId };
-  cell.updateListing();
-}
-
-/** Settles a cell until all crashes so far are judged. */
-function settleJudgement(cell: Cell): void {
-  cell.clock.advance(4_000);
-  cell.settle();
-}
+import { job, step } from "./cell_fixture.ts";
+import {
+  addSuccessor,
+  type Cell,
+  createCellOnVms,
+  restartWorkers,
+  settleJudgement,
+  silenceWorker,
+} from "./crash_fixture.ts";
 
 /** Creates the crash records of a cell whose workers are on VMs of their own. */
 function createCrashes() {
@@ -105,7 +72,7 @@
   to.scheduler.restore(stored, to.clock.now() + 10_300);
 }
 
-it("crash review: zones that restart fail no job with a task on each worker", () => {
+it("crash interleavings: zones that restart fail no job with a task on each worker", () => {
   const cell = createCellOnVms(16);
   const ids = [...cell.fleet.keys()];
   cell.submit(job("a", { steps: [step({ taskCount: 8, accelerators: 8 })] }));
@@ -113,7 +80,7 @@
     cell.scheduler.plan();
     cell.storeBatch();
     cell.executeCommands();
-    restart(cell, zone);
+    restartWorkers(cell, zone);
     cell.executeCommands();
     cell.clock.advance(1);
     cell.pollWorkers();
@@ -122,7 +89,7 @@
   expect(cell.book.stateOf("a")).to.equal("running");
 });
 
-it("crash review: workers that restart seconds after a start fail no job", () => {
+it("crash interleavings: workers that restart seconds after a start fail no job", () => {
   const cell = createCellOnVms(6);
   cell.submit(job("a"));
   for (let crash = 0; crash < 4; crash++) {
@@ -131,13 +98,13 @@
     cell.pollWorkers();
     const [run] = cell.runs("a");
     if (run === undefined) break;
-    restart(cell, [run.worker]);
+    restartWorkers(cell, [run.worker]);
     settleJudgement(cell);
   }
   expect(cell.book.stateOf("a")).to.equal("running");
 });
 
-it("crash review: a crashing task that was reported before another start is bounded", () => {
+it("crash interleavings: a crashing task that was reported before another start is bounded", () => {
   const cell = createCellOnVms(1);
   let starts = 0;
   cell.submit(job("bad"));
@@ -155,15 +122,15 @@
     // The starts of the others are on their way when the worker ends.
     cell.commands.splice(0);
     cell.clock.advance(10);
-    silence(cell, worker.id);
+    silenceWorker(cell, worker.id);
     cell.clock.advance(3_000);
-    succeed(cell, worker.id, `next-${round}`);
+    addSuccessor(cell, worker.id, `next-${round}`);
   }
   expect(cell.book.stateOf("bad")).to.equal("failed");
   expect(starts).to.be.at.most(5);
 });
 
-it("crash review: a task that met the last crash is not started by the next lead", () => {
+it("crash interleavings: a task that met the last crash is not started by the next lead", () => {
   const cell = createCellOnVms(4);
   cell.submit(job("bad"));
   cell.settle();
@@ -171,7 +138,7 @@
   const met = new Set(["v0/1", "v1/1", "v2/1", "v3/1"]);
   crashes.set(0, { met, suspected: new Set() });
   // The fifth crash is stored, and its lead ends before it judges it.
-  restart(cell, [cell.runs("bad")[0].worker]);
+  restartWorkers(cell, [cell.runs("bad")[0].worker]);
   cell.storeBatch();
   const next = createCellOnVms(4);
   restore(cell, next, "bad");
@@ -181,15 +148,15 @@
   expect(next.book.stateOf("bad")).to.equal("failed");
 });
 
-it("crash review: a long-running task whose successor is slow starts within 6 s", () => {
+it("crash interleavings: a long-running task whose successor is slow starts within 6 s", () => {
   const cell = createCellOnVms(6);
   cell.submit(job("a", { steps: [step({ isLongRunning: true })] }));
   for (let crash = 0; crash < 4; crash++) {
     cell.settle();
     const [{ worker }] = cell.runs("a");
-    silence(cell, worker);
+    silenceWorker(cell, worker);
     cell.clock.advance(3_000);
-    succeed(cell, worker, `next-${crash}`);
+    addSuccessor(cell, worker, `next-${crash}`);
     cell.settle();
     cell.clock.advance(2_500);
     cell.settle();
@@ -197,7 +164,7 @@
   }
 });
 
-it("crash review: a start that broke off before the silence was noticed is bounded", () => {
+it("crash interleavings: a start that broke off before the silence was noticed is bounded", () => {
   const cell = createCellOnVms(4);
   cell.submit(job("bad"));
   let starts = 0;
@@ -210,15 +177,15 @@
     run.confirmedAt = undefined;
     cell.scheduler.recordInterruptedStart(run);
     cell.clock.advance(500);
-    silence(cell, run.worker.id);
+    silenceWorker(cell, run.worker.id);
     cell.clock.advance(2_500);
-    succeed(cell, run.worker.id, `next-${round}`);
+    addSuccessor(cell, run.worker.id, `next-${round}`);
   }
   expect(cell.book.stateOf("bad")).to.equal("failed");
   expect(starts).to.be.at.most(5);
 });
 
-it("crash review: four restarts between leads fail no job", () => {
+it("crash interleavings: four restarts between leads fail no job", () => {
   let cell = createCellOnVms(1);
   cell.submit(job("a"));
   cell.scheduler.plan();
@@ -241,7 +208,7 @@
   }
 });
 
-it("crash review: a zone whose other restarts are noticed 2 s later fails no job", () => {
+it("crash interleavings: a zone whose other restarts are noticed 2 s later fails no job", () => {
   const cell = createCellOnVms(16);
   const ids = [...cell.fleet.keys()];
   cell.submit(job("a", { steps: [step({ accelerators: 8 })] }));
@@ -250,7 +217,7 @@
     const [{ worker }] = cell.runs("a");
     const others = ids.filter((id) => id !== worker);
     for (const id of others) cell.fleet.get(id)!.crash();
-    restart(cell, [worker]);
+    restartWorkers(cell, [worker]);
     cell.executeCommands();
     cell.clock.advance(1);
     cell.pollWorker(worker);
@@ -264,7 +231,7 @@
   expect(cell.book.stateOf("a")).to.equal("running");
 });
 
-it("crash review: a job of which every task crashes its worker is bounded", () => {
+it("crash interleavings: a job of which every task crashes its worker is bounded", () => {
   const cell = createCellOnVms(8);
   const spec = step({ taskCount: 6, accelerators: 8 });
   cell.submit(job("bad", { steps: [spec] }));
@@ -274,8 +241,8 @@
     const runs = cell.runs("bad");
     if (runs.length > 0) starts += 1;
     for (const { worker } of runs) {
-      silence(cell, worker);
-      succeed(cell, worker, `${worker}+`);
+      silenceWorker(cell, worker);
+      addSuccessor(cell, worker, `${worker}+`);
     }
     cell.clock.advance(1);
     settleJudgement(cell);
@@ -284,13 +251,13 @@
   expect(starts).to.be.at.most(5);
 });
 
-it("crash review: a zone whose other workers are idle fails no job", () => {
+it("crash interleavings: a zone whose other workers are idle fails no job", () => {
   const cell = createCellOnVms(16);
   const ids = [...cell.fleet.keys()];
   cell.submit(job("a"));
   for (let crash = 0; crash < 2; crash++) {
     cell.settle();
-    restart(cell, ids);
+    restartWorkers(cell, ids);
     cell.executeCommands();
     cell.clock.advance(1);
     cell.pollWorkers();
@@ -299,22 +266,22 @@
   expect(cell.book.stateOf("a")).to.equal("running");
 });
 
-it("crash review: a zone whose idle workers are replaced fails no job", () => {
+it("crash interleavings: a zone whose idle workers are replaced fails no job", () => {
   const cell = createCellOnVms(8);
   cell.submit(job("a"));
   for (let crash = 0; crash < 2; crash++) {
     cell.settle();
     const ids = [...cell.fleet.keys()];
-    for (const id of ids) silence(cell, id);
+    for (const id of ids) silenceWorker(cell, id);
     cell.clock.advance(3_000);
-    for (const id of ids) succeed(cell, id, `${id}+`);
+    for (const id of ids) addSuccessor(cell, id, `${id}+`);
     cell.settle();
     settleJudgement(cell);
   }
   expect(cell.book.stateOf("a")).to.equal("running");
 });
 
-it("crash review: a crash shared with a job that was given up speaks against no other", () => {
+it("crash interleavings: a crash shared with a job that was given up speaks against no other", () => {
   const { crash, judge, isFailed } = createCrashes();
   crash("bad");
   judge();
@@ -327,7 +294,7 @@
   expect(isFailed("good")).to.equal(false);
 });
 
-it("crash review: tasks that met a crash of a common cause are placed apart", () => {
+it("crash interleavings: tasks that met a crash of a common cause are placed apart", () => {
   const { crash, judge, penaltyBeside } = createCrashes();
   crash("bad", "good");
   for (const name of ["b", "c", "d", "e"]) crash(name);
