--- a/review/15/case.mjs
+++ b/review/15/case.mjs
@@ -3,82 +3,80 @@
 import {
   createId,
   createJob,
+  findLead,
   pause,
   runCase,
   waitFor,
 } from "../lib-3/harness.mjs";
 
-// How long a worker refuses starts; the largest span of the site is 6.5 s.
-const UNHEALTHY_MS = 6_400;
-// `visible_ms` + 2 s, after which a job that has not begun must be counted.
-const COUNTED_AFTER_MS = 5_000;
-const JOBS = 8;
+// `drain_ms` of the deployment is 2,000.
+const DRAIN_MS = 2_500;
+// The lead is killed this long before the worker leaves.
+const KILLED_BEFORE_MS = 500;
+const RESTART_DELAY_MS = 1_000;
+// A job may have nothing running for 3 s after 4 s without a disturbance.
+const CALM_MS = 4_000;
+const IDLE_LIMIT_MS = 3_000;
+const WATCH_MS = 40_000;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (context) => {
   const { deploy, record, hasTrouble } = context;
-  const begun = new Set();
-  const { entries, fleet } = await deploy({
-    workers: 12,
-    onEvent: ({ kind, task }) => {
-      if (kind === "started") begun.add(task.split(".")[0]);
+  const starts = [];
+  const deployment = await deploy({
+    workers: 16,
+    onEvent: ({ kind, at }) => {
+      if (kind === "started") starts.push(at);
     },
   });
-  // All workers but one are busy.
-  for (let index = 1; index < fleet.length; index++) {
-    await entries[0].call("POST", createId(), {
-      body: createJob({ gpu: 8, ms: 60_000 }),
-    });
+  const { entries, fleet } = deployment;
+  const id = createId();
+  const submitted = await entries[0].call("POST", id, {
+    body: createJob({ gpu: 8, ms: 60_000 }),
+  });
+  if (submitted.status !== 200) throw new Error("the job was not accepted");
+  const findWorker = () => fleet.find((worker) => worker.runCount() === 1);
+  if (!await waitFor(() => findWorker() !== undefined, 10_000)) {
+    throw new Error("the job did not start");
   }
-  const areBusy = await waitFor(
-    () =>
-      fleet.filter((worker) => worker.runCount() === 1).length ===
-        fleet.length - 1,
-    10_000,
-  );
-  if (!areBusy) throw new Error("the other jobs did not start");
-  const ill = fleet.find((worker) => worker.runCount() === 0);
   await pause(5_000);
-  const atRest = await entries[1].call("GET", "");
-  if (atRest.body.pending !== 0) throw new Error("jobs are left at the start");
-
-  if (hasTrouble) {
-    record(`${ill.id} becomes unhealthy: it refuses starts with 503`);
-    ill.isUnhealthy = true;
-  }
-  const illUntil = performance.now() + UNHEALTHY_MS;
-  const ids = Array.from({ length: JOBS }, createId);
-  for (const id of ids) {
-    const answer = await entries[1].call("POST", id, {
-      body: createJob({ gpu: 1, ms: 20_000 }),
-    });
-    if (answer.status !== 200) throw new Error("a job was not accepted");
+  if (!hasTrouble) {
+    await pause(CALM_MS + IDLE_LIMIT_MS);
+    return findWorker() === undefined ? "nothing runs" : undefined;
   }
-  const acceptedAt = performance.now();
-  let breach;
-  await pause(COUNTED_AFTER_MS + 300);
-  while (performance.now() < illUntil - 100) {
-    const waitingBefore = ids.filter((id) => !begun.has(id)).length;
-    const counts = [];
-    for (const entry of entries) {
-      const answer = await entry.call("GET", "");
-      counts.push(answer.body.pending);
-    }
-    const waiting = ids.filter((id) => !begun.has(id)).length;
-    record(`${waiting} of ${JOBS} jobs have not begun`);
-    const lowest = Math.min(...counts);
-    if (waiting === waitingBefore && lowest < waiting / 2) {
-      const age = Math.round(performance.now() - acceptedAt);
-      breach ??= `pending is ${lowest} while ${waiting} jobs, accepted ` +
-        `${age} ms before, have not begun`;
+
+  const worker = findWorker();
+  const lead = await findLead(deployment);
+  if (lead === undefined) throw new Error("no entry leads");
+  record(`${lead.node} leads, the task runs on ${worker.id}`);
+  worker.drain(DRAIN_MS);
+  await pause(DRAIN_MS - KILLED_BEFORE_MS);
+  const restart = async () => {
+    record(`${lead.node}: SIGKILL`);
+    await lead.kill("SIGKILL");
+    await pause(RESTART_DELAY_MS);
+    lead.launch();
+    if (!await waitFor(lead.isReady, 10_000)) {
+      throw new Error("the killed entry did not become ready");
     }
-    await pause(200);
-  }
-  record(`${ill.id} is healthy`);
-  ill.isUnhealthy = false;
-  const areBegun = await waitFor(
-    () => ids.every((id) => begun.has(id)),
-    15_000,
+  };
+  const restarted = restart();
+  await pause(KILLED_BEFORE_MS);
+  await worker.leave();
+  const leftAt = performance.now();
+  await restarted;
+  const calmSince = performance.now();
+  record("the killed entry is ready; no disturbance from now on");
+  const findStart = () => starts.find((at) => at > leftAt);
+  await waitFor(() => findStart() !== undefined, WATCH_MS);
+  await entries.find((entry) => entry !== lead).call("GET", id);
+  const startedAt = findStart() ?? performance.now();
+  const tookMs = Math.round(startedAt - leftAt);
+  const calmMs = Math.round(startedAt - calmSince);
+  record(
+    `nothing ran for ${tookMs} ms, the last ${calmMs} without disturbance`,
   );
-  record(`all jobs have begun: ${areBegun}`);
-  return breach;
+  return calmMs > CALM_MS + IDLE_LIMIT_MS
+    ? `job ${id} had nothing running for ${tookMs} ms, the last ${calmMs} ms ` +
+      `of them without a disturbance, beside ${fleet.length - 1} idle workers`
+    : undefined;
 });
--- a/review/lib-3/harness.mjs
+++ b/review/lib-3/harness.mjs
@@ -28,6 +28,7 @@
 const HEARTBEAT_MS = 1_500;
 const HOLD_MAX_MS = 10_000;
 const GANG_TIMEOUT_MS = 3_000;
+const STARTUP_MS = 500;
 
 export const pause = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
@@ -284,6 +285,7 @@
   let beatTimer;
   let lapseTimer;
   let isUp = false;
+  let leavesAt;
   let server;
   let port;
   const runs = new Map();
@@ -340,14 +342,16 @@
     if (current !== undefined || (highestOver.get(task) ?? 0) >= run) {
       return [409, { reason: "old" }];
     }
-    const { gpu = 0, ms, gang = 0 } = JSON.parse(spec);
+    const { gpu = 0, ms, gang = 0, isLasting = false } = JSON.parse(spec);
     let used = 0;
     for (const other of runs.values()) used += other.gpu;
     if (used + gpu > capacity.gpu) return [409, { reason: "room" }];
-    const state = { task, run, gpu, ms, startedAt: readClock() };
+    const state = { task, run, gpu, ms, isLasting, startedAt: readClock() };
     runs.set(task, state);
-    if (gang === 0) state.timer = setTimeout(() => endRun(state, "done"), ms);
-    else joinGang(state, gang);
+    if (gang > 0) joinGang(state, gang);
+    else if (!isLasting) {
+      state.timer = setTimeout(() => endRun(state, "done"), ms);
+    }
     record(`${id}: run ${run} of ${task} started`);
     onEvent({ kind: "started", worker: id, task, run, at: performance.now() });
     return [200, {}];
@@ -358,6 +362,12 @@
     if (current !== undefined && current.run <= run) endRun(current, "stopped");
     return [200, {}];
   };
+  const percentOf = ({ startedAt, ms, isLasting }) => {
+    const tookMs = readClock() - startedAt;
+    // A task that lasts is at work after its startup.
+    if (isLasting) return Math.min(100, Math.floor(100 * tookMs / STARTUP_MS));
+    return Math.min(99, Math.floor(100 * tookMs / ms));
+  };
   const hold = async ({ deadline_ms, last_seen = 0, wait_ms = 0 }) => {
     if (deadline_ms !== undefined) extendLease(deadline_ms);
     ended = ended.filter(([position]) => position > last_seen);
@@ -372,13 +382,11 @@
         waiting.add(wake);
       });
     }
-    const running = [...runs.values()].map((
-      { task, run, ms, startedAt },
-    ) => [
-      task,
-      run,
+    const running = [...runs.values()].map((run) => [
+      run.task,
+      run.run,
       "",
-      Math.min(99, Math.floor(100 * (readClock() - startedAt) / ms)),
+      percentOf(run),
       1_000,
     ]);
     return [200, { running, ended: ended.slice(0, 500) }];
@@ -422,7 +430,10 @@
         zone,
         version: "v1",
         slots: 8,
-        state: "ready",
+        state: leavesAt === undefined ? "ready" : "draining",
+        ...leavesAt === undefined
+          ? {}
+          : { remaining_ms: Math.max(0, leavesAt - readClock()) },
         cold_remaining_ms: 0,
         capacity,
         labels,
@@ -447,6 +458,7 @@
     isUp: () => isUp,
     start: async () => {
       clearTimeout(lapseTimer);
+      leavesAt = undefined;
       born = Math.max(Date.now(), born + 1);
       bootedAt = performance.now();
       token = 0;
@@ -486,6 +498,23 @@
       server.closeAllConnections();
       await closed;
     },
+    /**
+     * Begins a planned shutdown: it reports that it is draining, and serves on
+     * until `leave` is called.
+     */
+    drain: (remainingMs) => {
+      leavesAt = readClock() + remainingMs;
+      record(`${id}: draining, leaves in ${remainingMs} ms`);
+      beat();
+    },
+    /** Ends a planned shutdown: what runs ends, and the entry is removed. */
+    leave: async () => {
+      record(`${id}: leaves`);
+      const closed = worker.crash();
+      clearTimeout(lapseTimer);
+      store.write("keyed.servers", id, "");
+      await closed;
+    },
     close: () => {
       clearTimeout(lapseTimer);
       clearInterval(beatTimer);
@@ -873,7 +902,12 @@
 /** Body of a job of one step with tasks that take `ms` on `gpu` accelerators. */
 export function createJob({ count = 1, gpu = 1, ms, ...step }, job = {}) {
   return JSON.stringify({
-    spec: JSON.stringify({ gpu, ms }),
+    spec: JSON.stringify({
+      gpu,
+      ms,
+      ...step.gang ? { gang: count } : {},
+      ...step.long_running ? { isLasting: true } : {},
+    }),
     steps: [{ count, cpu: 1_000, mem_mb: 100, gpu, estimate_ms: ms, ...step }],
     ...job,
   });
