--- a/review/lib-3/harness.mjs
+++ b/review/lib-3/harness.mjs
@@ -723,6 +723,8 @@
     node,
     zone,
     log,
+    /** Port on which it serves callers. */
+    port: front,
     pid: () => child.pid,
     isAlive: () => child.exitCode === null && child.signalCode === null,
     launch,
