--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -21,6 +21,7 @@
 await runCase(dirname(fileURLToPath(import.meta.url)), async (context) => {
   const { deploy, record, hasTrouble } = context;
   const endsByNode = new Map();
+  let isPlaying = false;
   const check = createStarvationCheck(record);
   const deployment = await deploy({
     workers: 10,
@@ -31,11 +32,12 @@
       endsByNode.set(node, ends);
       record(`${node} ended by itself, time ${ends}: ${signal ?? code}`);
       setTimeout(() => {
-        if (!deployment.isStopping) entry.launch();
+        if (isPlaying) entry.launch();
       }, RESTART_DELAY_MS);
     },
   });
   const { entries, fleet } = deployment;
+  isPlaying = true;
   check.watch(fleet);
   // An ordinary job, accepted before the other one.
   const ordinary = { count: 4, gpu: 1 };
@@ -73,6 +75,7 @@
       if ((await entry.call("GET", id)).status === 200) break;
     }
   }
+  isPlaying = false;
   check.stop();
   const ends = [...endsByNode].map(([node, count]) => `${node} ${count} times`);
   record(`processes ended by themselves: ${ends.join(", ") || "none"}`);
--- a/review/lib-3/harness.mjs
+++ b/review/lib-3/harness.mjs
@@ -26,6 +26,8 @@
 export const PREFIX = "/lohu930/";
 export const SERVICE = "matcher";
 const HEARTBEAT_MS = 1_500;
+/** All processes that were started. */
+const children = new Set();
 const HOLD_MAX_MS = 10_000;
 const GANG_TIMEOUT_MS = 3_000;
 const STARTUP_MS = 500;
@@ -677,6 +679,7 @@
     child.stdout.pipe(output, { end: false });
     child.stderr.pipe(output, { end: false });
     const launched = child;
+    children.add(launched);
     record(`${node}: process started`);
     child.once("exit", (code, signal) => {
       record(`${node}: process ended, code ${code}, signal ${signal}`);
@@ -933,11 +936,21 @@
     return deployment;
   };
   let code = 2;
+  /** Ends all processes of a case that could not run. */
+  const end = () => {
+    for (const child of children) child.kill("SIGKILL");
+    process.exit(2);
+  };
   const watchdog = setTimeout(() => {
     record("case could not run: it took too long");
-    for (const entry of deployment?.entries ?? []) entry.signal("SIGKILL");
-    process.exit(2);
+    end();
   }, 115_000);
+  for (const event of ["uncaughtException", "unhandledRejection"]) {
+    process.once(event, (error) => {
+      record(`case could not run: ${error?.stack}`);
+      end();
+    });
+  }
   try {
     const breach = await play({ deploy, record, hasTrouble });
     record(breach === undefined ? "the rule held" : `BROKEN: ${breach}`);
