--- a/review/lib-3/harness.mjs
+++ b/review/lib-3/harness.mjs
@@ -58,15 +58,21 @@
   };
 }
 
+// Below the ports that outgoing connections of other processes take.
+const FIRST_PORT = 15_000;
+const PORT_COUNT = 17_000;
+
 async function findFreePorts(count) {
-  const servers = await Promise.all(
-    Array.from({ length: count }, () =>
-      new Promise((resolve, reject) => {
-        const server = createNetServer();
-        server.once("error", reject);
-        server.listen(0, "127.0.0.1", () => resolve(server));
-      })),
-  );
+  const servers = [];
+  while (servers.length < count) {
+    const server = createNetServer();
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+    const isFree = await new Promise((resolve) => {
+      server.once("error", () => resolve(false));
+      server.listen(port, "127.0.0.1", () => resolve(true));
+    });
+    if (isFree) servers.push(server);
+  }
   const ports = servers.map((server) => server.address().port);
   await Promise.all(
     servers.map((server) => new Promise((resolve) => server.close(resolve))),
