fix(scheduler): hold a bounded window of the due occurrences of periodic jobs

Cause: a planning pass created the state of each step of each due occurrence, room or not, while the estimate of accepted jobs counted the occurrences that were due at the submission. Finished occurrences, their step indices and their stored progress were kept until the job ended.

A lead now opens due occurrences in order: one for each periodic job, further ones within 4 MiB of all jobs together, the jobs with the fewest first. Finished ones are stored as ranges, one record for each 64 finished steps; their progress is deleted once that record is stored. A record that names finished occurrences is stored before the progress that it replaces is deleted, so that a change of lead in between runs nothing again.

The estimate test of periodic jobs is replaced: it expected unbounded growth with the clock; the new ones expect the same counts for few occurrences and the bound for many.

--- a/packages/cell/__tests__/job_admission.test.ts
+++ b/packages/cell/__tests__/job_admission.test.ts
@@ -26,10 +26,7 @@
   steps: Array.from({ length: steps }, () => STEP),
 });
 
-const SMALL = estimateJobBytes(createJob("a"), {
-  hasEnded: false,
-  wallTime: 0,
-});
+const SMALL = estimateJobBytes(createJob("a"), { hasEnded: false });
 
 /** Creates an admission with a bound, in numbers of small jobs. */
 function createAdmission(smallJobs: number) {
--- a/packages/cell/src/job_admission.ts
+++ b/packages/cell/src/job_admission.ts
@@ -149,7 +149,7 @@
   return {
     admit: async (spec, waitUntil) => {
       const wallTime = clock.wallTime();
-      const bytes = estimateJobBytes(spec, { hasEnded: false, wallTime });
+      const bytes = estimateJobBytes(spec, { hasEnded: false });
       measureRate();
       while (true) {
         const room = measureRoom(wallTime);
--- a/packages/cell/src/storable_sizes.ts
+++ b/packages/cell/src/storable_sizes.ts
@@ -22,7 +22,10 @@
    */
   handleRejected(
     records: readonly CellRecord[],
-    scheduler: Pick<Scheduler, "handleUnstorable">,
+    scheduler: Pick<
+      Scheduler,
+      "handleUnstorable" | "handleUnstorableOccurrences"
+    >,
   ): boolean;
 }
 
@@ -71,7 +74,11 @@
         "store rejects records; storing progress in smaller parts",
       );
       scheduler.handleUnstorable(unstorable);
-      return progress.length === 0;
+      const finished = records.filter((record) =>
+        record.kind === "finishedOccurrences"
+      );
+      scheduler.handleUnstorableOccurrences(finished.map(({ job }) => job));
+      return progress.length === 0 && finished.length === 0;
     },
   };
 }
--- a/packages/scheduler/__tests__/job_memory.test.ts
+++ b/packages/scheduler/__tests__/job_memory.test.ts
@@ -7,10 +7,12 @@
   decodeRecord,
   encodeRecord,
   estimateJobBytes,
+  estimateOccurrenceBytes,
   findRunnableSteps,
   getOrCreateStep,
   type JobSpec,
   type KeyedValue,
+  MAXIMUM_OCCURRENCE_BYTES,
   stepKey,
   type StepSpec,
   type StoredProgress,
@@ -22,7 +24,7 @@
 const STEPS = 2_000;
 const JOBS = 10;
 const TIMEOUT_MS = 30_000;
-const NOT_ENDED = { hasEnded: false, wallTime: 0 };
+const NOT_ENDED = { hasEnded: false };
 
 const wide = (id: string, spec: StepSpec): JobSpec =>
   job(id, { steps: Array.from({ length: STEPS }, () => spec) });
@@ -134,7 +136,7 @@
 it("job memory: the estimate covers ended jobs", () => {
   const specs = idsOf(JOBS).map((id) => chain(id, STEPS));
   const { bytes } = measureHeap(() => readBook(specs));
-  const ended = { hasEnded: true, wallTime: 0 };
+  const ended = { hasEnded: true };
   expect(bytes).to.be.at.most(JOBS * estimateJobBytes(specs[0], ended));
 }).timeout(TIMEOUT_MS);
 
@@ -170,13 +172,27 @@
 it("job memory: a periodic job counts the occurrences that are due", () => {
   const repetition = { count: 3, startAt: 1_000, intervalMs: 100 };
   const spec = job("a", { repetition });
-  const bytesAt = (wallTime: number) =>
-    estimateJobBytes(spec, { hasEnded: false, wallTime });
   const book = createJobBook();
   book.apply({ kind: "submission", spec });
-  const perOccurrence = bytesAt(1_100) - bytesAt(1_099);
-  expect(perOccurrence).to.be.above(0);
-  expect(bytesAt(0)).to.equal(bytesAt(1_099));
-  expect(bytesAt(1_000_000) - bytesAt(0)).to.equal(2 * perOccurrence);
-  expect(book.memory.heldBytes(1_000_000)).to.equal(bytesAt(1_000_000));
+  const heldAt = (wallTime: number) => book.memory.heldBytes(wallTime);
+  const perOccurrence = heldAt(1_100) - heldAt(1_099);
+  expect(perOccurrence).to.equal(estimateOccurrenceBytes(spec));
+  expect(heldAt(0)).to.equal(estimateJobBytes(spec, NOT_ENDED));
+  expect(heldAt(0)).to.equal(heldAt(1_099));
+  expect(heldAt(1_000_000) - heldAt(0)).to.equal(2 * perOccurrence);
+});
+
+// Due occurrences took all the memory of jobs, so that other jobs were refused.
+it("job memory: due occurrences of all periodic jobs count up to a bound", () => {
+  const book = createJobBook();
+  const repetition = { count: 1e9, startAt: 0, intervalMs: 5 };
+  const specs = ["a", "b"].map((id) => job(id, { repetition }));
+  for (const spec of specs) book.apply({ kind: "submission", spec });
+  expect(book.memory.heldBytes(1e9)).to.equal(
+    2 * estimateJobBytes(specs[0], NOT_ENDED) + MAXIMUM_OCCURRENCE_BYTES,
+  );
+  for (const { id } of specs) {
+    book.apply({ kind: "removal", job: id, steps: [] });
+  }
+  expect(book.memory.heldBytes(1e9)).to.equal(0);
 });
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -7,6 +7,10 @@
 } from "./job_types.ts";
 import type { StepAdvice, Ticket } from "./advice.ts";
 import type { TaskCrashes } from "./crash_blame.ts";
+import {
+  createJobOccurrences,
+  type JobOccurrences,
+} from "./job_occurrences.ts";
 import { storedKeysOf } from "./job_steps.ts";
 import type { LazyMap, LazySet } from "./lazy_collections.ts";
 import type { ProgressParts } from "./progress_parts.ts";
@@ -145,8 +149,7 @@
   droppedSteps: Map<number, Set<number>>;
   /** Number of runs of all steps. */
   runCount: number;
-  /** Occurrences whose steps have all ended successfully. */
-  finishedOccurrences: Set<number>;
+  occurrences: JobOccurrences;
   /**
    * By unfinished occurrence, the number of steps, from the first one on, that
    * were found done when it was last checked for its end.
@@ -251,6 +254,8 @@
   unsavedSteps: Set<StepState>;
   /** Keys of stored progress that is to be deleted. */
   removedSteps: Set<string>;
+  /** Periodic jobs with finished occurrences that are not compacted. */
+  jobsToCompact: Set<ActiveJob>;
   /** Jobs whose outcome is not confirmed to be stored. */
   unsavedOutcomes: Set<ActiveJob>;
 }
@@ -262,6 +267,7 @@
     workers: new Map(),
     unsavedSteps: new Set(),
     removedSteps: new Set(),
+    jobsToCompact: new Set(),
     unsavedOutcomes: new Set(),
   };
 }
@@ -289,7 +295,7 @@
     steps: new Map(),
     droppedSteps: new Map(),
     runCount: 0,
-    finishedOccurrences: new Set(),
+    occurrences: createJobOccurrences(spec),
     leadingDoneSteps: new Map(),
   };
   state.jobs.set(spec.id, job);
@@ -375,6 +381,7 @@
   if (job.outcome === undefined || state.unsavedOutcomes.has(job)) return;
   if (job.runCount > 0) return;
   state.jobs.delete(job.spec.id);
+  state.jobsToCompact.delete(job);
   for (const step of job.steps.values()) {
     state.unsavedSteps.delete(step);
   }
--- a/packages/scheduler/src/job_book.ts
+++ b/packages/scheduler/src/job_book.ts
@@ -6,6 +6,7 @@
   type JobSpec,
   type JobState,
 } from "./job_types.ts";
+import type { NumberRange } from "./number_ranges.ts";
 import type { CellRecord, StepRecord } from "./records.ts";
 
 /** A job as recorded in the store. */
@@ -22,6 +23,8 @@
   steps: Map<string, StepRecord>;
   /** Whether a run of any of its steps was ever placed. */
   hasStarted: boolean;
+  /** Occurrences of a periodic job that are finished and have no progress. */
+  finishedOccurrences?: readonly NumberRange[];
   /**
    * End offset of the append that stored the job; set until its submission has
    * been read from the journal. Until then, an earlier submission with the same
@@ -118,6 +121,8 @@
     } else if (record.kind === "progress") {
       job.steps.set(record.step, record.progress);
       applyChange(job, () => job.hasStarted ||= record.progress.highestRun > 0);
+    } else if (record.kind === "finishedOccurrences") {
+      job.finishedOccurrences = record.ranges;
     } else if (record.kind === "outcome") {
       applyChange(job, () => job.outcome = record.outcome);
       job.endedAt = record.at;
--- a/packages/scheduler/src/job_memory.ts
+++ b/packages/scheduler/src/job_memory.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from "@rattanhill/shared";
-import { dueAt, type JobSpec, type StepSpec } from "./job_types.ts";
+import type { JobSpec, StepSpec } from "./job_types.ts";
 
 // Of a job with its entries in the book and in the lead's state.
 const JOB_BYTES = 2_048;
@@ -16,52 +16,74 @@
 const DEPENDENCY_BYTES = 16;
 
 /**
- * Estimates the memory that an entry needs for a job, at most: as the lead, also
- * while it takes over. An entry that does not lead needs less.
+ * Largest estimate of all open occurrences of periodic jobs but the first of
+ * each job.
+ */
+export const MAXIMUM_OCCURRENCE_BYTES = 4_194_304;
+
+/**
+ * Estimates the memory that an entry needs for a job with one occurrence, at
+ * most: as the lead, also while it takes over. An entry that does not lead needs
+ * less.
  *
  * @param spec the job
- * @param state whether the job has ended, and the wall time, by which the
- * occurrences of a periodic job are counted
+ * @param state whether the job has ended
  * @returns bytes
  */
 export function estimateJobBytes(
   spec: JobSpec,
-  { hasEnded, wallTime }: { hasEnded: boolean; wallTime: Milliseconds },
+  { hasEnded }: { hasEnded: boolean },
 ): number {
   let bytes = JOB_BYTES + CHARACTER_BYTES * spec.payload.length;
-  let tasks = 0;
   for (const step of spec.steps) {
     bytes += CHARACTER_BYTES * charactersOf(step) +
       DEPENDENCY_BYTES * step.after.length;
-    tasks += step.taskCount;
   }
-  const { length: steps } = spec.steps;
-  if (hasEnded) return bytes + ENDED_STEP_BYTES * steps;
-  return bytes +
-    dueOccurrencesOf(spec, wallTime) *
-      (STEP_BYTES * steps + TASK_BYTES * tasks);
+  if (hasEnded) return bytes + ENDED_STEP_BYTES * spec.steps.length;
+  return bytes + estimateOccurrenceBytes(spec);
 }
 
-/** Returns an estimate also of a stored job that is damaged. */
-function estimateStoredJob(
-  spec: JobSpec,
-  state: { hasEnded: boolean; wallTime: Milliseconds },
-): number {
+/**
+ * @returns bytes that the lead needs for the steps and tasks of one occurrence
+ * of a job, at most
+ */
+export function estimateOccurrenceBytes({ steps }: JobSpec): number {
+  const tasks = steps.reduce((sum, { taskCount }) => sum + taskCount, 0);
+  return STEP_BYTES * steps.length + TASK_BYTES * tasks;
+}
+
+/** Returns a smallest estimate instead of none for a job that is damaged. */
+function estimateStored(estimate: () => number, minimum: number): number {
   try {
-    const bytes = estimateJobBytes(spec, state);
-    return Number.isFinite(bytes) ? bytes : JOB_BYTES;
+    const bytes = estimate();
+    return Number.isFinite(bytes) ? Math.max(bytes, minimum) : minimum;
   } catch {
-    return JOB_BYTES;
+    return minimum;
   }
 }
 
-/** Returns the number of occurrences that are due, at least one. */
+/**
+ * @returns the estimate of an occurrence, see {@link estimateOccurrenceBytes},
+ * also of a stored job that is damaged
+ */
+export function estimateStoredOccurrence(spec: JobSpec): number {
+  return estimateStored(() => estimateOccurrenceBytes(spec), STEP_BYTES);
+}
+
+/** Returns the estimate of the due occurrences of a job but the first. */
+function estimateFurtherOccurrences(
+  spec: JobSpec,
+  wallTime: Milliseconds,
+): number {
+  const further = dueOccurrencesOf(spec, wallTime) - 1;
+  return further > 0 ? further * estimateStoredOccurrence(spec) : 0;
+}
+
+/** Returns the number of occurrences that are due. */
 function dueOccurrencesOf(spec: JobSpec, wallTime: Milliseconds): number {
-  const { repetition } = spec;
-  if (repetition === undefined) return 1;
-  const { count, intervalMs } = repetition;
-  const sinceFirst = wallTime - dueAt(spec, 0);
-  if (sinceFirst < 0) return 1;
+  const { count, startAt, intervalMs } = spec.repetition!;
+  const sinceFirst = wallTime - startAt;
+  if (sinceFirst < 0) return 0;
   const due = intervalMs > 0 ? Math.floor(sinceFirst / intervalMs) + 1 : count;
   return Math.min(count, due);
 }
@@ -88,9 +110,9 @@
 
 /** @returns the memory of no jobs */
 export function createJobMemory(): JobMemory {
-  /** Estimates of jobs that do not grow, by job. */
+  /** Estimates with one occurrence, by job. */
   const estimates = new Map<string, number>();
-  /** Unfinished periodic jobs, which grow with each occurrence. */
+  /** Unfinished periodic jobs, of which several occurrences may be open. */
   const periodicJobs = new Map<string, JobSpec>();
   let heldBytes = 0;
   let releasedBytes = 0;
@@ -105,23 +127,22 @@
 
   return {
     update: (id, spec, hasEnded) => {
-      const isGrowing = spec.repetition !== undefined && !hasEnded;
-      if (isGrowing) periodicJobs.set(id, spec);
-      else periodicJobs.delete(id);
-      const wallTime = spec.submittedAt;
-      const bytes = estimateStoredJob(spec, { hasEnded, wallTime });
-      setEstimate(id, isGrowing ? 0 : bytes);
+      if (spec.repetition !== undefined && !hasEnded) {
+        periodicJobs.set(id, spec);
+      } else periodicJobs.delete(id);
+      const estimate = () => estimateJobBytes(spec, { hasEnded });
+      setEstimate(id, estimateStored(estimate, JOB_BYTES));
     },
     remove: (id) => {
       periodicJobs.delete(id);
       setEstimate(id, 0);
     },
     heldBytes: (wallTime) => {
-      let sum = heldBytes;
+      let further = 0;
       for (const spec of periodicJobs.values()) {
-        sum += estimateStoredJob(spec, { hasEnded: false, wallTime });
+        further += estimateFurtherOccurrences(spec, wallTime);
       }
-      return sum;
+      return heldBytes + Math.min(further, MAXIMUM_OCCURRENCE_BYTES);
     },
     releasedBytes: () => releasedBytes,
   };
--- a/packages/scheduler/src/job_outcomes.ts
+++ b/packages/scheduler/src/job_outcomes.ts
@@ -4,23 +4,38 @@
   isOver,
   type Run,
 } from "./cell_state.ts";
+import { finishOccurrence } from "./job_occurrences.ts";
 import { isStepDoneAt } from "./job_steps.ts";
 import { type JobOutcome, occurrencesOf } from "./job_types.ts";
 
-/** Sets the outcome of a job once all steps of all occurrences are done. */
-export function completeJobIfDone(state: CellState, job: ActiveJob): void {
+/**
+ * Finishes occurrences of a job whose steps are all done, and sets the outcome
+ * of the job once all of its occurrences are finished.
+ *
+ * @param state the cell
+ * @param job the job
+ * @param changed occurrences of which a step may have ended; by default all
+ * that are open
+ */
+export function completeJobIfDone(
+  state: CellState,
+  job: ActiveJob,
+  changed: Iterable<number> = [...job.occurrences.open],
+): void {
   if (isOver(job)) return;
-  const occurrenceCount = occurrencesOf(job.spec);
-  for (let occurrence = 0; occurrence < occurrenceCount; occurrence++) {
-    if (job.finishedOccurrences.has(occurrence)) continue;
+  const { spec, occurrences, leadingDoneSteps } = job;
+  for (const occurrence of changed) {
+    if (occurrences.finished.has(occurrence)) continue;
     const doneSteps = countLeadingDoneSteps(job, occurrence);
-    if (doneSteps < job.spec.steps.length) {
-      job.leadingDoneSteps.set(occurrence, doneSteps);
-      return;
+    if (doneSteps < spec.steps.length) {
+      leadingDoneSteps.set(occurrence, doneSteps);
+      continue;
     }
-    job.leadingDoneSteps.delete(occurrence);
-    job.finishedOccurrences.add(occurrence);
+    leadingDoneSteps.delete(occurrence);
+    finishOccurrence(occurrences, occurrence);
+    if (spec.repetition !== undefined) state.jobsToCompact.add(job);
   }
+  if (occurrences.finished.size < occurrencesOf(spec)) return;
   setJobOutcome(state, job, "completed");
 }
 
--- a/packages/scheduler/src/job_steps.ts
+++ b/packages/scheduler/src/job_steps.ts
@@ -110,11 +110,12 @@
   return keys;
 }
 
-/** Returns whether a step was done and its state was dropped. */
+/** Returns whether a step was done and its state is not needed. */
 export function isDropped(
-  { droppedSteps }: ActiveJob,
+  { droppedSteps, occurrences }: ActiveJob,
   occurrence: number,
   index: number,
 ): boolean {
+  if (occurrences.finished.has(occurrence)) return true;
   return droppedSteps.get(occurrence)?.has(index) ?? false;
 }
--- a/packages/scheduler/src/record_batch.ts
+++ b/packages/scheduler/src/record_batch.ts
@@ -11,6 +11,12 @@
   type WorkerState,
 } from "./cell_state.ts";
 import { dropIfDone } from "./job_steps.ts";
+import {
+  applyCompaction,
+  type Compaction,
+  compactionRecordOf,
+  findCompaction,
+} from "./occurrence_compaction.ts";
 import { isEligible } from "./placement.ts";
 import {
   type ProgressParts,
@@ -42,6 +48,8 @@
   parts: Map<StepState, ProgressParts>;
   /** Keys of the progress that the batch deletes. */
   removedSteps: string[];
+  /** Compactions whose records the batch contains. */
+  compactions: Compaction[];
 }
 
 /**
@@ -100,6 +108,9 @@
       for (const step of batch.steps) {
         if (!state.unsavedSteps.has(step)) dropIfDone(step);
       }
+      for (const compaction of batch.compactions) {
+        applyCompaction(state, compaction);
+      }
       for (const job of outcomes) state.unsavedOutcomes.delete(job);
       for (const [worker, { position, lifetime }] of ends) {
         // Positions start anew when a worker restarts.
@@ -151,6 +162,10 @@
     const outcome = job.outcome!;
     records.push({ kind: "outcome", job: id, outcome, at: wallTime() });
   }
+  const compactions = [...state.jobsToCompact].flatMap((job) =>
+    findCompaction(state, job) ?? []
+  );
+  records.push(...compactions.map(compactionRecordOf));
   const steps = [...state.unsavedSteps];
   const removedSteps = [...state.removedSteps];
   for (const step of removedSteps) {
@@ -168,6 +183,7 @@
       steps,
       parts,
       removedSteps,
+      compactions,
     };
   }
   // These run ends changed no step, so they can be acknowledged without a
--- a/packages/scheduler/src/records.ts
+++ b/packages/scheduler/src/records.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from "@rattanhill/shared";
 import type { JobOutcome, JobSpec } from "./job_types.ts";
+import type { NumberRange } from "./number_ranges.ts";
 
 /** Stored progress of a step of an occurrence; replaces the previous record. */
 export interface StepRecord {
@@ -50,6 +51,8 @@
   | { kind: "progress"; step: string; progress: StepRecord }
   /** Deletes the progress under the key of a step or of a range of its tasks. */
   | { kind: "progressRemoval"; step: string }
+  /** Names all occurrences whose progress was deleted since they are finished. */
+  | { kind: "finishedOccurrences"; job: string; ranges: NumberRange[] }
   | { kind: "outcome"; job: string; outcome: JobOutcome; at: Milliseconds }
   /** Deletes all records of an ended job. */
   | { kind: "removal"; job: string; steps: string[] };
@@ -74,6 +77,7 @@
   start: "start/",
   progress: "step/",
   outcome: "end/",
+  finishedOccurrences: "finished/",
 } as const;
 
 /** @returns the value under which the progress of a step is stored */
@@ -116,6 +120,11 @@
         key: KEY_PREFIX.progress + record.step,
         value: encodeProgress(record.progress),
       }];
+    case "finishedOccurrences":
+      return [{
+        key: KEY_PREFIX.finishedOccurrences + record.job,
+        value: JSON.stringify(record.ranges),
+      }];
     case "outcome":
       return [{
         key: KEY_PREFIX.outcome + record.job,
@@ -127,6 +136,7 @@
         { key: KEY_PREFIX.cancellation + record.job },
         { key: KEY_PREFIX.start + record.job },
         { key: KEY_PREFIX.outcome + record.job },
+        { key: KEY_PREFIX.finishedOccurrences + record.job },
         { key: KEY_PREFIX.submission + record.job },
       ];
   }
@@ -182,6 +192,11 @@
         },
       };
     }
+    case KEY_PREFIX.finishedOccurrences: {
+      if (value === undefined) return undefined;
+      const ranges = JSON.parse(value);
+      return { kind: "finishedOccurrences", job: name, ranges };
+    }
     case KEY_PREFIX.outcome: {
       if (value === undefined) return undefined;
       const [outcome, at] = JSON.parse(value);
--- a/packages/scheduler/src/restored_progress.ts
+++ b/packages/scheduler/src/restored_progress.ts
@@ -5,6 +5,7 @@
   type StepState,
 } from "./cell_state.ts";
 import type { StoredJob } from "./job_book.ts";
+import { createJobOccurrences } from "./job_occurrences.ts";
 import { dropIfDone } from "./job_steps.ts";
 import type { StepRecord } from "./records.ts";
 
@@ -24,11 +25,19 @@
  */
 export function restoreProgress(
   job: ActiveJob,
-  { steps }: StoredJob,
+  { spec, steps, finishedOccurrences }: StoredJob,
   { state, restoreRun }: RestoreOptions,
 ): void {
+  job.occurrences = createJobOccurrences(spec, finishedOccurrences);
+  const { open, finished } = job.occurrences;
   for (const [key, record] of steps) {
     const [, occurrence, index] = key.split(".").map(Number);
+    if (finished.has(occurrence)) {
+      // The earlier lead has ended before it deleted this progress.
+      for (const part of record.keys ?? [key]) state.removedSteps.add(part);
+      continue;
+    }
+    open.add(occurrence);
     const step = getOrCreateStep(job, occurrence, index);
     step.highestRun = record.highestRun;
     for (const task of record.done) step.done.add(task);
--- a/packages/scheduler/src/run_ends.ts
+++ b/packages/scheduler/src/run_ends.ts
@@ -249,7 +249,9 @@
   }
   step.checkpoints.delete(spec.isGang ? 0 : index);
   options.state.unsavedSteps.add(step);
-  if (isStepDone(step)) completeJobIfDone(options.state, job);
+  if (isStepDone(step)) {
+    completeJobIfDone(options.state, job, [step.occurrence]);
+  }
 }
 
 /**
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -148,6 +148,13 @@
    * @param keys keys of the progress that was rejected
    */
   handleUnstorable(keys: readonly string[]): void;
+  /**
+   * Keeps the progress of the finished occurrences of jobs, since the store
+   * rejects the record that would replace it. The batch counts as not stored.
+   *
+   * @param jobs IDs of the jobs
+   */
+  handleUnstorableOccurrences(jobs: readonly string[]): void;
 }
 
 /** Options of {@link createScheduler}. */
@@ -408,6 +415,17 @@
         deleteJobIfFinished(state, job);
       }
     },
+    handleUnstorableOccurrences: (ids) => {
+      for (const id of ids) {
+        const job = state.jobs.get(id);
+        if (job === undefined) continue;
+        job.occurrences.isUnstorable = true;
+        log.error(
+          { job: id, occurrences: job.occurrences.uncompacted.size },
+          "finished occurrences stay stored: the store rejects their record",
+        );
+      }
+    },
     handleUnstorable: (keys) => {
       for (const key of keys) {
         const { step: name } = parseProgressKey(key);
--- a/packages/scheduler/src/step_ranking.ts
+++ b/packages/scheduler/src/step_ranking.ts
@@ -108,7 +108,8 @@
 }
 
 /**
- * Finds the steps of a job that may run now and have tasks without a run.
+ * Finds the steps of the open occurrences of a job that may run now and have
+ * tasks without a run.
  *
  * @param job the job
  * @param stepAt returns a step of an occurrence whose turn has come
@@ -122,11 +123,10 @@
 ): { step: StepState; tasks: number[] }[] {
   const runnable: { step: StepState; tasks: number[] }[] = [];
   const { spec } = job;
-  const occurrenceCount = spec.repetition?.count ?? 1;
-  for (let occurrence = 0; occurrence < occurrenceCount; occurrence++) {
-    if (job.finishedOccurrences.has(occurrence)) continue;
+  for (const occurrence of job.occurrences.open) {
+    // The wall clock may have stepped back since it was opened.
     if (spec.repetition !== undefined && dueAt(spec, occurrence) > wallTime) {
-      break;
+      continue;
     }
     for (let index = 0; index < spec.steps.length; index++) {
       if (isStepDoneAt(job, occurrence, index)) continue;
--- a/packages/scheduler/src/waiting_work.ts
+++ b/packages/scheduler/src/waiting_work.ts
@@ -9,6 +9,7 @@
 import type { DurationEstimator } from "./durations.ts";
 import { isStepDoneAt } from "./job_steps.ts";
 import { dueAt, type JobSpec } from "./job_types.ts";
+import { openDueOccurrences } from "./occurrence_window.ts";
 import {
   compareRanks,
   findRunnableSteps,
@@ -84,7 +85,12 @@
       return { ...waiting, rank };
     });
   };
-  return [...state.jobs.values()].filter((job) => !isOver(job))
+  const jobs = [...state.jobs.values()].filter((job) => !isOver(job));
+  isolate(
+    { operation: "occurrences.open", item: "planning pass" },
+    () => openDueOccurrences(jobs, wallTime),
+  );
+  return jobs
     .flatMap((job) =>
       isolate(
         { operation: "job.rank", item: job.spec.id },
