fix(cell): keep the jobs of queues and accounts that are renamed

Cause: jobs were stored and compared by the names of their queue and account, which appear in no call. Repeated submissions, pending jobs, rules, guarantees and learned durations had the same cause.

Queues and accounts now have IDs, their first names. Each version continues those of the version before by name and mark, by marks, by name, or by an earlier mark, each once; the mark of a queue is its host and path, those of an account are digests of its keys. Records of earlier versions hold names, which are the first IDs.

--- a/packages/cell/__tests__/cell_lead.test.ts
+++ b/packages/cell/__tests__/cell_lead.test.ts
@@ -13,6 +13,7 @@
 } from "@rattanhill/scheduler";
 import {
   createCellLead,
+  createIdentityTracker,
   createMetrics,
   type HoldAnswer,
   type WorkerConnection,
@@ -93,6 +94,7 @@
     return openConnection(address);
   };
   const lead = createCellLead({
+    identities: createIdentityTracker(),
     store,
     topic: "journal",
     progressTopic: "progress",
--- a/packages/cell/__tests__/lead_evacuation.test.ts
+++ b/packages/cell/__tests__/lead_evacuation.test.ts
@@ -9,6 +9,7 @@
 import { createJobBook, type WorkerEntry } from "@rattanhill/scheduler";
 import {
   createCellLead,
+  createIdentityTracker,
   createMetrics,
   type HoldAnswer,
   type WorkerConnection,
@@ -72,6 +73,7 @@
   };
   const entries = [entryIn("a"), entryIn("b")];
   const lead = createCellLead({
+    identities: createIdentityTracker(),
     store,
     topic: "journal",
     progressTopic: "progress",
--- a/packages/cell/__tests__/lead_fixture.ts
+++ b/packages/cell/__tests__/lead_fixture.ts
@@ -11,6 +11,7 @@
 import {
   type CellLeadOptions,
   createCellLead,
+  createIdentityTracker,
   createMetrics,
   type HoldAnswer,
   type WorkerConnection,
@@ -112,6 +113,7 @@
     close: async () => {},
   };
   const lead = createCellLead({
+    identities: createIdentityTracker(),
     store: createMemoryStore().store,
     topic: "journal",
     progressTopic: "progress",
--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -20,6 +20,7 @@
 import { restoreCell } from "./cell_restore.ts";
 import { findExpiredJobs } from "./expired_jobs.ts";
 import { INHERITED_LEASE_MS } from "./granted_lease.ts";
+import type { IdentityTracker } from "./identity_tracker.ts";
 import type { Metrics } from "./metrics.ts";
 import { createOverwrittenSubmissions } from "./overwritten_submissions.ts";
 import { countRoomWait } from "./room_wait_metrics.ts";
@@ -105,6 +106,8 @@
   areRequestsCurrent(): boolean;
   /** Time for which the state of an ended job can be queried. */
   keepEndedMs: Milliseconds;
+  /** Identities of queues and accounts, which the lead stores. */
+  identities: Pick<IdentityTracker, "unsaved" | "recordSaved">;
   metrics: Metrics;
 }
 
@@ -220,6 +223,31 @@
     schedulePlanning();
   };
 
+  /**
+   * Stores the identities of queues and accounts after a change.
+   *
+   * @returns whether they are stored, or rejected for good; false when this
+   * process no longer leads
+   */
+  const storeIdentities = async (): Promise<boolean> => {
+    const identities = options.identities.unsaved();
+    if (identities === undefined) return true;
+    const rejected = await journal.append([{ kind: "identities", identities }]);
+    if (rejected === undefined) return false;
+    options.identities.recordSaved(identities);
+    const { version, queues, accounts } = identities;
+    log.info(
+      {
+        version,
+        queues: queues.length,
+        accounts: accounts.length,
+        isStored: rejected.length === 0,
+      },
+      "identities of queues and accounts stored",
+    );
+    return true;
+  };
+
   /**
    * Appends the scheduler's batches of records to the journal until there is
    * none left. Commands that depend on a batch are sent once it is stored.
@@ -230,6 +258,7 @@
     try {
       while (scheduler !== undefined && isLeading()) {
         if (!await overwritten.store()) return;
+        if (!await storeIdentities()) return;
         const batch = scheduler.takeBatch();
         links.notifyEndsStored();
         if (batch === undefined) return;
--- a/packages/cell/src/cluster_config.ts
+++ b/packages/cell/src/cluster_config.ts
@@ -1,5 +1,10 @@
 import type { Milliseconds } from "@rattanhill/shared";
-import type { Deployment, QueueRules, Rules } from "@rattanhill/scheduler";
+import type {
+  Deployment,
+  Identity,
+  QueueRules,
+  Rules,
+} from "@rattanhill/scheduler";
 
 /** A queue that callers submit jobs to. */
 export interface Queue extends QueueRules {
@@ -12,6 +17,11 @@
   timeoutMs: Milliseconds;
 }
 
+/** A queue with the ID under which its jobs are stored. */
+export interface IdentifiedQueue extends Queue {
+  id: string;
+}
+
 /** A client account. */
 export interface Account {
   name: string;
@@ -36,10 +46,10 @@
 export interface ActiveConfig {
   config: ClusterConfig;
   /** @returns the queue with the longest prefix that matches the path */
-  findQueue(host: string, path: string): Queue | undefined;
-  /** @returns name of the client account that the API key belongs to */
+  findQueue(host: string, path: string): IdentifiedQueue | undefined;
+  /** @returns ID of the client account that the API key belongs to */
   findAccount(key: string): string | undefined;
-  /** Rules that the lead plans by. */
+  /** Rules that the lead plans by, by the IDs of queues and accounts. */
   rules: Rules;
 }
 
@@ -48,26 +58,42 @@
  *
  * @param config the decoded configuration
  * @param deployment planning parameters of the deployment
+ * @param identities IDs of its queues and accounts, each in their order; by
+ * default their names
  * @returns the configuration with its indices and planning rules
  */
 export function indexConfig(
   config: ClusterConfig,
   deployment: Deployment,
+  identities: {
+    queues: readonly Pick<Identity, "id">[];
+    accounts: readonly Pick<Identity, "id">[];
+  } = {
+    queues: config.queues.map(({ name }) => ({ id: name })),
+    accounts: config.accounts.map(({ name }) => ({ id: name })),
+  },
 ): ActiveConfig {
-  const queuesByHost = new Map<string, Queue[]>();
-  for (const queue of config.queues) {
+  const queues = config.queues.map((queue, index): IdentifiedQueue => ({
+    ...queue,
+    id: identities.queues[index].id,
+  }));
+  const queuesByHost = new Map<string, IdentifiedQueue[]>();
+  for (const queue of queues) {
     queuesByHost.set(queue.host, [
       ...queuesByHost.get(queue.host) ?? [],
       queue,
     ]);
   }
-  for (const queues of queuesByHost.values()) {
-    queues.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+  for (const hostQueues of queuesByHost.values()) {
+    hostQueues.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
   }
   const accountByKey = new Map<string, string>();
-  for (const { name, keys } of config.accounts) {
-    for (const key of keys) accountByKey.set(key, name);
-  }
+  const guarantees = new Map<string, number>();
+  config.accounts.forEach(({ keys, guaranteedAccelerators }, index) => {
+    const { id } = identities.accounts[index];
+    for (const key of keys) accountByKey.set(key, id);
+    guarantees.set(id, guaranteedAccelerators);
+  });
   return {
     config,
     findQueue: (host, path) =>
@@ -76,12 +102,8 @@
       ),
     findAccount: (key) => accountByKey.get(key),
     rules: {
-      queues: new Map(config.queues.map((queue) => [queue.name, queue])),
-      guarantees: new Map(
-        config.accounts.map(({ name, guaranteedAccelerators }) =>
-          [name, guaranteedAccelerators] as const
-        ),
-      ),
+      queues: new Map(queues.map((queue) => [queue.id, queue])),
+      guarantees,
       deployment,
     },
   };
--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -8,6 +8,7 @@
   createJobBook,
   decodeRecord,
   type Deployment,
+  type Identities,
   type WorkerEntry,
 } from "@rattanhill/scheduler";
 import type { CallerCall, CallerReply } from "./caller_calls.ts";
@@ -17,6 +18,7 @@
   type ClusterConfig,
   indexConfig,
 } from "./cluster_config.ts";
+import { createIdentityTracker } from "./identity_tracker.ts";
 import { createJobService } from "./job_service.ts";
 import { createLeadLease } from "./lead_lease.ts";
 import {
@@ -171,6 +173,9 @@
   const { store, clock, log, limits, metrics } = options;
   const topic = journalTopic(options.cell);
   let config: ActiveConfig | undefined;
+  const identities = createIdentityTracker();
+  /** Whether the journal was read, which holds the IDs of queues and accounts. */
+  let hasReadJournal = false;
   let lead: CellLead | undefined;
   let isDraining = false;
   /** Monotonic time of the last call of a caller. */
@@ -254,6 +259,7 @@
         areRequestsCurrent: () =>
           configFollower.ageMs() < evacuationTiming.maximumAgeMs,
         keepEndedMs: limits.keepEndedMs,
+        identities,
         metrics,
       });
       const started = lead;
@@ -279,7 +285,10 @@
     book,
     clock,
     log,
-    config: () => config,
+    config: () => {
+      hasReadJournal ||= journalFollower.isLoaded();
+      return hasReadJournal ? config : undefined;
+    },
     configAgeMs: configFollower.ageMs,
     bookAgeMs: journalFollower.ageMs,
     catchUpBook: journalFollower.catchUp,
@@ -311,6 +320,7 @@
       const record = decodeRecord(key, value);
       if (record === undefined) return;
       if (record.kind === "removal") removedJobs.add(record.job, offset);
+      if (record.kind === "identities") applyIdentities(record.identities);
       book.apply(record);
     } catch (error) {
       log.warn(
@@ -320,14 +330,29 @@
     }
   }
 
+  function activate(next: ClusterConfig, known: Identities): void {
+    config = indexConfig(next, limits, known);
+    lead?.updateRules(config.rules);
+  }
+
+  function applyIdentities(stored: Identities): void {
+    const isChanged = identities.applyStored(stored);
+    if (!isChanged || config === undefined) return;
+    activate(config.config, identities.applyConfig(config.config));
+    const { version } = config.config;
+    log.info(
+      { version, storedVersion: stored.version },
+      "identities of queues and accounts read",
+    );
+  }
+
   function applyConfigRecord({ key, value, offset }: StoredRecord): void {
     if (key !== options.configKey || value === undefined) return;
     try {
       const next = options.decodeConfig(value);
       const current = config?.config.version ?? -1;
       if (next.version <= current) return;
-      config = indexConfig(next, limits);
-      lead?.updateRules(config.rules);
+      activate(next, identities.applyConfig(next));
       const { version, queues, accounts } = next;
       log.info(
         { version, queues: queues.length, accounts: accounts.length, offset },
--- a/packages/cell/src/job_access.ts
+++ b/packages/cell/src/job_access.ts
@@ -6,10 +6,10 @@
 
 /** Who calls, as far as access to jobs depends on it. */
 export interface JobCaller {
-  /** Name of the queue that the call addresses. */
+  /** ID of the queue that the call addresses. */
   queue: string;
   /**
-   * Name of the client account that the API key belongs to; empty without one,
+   * ID of the client account that the API key belongs to; empty without one,
    * undefined while a key was sent that cannot be checked.
    */
   account: string | undefined;
@@ -30,8 +30,8 @@
 
 /**
  * Decides whether a call may access a job: the queue must be the one that the
- * job was submitted to, and the account the one that is stored with it. API
- * keys do not count, since they change while jobs run. A job without an account
+ * job was submitted to, and the account the one that is stored with it. Both are
+ * compared by their IDs: names and API keys change while jobs run. A job without an account
  * was submitted without a key and is open to all callers that its queue admits.
  *
  * @param spec the stored job
--- a/packages/cell/src/job_service.ts
+++ b/packages/cell/src/job_service.ts
@@ -15,7 +15,7 @@
 import { sizeOfRecord } from "./append_limits.ts";
 import { createAccessRefusals } from "./access_refusals.ts";
 import type { CallerCall, CallerReply, SubmittedJob } from "./caller_calls.ts";
-import type { ActiveConfig, Queue } from "./cluster_config.ts";
+import type { ActiveConfig, IdentifiedQueue } from "./cluster_config.ts";
 import {
   createBodyDigest,
   type JobCaller,
@@ -219,7 +219,7 @@
     }
     const spec: JobSpec = {
       id,
-      queue: queue.name,
+      queue: queue.id,
       account: queue.isPublic ? "" : target.account ?? "",
       service: queue.service,
       maximumAttempts: queue.maximumAttempts,
@@ -408,7 +408,7 @@
       if (options.bookAgeMs() > options.maximumBookAgeMs) {
         return unavailable(BOOK_OUTDATED_REASON);
       }
-      return { kind: "pending", count: book.pending(queue.name) };
+      return { kind: "pending", count: book.pending(queue.id) };
     }
     if (!JOB_ID_PATTERN.test(id)) return { kind: "unknownQueue" };
     const target = { action: call.action, queue, id, account };
@@ -447,7 +447,7 @@
 /** The job that a call addresses, and the authorization of the call. */
 interface JobTarget {
   action: CallerCall["action"];
-  queue: Queue;
+  queue: IdentifiedQueue;
   id: string;
   /**
    * Client account that the API key belongs to; empty without one, undefined
@@ -457,5 +457,5 @@
 }
 
 function callerOf({ queue, account }: JobTarget): JobCaller {
-  return { queue: queue.name, account };
+  return { queue: queue.id, account };
 }
--- a/packages/cell/src/mod.ts
+++ b/packages/cell/src/mod.ts
@@ -9,6 +9,7 @@
 export * from "./entry.ts";
 export * from "./evacuation_requests.ts";
 export * from "./granted_lease.ts";
+export * from "./identity_tracker.ts";
 export * from "./job_access.ts";
 export * from "./job_admission.ts";
 export * from "./job_service.ts";
--- a/packages/scheduler/src/job_book.ts
+++ b/packages/scheduler/src/job_book.ts
@@ -187,6 +187,8 @@
   return {
     apply: (record) => {
       if (record.kind === "submission") return addSubmittedJob(record.spec);
+      // Belongs to no job.
+      if (record.kind === "identities") return;
       if (record.kind === "removal") {
         const job = jobs.get(record.job);
         // Marked as cancelled so that it no longer counts as pending.
--- a/packages/scheduler/src/job_types.ts
+++ b/packages/scheduler/src/job_types.ts
@@ -50,7 +50,9 @@
 /** A submitted job. */
 export interface JobSpec {
   id: string;
+  /** ID of its queue, which renaming does not change. */
   queue: string;
+  /** ID of its client account, which renaming does not change. */
   account: string;
   /** Opaque data that workers receive with each task. */
   payload: string;
--- a/packages/scheduler/src/mod.ts
+++ b/packages/scheduler/src/mod.ts
@@ -8,6 +8,7 @@
 export * from "./durations.ts";
 export * from "./failed_attempts.ts";
 export * from "./free_room.ts";
+export * from "./identities.ts";
 export * from "./idle_jobs.ts";
 export * from "./job_book.ts";
 export * from "./job_memory.ts";
--- a/packages/scheduler/src/records.ts
+++ b/packages/scheduler/src/records.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from "@rattanhill/shared";
+import type { Identities, Identity } from "./identities.ts";
 import type { JobOutcome, JobSpec } from "./job_types.ts";
 import type { NumberRange } from "./number_ranges.ts";
 
@@ -54,6 +55,8 @@
   /** Names all occurrences whose progress was deleted since they are finished. */
   | { kind: "finishedOccurrences"; job: string; ranges: NumberRange[] }
   | { kind: "outcome"; job: string; outcome: JobOutcome; at: Milliseconds }
+  /** Identities of all queues and client accounts. */
+  | { kind: "identities"; identities: Identities }
   /** Deletes all records of an ended job. */
   | { kind: "removal"; job: string; steps: string[] };
 
@@ -78,6 +81,7 @@
   progress: "step/",
   outcome: "end/",
   finishedOccurrences: "finished/",
+  identities: "identities/",
 } as const;
 
 /** @returns the value under which the progress of a step is stored */
@@ -130,6 +134,11 @@
         key: KEY_PREFIX.outcome + record.job,
         value: JSON.stringify([record.outcome, record.at]),
       }];
+    case "identities":
+      return [{
+        key: KEY_PREFIX.identities,
+        value: encodeIdentities(record.identities),
+      }];
     case "removal":
       return [
         ...record.steps.map((step) => ({ key: KEY_PREFIX.progress + step })),
@@ -197,6 +206,10 @@
       const ranges = JSON.parse(value);
       return { kind: "finishedOccurrences", job: name, ranges };
     }
+    case KEY_PREFIX.identities:
+      return value === undefined
+        ? undefined
+        : { kind: "identities", identities: decodeIdentities(value) };
     case KEY_PREFIX.outcome: {
       if (value === undefined) return undefined;
       const [outcome, at] = JSON.parse(value);
@@ -207,6 +220,38 @@
   }
 }
 
+type IdentityRow = [
+  id: string,
+  name: string,
+  marks: readonly string[],
+  pastMarks: readonly string[],
+];
+
+function encodeIdentities({ version, queues, accounts }: Identities): string {
+  const toRow = ({ id, name, marks, pastMarks }: Identity): IdentityRow => [
+    id,
+    name,
+    marks,
+    pastMarks,
+  ];
+  return JSON.stringify([version, queues.map(toRow), accounts.map(toRow)]);
+}
+
+function decodeIdentities(value: string): Identities {
+  const [version, queues, accounts] = JSON.parse(value);
+  const fromRow = ([id, name, marks, pastMarks]: IdentityRow): Identity => ({
+    id,
+    name,
+    marks,
+    pastMarks,
+  });
+  return {
+    version,
+    queues: queues.map(fromRow),
+    accounts: accounts.map(fromRow),
+  };
+}
+
 const NO_ITEMS: never[] = [];
 
 /** Returns one list for all empty ones, of which stored progress has many. */
--- a/packages/scheduler/src/rules.ts
+++ b/packages/scheduler/src/rules.ts
@@ -25,10 +25,11 @@
 
 /** Rules configured by the operators, as far as planning needs them. */
 export interface Rules {
+  /** By the ID of the queue. */
   queues: ReadonlyMap<string, QueueRules>;
   /**
-   * Number of accelerators guaranteed to the urgent jobs of an account, by
-   * account.
+   * Number of accelerators guaranteed to the urgent jobs of an account, by the
+   * ID of the account.
    */
   guarantees: ReadonlyMap<string, number>;
   deployment: Deployment;
