fix(cell): release runs of a drained worker that no lead has seen leave

Cause: that a worker left was known only to a lead that had seen a heartbeat of it arrive, and had followed the list for 3 s. Any other one waited 10.5 s from its takeover for leases of earlier leads; it knew neither the worker's address nor that it had drained.

The lead now reads the history of the list for runs on workers that are not listed, at most four times a worker. A draining worker has left if its address refuses connections for half a second, which one that is cut off does not, or if three entries that were last renewed before its own outlast the removal: then it was not removed for silence. Otherwise the leases decide as before.

--- a/packages/cell/__tests__/cell_lead.test.ts
+++ b/packages/cell/__tests__/cell_lead.test.ts
@@ -95,6 +95,7 @@
   };
   const lead = createCellLead({
     identities: createIdentityTracker(),
+    readRemovedWorkers: () => Promise.resolve({ entries: [], left: new Set() }),
     store,
     topic: "journal",
     progressTopic: "progress",
--- a/packages/cell/__tests__/lead_evacuation.test.ts
+++ b/packages/cell/__tests__/lead_evacuation.test.ts
@@ -74,6 +74,7 @@
   const entries = [entryIn("a"), entryIn("b")];
   const lead = createCellLead({
     identities: createIdentityTracker(),
+    readRemovedWorkers: () => Promise.resolve({ entries: [], left: new Set() }),
     store,
     topic: "journal",
     progressTopic: "progress",
--- a/packages/cell/__tests__/lead_fixture.ts
+++ b/packages/cell/__tests__/lead_fixture.ts
@@ -114,6 +114,7 @@
   };
   const lead = createCellLead({
     identities: createIdentityTracker(),
+    readRemovedWorkers: () => Promise.resolve({ entries: [], left: new Set() }),
     store: createMemoryStore().store,
     topic: "journal",
     progressTopic: "progress",
--- a/packages/cell/__tests__/worker_list.test.ts
+++ b/packages/cell/__tests__/worker_list.test.ts
@@ -312,3 +312,18 @@
   list.stop();
   expect(isListed()).to.equal(true);
 });
+
+it("worker list: the last entry of a removed worker is found, also in part of the history", async () => {
+  const { list, write, start, deleteHistory } = followList();
+  for (const key of [WORKER, "a", "b"]) await write("entry", key);
+  await write(undefined);
+  await start();
+  await pause(READ_PAUSE_MS);
+  const removed = await list.readRemoved(new Set([WORKER]));
+  expect(removed.entries.map(({ id }) => id)).to.deep.equal([WORKER]);
+  expect(removed.left.size).to.equal(0);
+  deleteHistory();
+  const inPart = await list.readRemoved(new Set([WORKER]));
+  expect(inPart.entries).to.deep.equal([]);
+  list.stop();
+});
--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -12,6 +12,7 @@
   createScheduler,
   type JobBook,
   type JobSpec,
+  type RemovedWorkers,
   type Rules,
   type Scheduler,
   type WorkerListing,
@@ -23,6 +24,7 @@
 import type { IdentityTracker } from "./identity_tracker.ts";
 import type { Metrics } from "./metrics.ts";
 import { createOverwrittenSubmissions } from "./overwritten_submissions.ts";
+import { createRemovedWorkerSearch } from "./removed_workers.ts";
 import { countRoomWait } from "./room_wait_metrics.ts";
 import { createStorableSizes } from "./storable_sizes.ts";
 import type { Store } from "./store.ts";
@@ -93,6 +95,8 @@
    * @returns the first complete list
    */
   listWorkers(): Promise<WorkerListing>;
+  /** See {@link WorkerList.readRemoved}. */
+  readRemovedWorkers(ids: ReadonlySet<string>): Promise<RemovedWorkers>;
   rules(): Rules;
   /**
    * Waits until the operators' topic has been applied up to its present end.
@@ -196,6 +200,14 @@
     onChange: () => schedulePlanning(),
   });
 
+  const searchRemovedWorkers = createRemovedWorkerSearch({
+    readRemovedWorkers: options.readRemovedWorkers,
+    now: clock.now,
+    term,
+    log,
+    onFound: () => schedulePlanning(),
+  });
+
   const requestAdvice = async (question: AdviceQuestion): Promise<void> => {
     const { step, workers } = question;
     let answer: AdviceAnswer | undefined;
@@ -331,6 +343,7 @@
     isPlanningScheduled = false;
     if (scheduler === undefined || !isLeading()) return;
     runPlanner();
+    searchRemovedWorkers(scheduler);
     links.refresh();
     void storeBatches();
   };
--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -253,6 +253,7 @@
         isRenewalOverdue: lease.isRenewalOverdue,
         waitForBook: journalFollower.waitForOffset,
         listWorkers: workers.follow,
+        readRemovedWorkers: workers.readRemoved,
         rules: () => config!.rules,
         catchUpOperators: configFollower.catchUp,
         evacuatedZones: evacuations.zones,
--- a/packages/cell/src/mod.ts
+++ b/packages/cell/src/mod.ts
@@ -21,5 +21,6 @@
 export * from "./topic_follower.ts";
 export * from "./worker_calls.ts";
 export * from "./worker_link.ts";
+export * from "./worker_history.ts";
 export * from "./worker_links.ts";
 export * from "./worker_list.ts";
--- a/packages/cell/src/worker_calls.ts
+++ b/packages/cell/src/worker_calls.ts
@@ -58,7 +58,8 @@
 
 /**
  * Calls to one worker. Each throws UnavailableError when the call was certainly
- * not delivered, and UncertainError when it may have taken effect or may still.
+ * not delivered, ConnectionRefusedError if that is since no process listens at
+ * the address, and UncertainError when it may have taken effect or may still.
  */
 export interface WorkerConnection {
   /**
--- a/packages/cell/src/worker_link.ts
+++ b/packages/cell/src/worker_link.ts
@@ -1,5 +1,6 @@
 import {
   type Clock,
+  ConnectionRefusedError,
   describeError,
   ErrorCode,
   type Logger,
@@ -68,8 +69,12 @@
   mayStart(run: Run): boolean;
   /** Called with the worker's answer to each poll. */
   onReport(lifetime: number, report: WorkerReport): void;
-  /** Called when the worker gave no usable answer to a poll. */
-  onNoAnswer(): void;
+  /**
+   * Called when the worker gave no usable answer to a poll.
+   *
+   * @param isRefused whether no process listens at its address
+   */
+  onNoAnswer(isRefused: boolean): void;
   /** Called when another worker answered at the address of this one. */
   onReplacement(): void;
   /**
@@ -246,7 +251,7 @@
         // worker, which may answer at another address.
         if (isClosed) return;
         failures += 1;
-        options.onNoAnswer();
+        options.onNoAnswer(error instanceof ConnectionRefusedError);
         if (failures === 1) {
           log.warn(
             { worker: worker.id, error: describeError(error) },
--- a/packages/cell/src/worker_links.ts
+++ b/packages/cell/src/worker_links.ts
@@ -82,7 +82,8 @@
         if (answer !== "started") onChange();
       },
       onStartInterrupted: (run) => scheduler()?.recordInterruptedStart(run),
-      onNoAnswer: () => scheduler()?.recordNoAnswer(worker),
+      onNoAnswer: (isRefused) =>
+        scheduler()?.recordNoAnswer(worker, { isRefused }),
       onReplacement: () => {
         scheduler()?.recordReplacement(worker);
         onChange();
--- a/packages/cell/src/worker_list.ts
+++ b/packages/cell/src/worker_list.ts
@@ -7,13 +7,18 @@
   type Logger,
   type Milliseconds,
 } from "@rattanhill/shared";
-import type { WorkerEntry, WorkerListing } from "@rattanhill/scheduler";
+import type {
+  RemovedWorkers,
+  WorkerEntry,
+  WorkerListing,
+} from "@rattanhill/scheduler";
 import { PlatformTopic, type Store, type StoredRecord } from "./store.ts";
 import {
   createTopicFollower,
   type TopicFollower,
   type TopicRead,
 } from "./topic_follower.ts";
+import { judgeRemovals } from "./worker_history.ts";
 
 /** The platform's list of workers, followed while this process leads. */
 export interface WorkerList {
@@ -23,6 +28,15 @@
    * @returns the first complete list
    */
   follow(): Promise<WorkerListing>;
+  /**
+   * Reads what the store still has of workers that were removed from the list.
+   *
+   * @param ids IDs of the workers
+   * @returns their last entries, and which of them left; see
+   * {@link judgeRemovals}
+   * @throws UnavailableError, UncertainError when the store cannot be read
+   */
+  readRemoved(ids: ReadonlySet<string>): Promise<RemovedWorkers>;
   /** Stops following the list. */
   stop(): void;
 }
@@ -61,6 +75,11 @@
 // 2 s that a worker drains.
 const READ_INTERVAL_MS: Milliseconds = 200;
 
+// Length of the history in which removed workers are looked for, in heartbeats
+// of all workers.
+const HISTORY_HEARTBEATS = 6;
+const HISTORY_TIMEOUT_MS: Milliseconds = 1_500;
+
 // Number of invalid entries that are told of, since another writer may write
 // any number.
 const MAXIMUM_INVALID_KEYS = 1_000;
@@ -75,8 +94,38 @@
   const { store, clock, log, decode, onChange } = options;
   const isolate = createIsolation({ clock, log });
   let follower: TopicFollower | undefined;
+  /** Number of workers in the newest list. */
+  let listedCount = 0;
+
+  /** Reads the records that the store has kept from an offset on. */
+  const readHistory = async (
+    from: number,
+    end: number,
+  ): Promise<StoredRecord[]> => {
+    const history: StoredRecord[] = [];
+    const limits = { waitMs: 0, timeoutMs: HISTORY_TIMEOUT_MS };
+    while (from < end) {
+      const result = await store.read(PlatformTopic.workers, from, limits);
+      if (result.kind === "expired") from = Math.ceil((from + end) / 2);
+      else {
+        history.push(...result.records);
+        from = Math.max(from + 1, result.nextOffset);
+      }
+    }
+    return history;
+  };
 
   return {
+    readRemoved: async (ids) => {
+      const end = follower?.position() ?? 0;
+      const length = HISTORY_HEARTBEATS * (listedCount + ids.size);
+      const history = await readHistory(Math.max(0, end - length), end);
+      return judgeRemovals(history, {
+        ids,
+        decode,
+        heartbeatMs: options.heartbeatMs,
+      });
+    },
     follow: () =>
       new Promise((resolve) => {
         follower?.close();
@@ -161,6 +210,7 @@
                 () => applyRecord(record, read),
               );
             }
+            listedCount = entries.size;
             const listing = { entries: [...entries.values()], left: withdrawn };
             if (isFirst) resolve(listing);
             else onChange(listing);
--- a/packages/platform/__tests__/http_client.test.ts
+++ b/packages/platform/__tests__/http_client.test.ts
@@ -3,6 +3,7 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { expect } from "chai";
 import {
+  ConnectionRefusedError,
   ErrorCode,
   UnavailableError,
   UncertainError,
@@ -42,7 +43,15 @@
   const { server, call, close } = await listen(() => {});
   server.close();
   await once(server, "close");
-  expect(await call()).to.be.instanceOf(UnavailableError);
+  const error = await call();
+  expect(error).to.be.instanceOf(UnavailableError);
+  expect(error).to.be.instanceOf(ConnectionRefusedError);
+  await close();
+});
+
+it("http client: a call that is not answered was not refused", async () => {
+  const { call, close } = await listen(() => {});
+  expect(await call()).to.not.be.instanceOf(ConnectionRefusedError);
   await close();
 });
 
--- a/packages/platform/src/http_client.ts
+++ b/packages/platform/src/http_client.ts
@@ -1,4 +1,5 @@
 import {
+  ConnectionRefusedError,
   type ErrorCodeValue,
   type Milliseconds,
   UnavailableError,
@@ -54,7 +55,8 @@
    * Sends a request and reads the whole response. A response with an error
    * status is returned like any other.
    *
-   * @throws UnavailableError when the request was certainly not delivered
+   * @throws UnavailableError when the request was certainly not delivered;
+   * ConnectionRefusedError if that is since no process listens at the address
    * @throws UncertainError when the request may have been delivered and may
    * have taken effect
    */
@@ -143,8 +145,13 @@
           ? "the client is closed"
           : reservation === undefined && !controller.signal.aborted
           ? `no connection can be opened to address "${peer}"`
+          : isRefusal(cause)
+          ? "connection refused"
           : "connection failed";
-        throw new UnavailableError(options.errorCode, reason, context);
+        const UndeliveredError = isRefusal(cause)
+          ? ConnectionRefusedError
+          : UnavailableError;
+        throw new UndeliveredError(options.errorCode, reason, context);
       } finally {
         clearTimeout(timer);
         signal?.removeEventListener("abort", abortCall);
@@ -158,6 +165,12 @@
   };
 }
 
+/** Returns whether a connection was refused since no process listens. */
+function isRefusal(cause: unknown): boolean {
+  return cause instanceof Error && "code" in cause &&
+    cause.code === "ECONNREFUSED";
+}
+
 const CONNECT_TIMEOUT_MS: Milliseconds = 1_000;
 
 /**
--- a/packages/scheduler/src/cell_state.ts
+++ b/packages/scheduler/src/cell_state.ts
@@ -7,6 +7,7 @@
 } from "./job_types.ts";
 import type { StepAdvice, Ticket } from "./advice.ts";
 import type { TaskCrashes } from "./crash_blame.ts";
+import type { Refusals } from "./departed_workers.ts";
 import {
   createJobOccurrences,
   type JobOccurrences,
@@ -221,6 +222,8 @@
   lastAnsweredPollAt: Milliseconds;
   /** Monotonic time since which its polls fail; undefined while it answers. */
   silentSince?: Milliseconds;
+  /** Undefined unless the last poll was refused. */
+  refusals?: Refusals;
   /** Whether it drained and then left by itself. */
   hasLeft: boolean;
   /**
--- a/packages/scheduler/src/mod.ts
+++ b/packages/scheduler/src/mod.ts
@@ -5,6 +5,7 @@
 export * from "./confirmed_runs.ts";
 export * from "./crash_blame.ts";
 export * from "./crash_evidence.ts";
+export * from "./departed_workers.ts";
 export * from "./durations.ts";
 export * from "./failed_attempts.ts";
 export * from "./free_room.ts";
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -26,6 +26,7 @@
 } from "./advice.ts";
 import type { ReclaimOutcome } from "./capacity_reclaim.ts";
 import { createCrashBlame } from "./crash_blame.ts";
+import { recordRefusal } from "./departed_workers.ts";
 import { createRecordBatches, type RecordBatch } from "./record_batch.ts";
 import { failedAttemptsOf, isOutOfAttempts } from "./failed_attempts.ts";
 import type { StoredJob } from "./job_book.ts";
@@ -47,7 +48,11 @@
 import type { DiscardReason } from "./stop_reasons.ts";
 import { findIncompleteGangs } from "./stuck_runs.ts";
 import type { StartAnswer, WorkerCommand } from "./worker_commands.ts";
-import { createWorkerRoster, type WorkerListing } from "./worker_roster.ts";
+import {
+  createWorkerRoster,
+  type RemovedWorkers,
+  type WorkerListing,
+} from "./worker_roster.ts";
 import { createWorkerSpeeds, type SpeedClass } from "./worker_speeds.ts";
 import {
   createZoneEvacuation,
@@ -83,6 +88,8 @@
   cancel(job: string): void;
   /** Applies the platform's current list of workers. */
   updateWorkers(listing: WorkerListing): void;
+  /** Applies what is known of workers that the list no longer contains. */
+  updateRemovedWorkers(removed: RemovedWorkers): void;
   /**
    * Applies a worker's report. A higher lifetime means that the worker has
    * restarted and lost its runs.
@@ -96,8 +103,13 @@
   speedOf(worker: WorkerState): number;
   /** See {@link Planner.isUsed}. */
   isUsed(worker: WorkerState): boolean;
-  /** Records that a poll of a worker failed or got no answer. */
-  recordNoAnswer(worker: WorkerState): void;
+  /**
+   * Records that a poll of a worker failed or got no answer.
+   *
+   * @param worker the worker
+   * @param options whether no process listens at its address
+   */
+  recordNoAnswer(worker: WorkerState, options?: { isRefused: boolean }): void;
   /**
    * Records that another worker answers at the address of a worker, whose
    * process has therefore ended.
@@ -339,6 +351,7 @@
     },
     cancel,
     updateWorkers: (listing) => roster.applyListing(listing),
+    updateRemovedWorkers: roster.applyRemoved,
     applyWorkerReport: (worker, lifetime, report) => {
       const { askedAt } = report;
       const isCurrent = roster.updateLifetime(worker, lifetime, askedAt);
@@ -351,6 +364,7 @@
       worker.reportedAt = now();
       worker.lastAnsweredPollAt = Math.max(worker.lastAnsweredPollAt, askedAt);
       worker.silentSince = undefined;
+      recordRefusal(worker, undefined);
       applyReport(worker, report, {
         state,
         now: now(),
@@ -372,8 +386,9 @@
     },
     speedOf: (worker) => speeds.factorOf(speedKeyOf(worker)),
     isUsed: planner.isUsed,
-    recordNoAnswer: (worker) => {
+    recordNoAnswer: (worker, { isRefused } = { isRefused: false }) => {
       worker.silentSince ??= now();
+      recordRefusal(worker, isRefused ? now() : undefined);
     },
     recordReplacement: (worker) =>
       roster.recordProcessEnd(worker, "another worker answers at its address"),
--- a/packages/scheduler/src/worker_roster.ts
+++ b/packages/scheduler/src/worker_roster.ts
@@ -12,6 +12,7 @@
 } from "./cell_state.ts";
 import { coldUntilOf } from "./cold_workers.ts";
 import { findExpiredRuns } from "./confirmed_runs.ts";
+import { hasDeparted } from "./departed_workers.ts";
 import { createExpiredLosses } from "./expired_losses.ts";
 import type { StepRecord } from "./records.ts";
 
@@ -25,10 +26,23 @@
   left: ReadonlySet<string>;
 }
 
+/** What is known of workers that the list no longer contains. */
+export interface RemovedWorkers {
+  /** Their last entries. */
+  entries: readonly WorkerEntry[];
+  /** Workers that left by themselves. */
+  left: ReadonlySet<string>;
+}
+
 /** Tracks the workers of a cell, their lifetimes and leases. */
 export interface WorkerRoster {
   /** Applies the complete list; other workers count as unlisted. */
   applyListing(listing: WorkerListing): void;
+  /**
+   * Applies what is known of workers that are not listed and have runs, so that
+   * they can be asked, or lose their runs if they left.
+   */
+  applyRemoved(removed: RemovedWorkers): void;
   /**
    * Updates the lifetime of a worker by its report. Another lifetime than before
    * means that the worker has restarted, and all its runs are stopped.
@@ -169,6 +183,7 @@
     worker.lastStoredEnd = 0;
     worker.hasAnswered = false;
     worker.hasEnded = false;
+    worker.refusals = undefined;
     for (const run of [...worker.runs]) {
       if (run.phase === RunPhase.storing) {
         run.lifetime = lifetime;
@@ -309,8 +324,7 @@
     if (hasSuccessor(worker)) {
       recordProcessEnd(worker, "another worker answers on its VM");
     }
-    const hasDeparted = worker.hasLeft && worker.silentSince !== undefined;
-    if (hasDeparted) {
+    if (hasDeparted(worker)) {
       releaseSentRuns(worker.runs, "run lost: its worker drained and left");
     } else {
       const expiredRuns = findExpiredRuns(worker, now());
@@ -366,6 +380,26 @@
         deleteIfUnused(worker);
       }
     },
+    applyRemoved: ({ entries, left }) => {
+      for (const entry of entries) {
+        const worker = state.workers.get(entry.id);
+        if (worker === undefined || worker.isListed) continue;
+        // The entry may be that of another lifetime than the one with the runs.
+        if (entry.lifetime !== worker.lifetime) continue;
+        const isNew = worker.address === "";
+        const hasLeft = entry.isDraining && left.has(entry.id);
+        if (!isNew && hasLeft === worker.hasLeft) continue;
+        if (isNew) {
+          Object.assign(worker, { ...entry, listedLifetime: entry.lifetime });
+        }
+        worker.hasLeft = hasLeft;
+        const { id, address, isDraining, runs: { size: runs } } = worker;
+        log.info(
+          { worker: id, address, isDraining, left: hasLeft, runs },
+          "removed worker found in the history of the list",
+        );
+      }
+    },
     restoreRun: (step, stored, leasesEndBy) => {
       const [index, number, workerId, lifetime, vm] = stored;
       let worker = state.workers.get(workerId);
--- a/packages/shared/src/errors.ts
+++ b/packages/shared/src/errors.ts
@@ -55,6 +55,9 @@
 /** Error for an operation that was certainly not performed. */
 export class UnavailableError extends RattanhillError {}
 
+/** Error for an operation at whose address no process listens. */
+export class ConnectionRefusedError extends UnavailableError {}
+
 /**
  * Error for an operation that may have taken effect although no usable answer
  * arrived.
