--- a/packages/cell/src/cell_lead.ts
+++ b/packages/cell/src/cell_lead.ts
@@ -7,8 +7,6 @@
   pause,
 } from "@rattanhill/shared";
 import {
-  type AdviceAnswer,
-  type AdviceQuestion,
   createScheduler,
   type JobBook,
   type JobSpec,
@@ -17,11 +15,13 @@
   type Scheduler,
   type WorkerListing,
 } from "@rattanhill/scheduler";
+import { createAdviceRequests } from "./advice_requests.ts";
 import { createCellJournal } from "./cell_journal.ts";
 import { restoreCell } from "./cell_restore.ts";
 import { findExpiredJobs } from "./expired_jobs.ts";
 import { INHERITED_LEASE_MS } from "./granted_lease.ts";
 import type { IdentityTracker } from "./identity_tracker.ts";
+import { createIdentityWriter } from "./identity_writer.ts";
 import type { Metrics } from "./metrics.ts";
 import { createOverwrittenSubmissions } from "./overwritten_submissions.ts";
 import { createRemovedWorkerSearch } from "./removed_workers.ts";
@@ -129,8 +129,6 @@
 // Planning runs this often even without changes, to check due times, leases and
 // stuck runs.
 const PLANNING_INTERVAL_MS: Milliseconds = 100;
-// The advice service's queue of 32 calls drains in this time.
-const ADVICE_RETRY_DELAY_MS: Milliseconds = 200;
 const OPERATORS_RETRY_DELAY_MS: Milliseconds = 200;
 const LOAD_LOG_INTERVAL_MS: Milliseconds = 1_000;
 // With up to 50 jobs each time, ended jobs are removed faster than a large
@@ -168,6 +166,11 @@
     metrics,
     log,
   });
+  const storeIdentities = createIdentityWriter({
+    identities: options.identities,
+    journal,
+    log,
+  });
   const checkUnscheduled = createUnscheduledJobs({
     book,
     now: clock.now,
@@ -208,57 +211,14 @@
     onFound: () => schedulePlanning(),
   });
 
-  const requestAdvice = async (question: AdviceQuestion): Promise<void> => {
-    const { step, workers } = question;
-    let answer: AdviceAnswer | undefined;
-    try {
-      if (options.advise === undefined) {
-        throw new Error("the deployment has no advice service");
-      }
-      answer = await options.advise(step.key, workers);
-      log.info(
-        {
-          step: step.key,
-          asked: workers.length,
-          allowed: answer.allowed.length,
-        },
-        "advice received",
-      );
-    } catch (error) {
-      log.warn(
-        { step: step.key, error: describeError(error) },
-        "advice request failed",
-      );
-      await pause(ADVICE_RETRY_DELAY_MS);
-    }
-    scheduler?.handleAdvice(question, answer);
-    schedulePlanning();
-  };
-
-  /**
-   * Stores the identities of queues and accounts after a change.
-   *
-   * @returns whether they are stored, or rejected for good; false when this
-   * process no longer leads
-   */
-  const storeIdentities = async (): Promise<boolean> => {
-    const identities = options.identities.unsaved();
-    if (identities === undefined) return true;
-    const rejected = await journal.append([{ kind: "identities", identities }]);
-    if (rejected === undefined) return false;
-    options.identities.recordSaved(identities);
-    const { version, queues, accounts } = identities;
-    log.info(
-      {
-        version,
-        queues: queues.length,
-        accounts: accounts.length,
-        isStored: rejected.length === 0,
-      },
-      "identities of queues and accounts stored",
-    );
-    return true;
-  };
+  const requestAdvice = createAdviceRequests({
+    advise: options.advise,
+    log,
+    onAnswer: (question, answer) => {
+      scheduler?.handleAdvice(question, answer);
+      schedulePlanning();
+    },
+  });
 
   /**
    * Appends the scheduler's batches of records to the journal until there is
--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -8,17 +8,12 @@
   createJobBook,
   decodeRecord,
   type Deployment,
-  type Identities,
   type WorkerEntry,
 } from "@rattanhill/scheduler";
 import type { CallerCall, CallerReply } from "./caller_calls.ts";
 import { type CellLead, createCellLead } from "./cell_lead.ts";
-import {
-  type ActiveConfig,
-  type ClusterConfig,
-  indexConfig,
-} from "./cluster_config.ts";
-import { createIdentityTracker } from "./identity_tracker.ts";
+import type { ClusterConfig } from "./cluster_config.ts";
+import { createConfigInForce } from "./config_in_force.ts";
 import { createJobService } from "./job_service.ts";
 import { createLeadLease } from "./lead_lease.ts";
 import {
@@ -172,8 +167,14 @@
 export function createCellEntry(options: CellEntryOptions): CellEntry {
   const { store, clock, log, limits, metrics } = options;
   const topic = journalTopic(options.cell);
-  let config: ActiveConfig | undefined;
-  const identities = createIdentityTracker();
+  const configInForce = createConfigInForce({
+    key: options.configKey,
+    decode: options.decodeConfig,
+    deployment: limits,
+    onChange: ({ rules }) => lead?.updateRules(rules),
+    log,
+  });
+  const { current: config, identities } = configInForce;
   /** Whether the journal was read, which holds the IDs of queues and accounts. */
   let hasReadJournal = false;
   let lead: CellLead | undefined;
@@ -215,7 +216,7 @@
     readIntervalMs: () => CONFIG_READ_INTERVAL_MS,
     apply: (records, read) => {
       evacuations.apply(records, read);
-      records.forEach(applyConfigRecord);
+      records.forEach(configInForce.apply);
     },
   });
   const workers = createWorkerList({
@@ -236,7 +237,7 @@
     random: options.random,
     electionPriority: options.electionPriority,
     mayLead: () =>
-      !isDraining && journalFollower.isLoaded() && config !== undefined,
+      !isDraining && journalFollower.isLoaded() && config() !== undefined,
     onGained: (term) => {
       metrics.incrementCounter("lead.gained");
       lead = createCellLead({
@@ -254,7 +255,7 @@
         waitForBook: journalFollower.waitForOffset,
         listWorkers: workers.follow,
         readRemovedWorkers: workers.readRemoved,
-        rules: () => config!.rules,
+        rules: () => config()!.rules,
         catchUpOperators: configFollower.catchUp,
         evacuatedZones: evacuations.zones,
         areRequestsCurrent: () =>
@@ -288,7 +289,7 @@
     log,
     config: () => {
       hasReadJournal ||= journalFollower.isLoaded();
-      return hasReadJournal ? config : undefined;
+      return hasReadJournal ? config() : undefined;
     },
     configAgeMs: configFollower.ageMs,
     bookAgeMs: journalFollower.ageMs,
@@ -321,7 +322,9 @@
       const record = decodeRecord(key, value);
       if (record === undefined) return;
       if (record.kind === "removal") removedJobs.add(record.job, offset);
-      if (record.kind === "identities") applyIdentities(record.identities);
+      if (record.kind === "identities") {
+        configInForce.applyIdentities(record.identities);
+      }
       book.apply(record);
     } catch (error) {
       log.warn(
@@ -331,44 +334,8 @@
     }
   }
 
-  function activate(next: ClusterConfig, known: Identities): void {
-    config = indexConfig(next, limits, known);
-    lead?.updateRules(config.rules);
-  }
-
-  function applyIdentities(stored: Identities): void {
-    const isChanged = identities.applyStored(stored);
-    if (!isChanged || config === undefined) return;
-    activate(config.config, identities.applyConfig(config.config));
-    const { version } = config.config;
-    log.info(
-      { version, storedVersion: stored.version },
-      "identities of queues and accounts read",
-    );
-  }
-
-  function applyConfigRecord({ key, value, offset }: StoredRecord): void {
-    if (key !== options.configKey || value === undefined) return;
-    try {
-      const next = options.decodeConfig(value);
-      const current = config?.config.version ?? -1;
-      if (next.version <= current) return;
-      activate(next, identities.applyConfig(next));
-      const { version, queues, accounts } = next;
-      log.info(
-        { version, queues: queues.length, accounts: accounts.length, offset },
-        "configuration in force",
-      );
-    } catch (error) {
-      log.warn(
-        { offset, error: String(error) },
-        "invalid configuration skipped",
-      );
-    }
-  }
-
   const isReady = (): boolean =>
-    !isDraining && config !== undefined && journalFollower.isLoaded() &&
+    !isDraining && config() !== undefined && journalFollower.isLoaded() &&
     configFollower.ageMs() < MAXIMUM_READY_AGE_MS &&
     journalFollower.ageMs() < MAXIMUM_READY_AGE_MS;
 
@@ -378,10 +345,9 @@
       return service.handle(call);
     },
     mayAccept: ({ host, path, key }) => {
-      if (config === undefined) return false;
-      const queue = config.findQueue(host, path);
+      const queue = config()?.findQueue(host, path);
       return queue !== undefined &&
-        (queue.isPublic || config.findAccount(key ?? "") !== undefined);
+        (queue.isPublic || config()?.findAccount(key ?? "") !== undefined);
     },
     isReady,
     drain: async () => {
@@ -391,7 +357,7 @@
     dump: () => ({
       node: options.node,
       isReady: isReady(),
-      version: config?.config.version,
+      version: config()?.config.version,
       lead: lease.holder(),
       isLeading: lease.isHeld(),
       configAgeMs: configFollower.ageMs(),
--- a/packages/scheduler/src/occurrence_compaction.ts
+++ b/packages/scheduler/src/occurrence_compaction.ts
@@ -1,3 +1,4 @@
+import type { Logger } from "@rattanhill/shared";
 import type { ActiveJob, CellState } from "./cell_state.ts";
 import { findStep, isStepDone } from "./job_steps.ts";
 import { stepKey } from "./job_types.ts";
@@ -85,6 +86,28 @@
   }
 }
 
+/**
+ * Keeps the progress of the finished occurrences of a job, since the store
+ * rejects the record that would replace it.
+ *
+ * @param state the cell
+ * @param id ID of the job
+ * @param log where it is told
+ */
+export function keepUncompacted(
+  state: CellState,
+  id: string,
+  log: Logger,
+): void {
+  const job = state.jobs.get(id);
+  if (job === undefined) return;
+  job.occurrences.isUnstorable = true;
+  log.error(
+    { job: id, occurrences: job.occurrences.uncompacted.size },
+    "finished occurrences stay stored: the store rejects their record",
+  );
+}
+
 function isStepSettled(
   { unsavedSteps }: CellState,
   job: ActiveJob,
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -38,6 +38,7 @@
 import { parseProgressKey, type ProgressRecord } from "./progress_parts.ts";
 import { restoreProgress } from "./restored_progress.ts";
 import { progressKeysOf } from "./stored_progress.ts";
+import { keepUncompacted } from "./occurrence_compaction.ts";
 import { applyStartAnswer, startStoredRuns } from "./run_starts.ts";
 import type { Rules } from "./rules.ts";
 import { applyReport, type WorkerReport } from "./run_ends.ts";
@@ -431,15 +432,7 @@
       }
     },
     handleUnstorableOccurrences: (ids) => {
-      for (const id of ids) {
-        const job = state.jobs.get(id);
-        if (job === undefined) continue;
-        job.occurrences.isUnstorable = true;
-        log.error(
-          { job: id, occurrences: job.occurrences.uncompacted.size },
-          "finished occurrences stay stored: the store rejects their record",
-        );
-      }
+      for (const id of ids) keepUncompacted(state, id, log);
     },
     handleUnstorable: (keys) => {
       for (const key of keys) {
--- a/packages/scheduler/src/worker_roster.ts
+++ b/packages/scheduler/src/worker_roster.ts
@@ -3,7 +3,6 @@
   addRun,
   type CellState,
   releaseRun,
-  type Resources,
   type Run,
   RunPhase,
   type StepState,
@@ -15,6 +14,7 @@
 import { hasDeparted } from "./departed_workers.ts";
 import { createExpiredLosses } from "./expired_losses.ts";
 import type { StepRecord } from "./records.ts";
+import { createWorkerState } from "./worker_state.ts";
 
 /** The platform's current list of workers. */
 export interface WorkerListing {
@@ -96,12 +96,6 @@
   log: Logger;
 }
 
-const NO_RESOURCES: Resources = {
-  milliCores: 0,
-  memoryMegabytes: 0,
-  accelerators: 0,
-};
-
 /**
  * Creates the roster of a cell.
  *
@@ -119,34 +113,7 @@
   const restoredLosses = new Map<WorkerState, Run[]>();
 
   const createWorker = (id: string): WorkerState => {
-    const worker: WorkerState = {
-      id,
-      lifetime: 0,
-      pastLifetimes: new Set(),
-      tokenOffset: restarts,
-      lifetimeReadAt: 0,
-      listedLifetime: 0,
-      service: "",
-      address: "",
-      zone: "",
-      labels: [],
-      rack: "",
-      capacity: { ...NO_RESOURCES },
-      used: { ...NO_RESOURCES },
-      runs: new Set(),
-      isDraining: false,
-      remainingMs: 0,
-      isListed: false,
-      hasEnded: false,
-      hasLeft: false,
-      hasAnswered: false,
-      reportedAt: 0,
-      lastAnsweredPollAt: 0,
-      leasesEndBy: 0,
-      noPlacementBefore: 0,
-      lastHandledEnd: 0,
-      lastStoredEnd: 0,
-    };
+    const worker = createWorkerState(id, restarts);
     state.workers.set(id, worker);
     return worker;
   };
