fix(scheduler): blame a VM that crashed without runs for its next crashes

Cause: a crash without runs was not recorded against its VM, so that two crashes under the job spoke against the job alone.

A VM that crashed without runs is now to blame for its crashes of the next 10 s; they count neither as suspicion nor as met crashes. Workers that this lead has not asked, and restored runs, are left out.

"crash evidence: a VM that crashed without runs is to blame for its next crashes" on the code before: failed (the job was failed); after: passed.

A form that left out all crashes broke "a crash between two leads is counted by the next one".

--- a/packages/scheduler/__tests__/crash_evidence.test.ts
+++ b/packages/scheduler/__tests__/crash_evidence.test.ts
@@ -168,3 +168,33 @@
   expect(cell.book.stateOf("bad")).to.equal("failed");
   expect(starts).to.be.at.most(5);
 });
+
+// A worker that went down and up by turns, once without a run, made a job fail.
+it("crash evidence: a VM that crashed without runs is to blame for its next crashes", () => {
+  const cell = createCellOnVms(1);
+  restartWorkers(cell, ["w0"]);
+  cell.submit(job("a"));
+  for (let crash = 0; crash < 5; crash++) {
+    cell.settle();
+    expect(cell.runs("a")).to.have.length(1);
+    cell.clock.advance(700);
+    restartWorkers(cell, ["w0"]);
+    cell.clock.advance(700);
+  }
+  settleJudgement(cell);
+  expect(cell.book.stateOf("a")).to.equal("running");
+  expect(cell.runs("a")).to.have.length(1);
+});
+
+it("crash evidence: a task that crashes a VM long after it failed alone is to blame", () => {
+  const cell = createCellOnVms(1);
+  restartWorkers(cell, ["w0"]);
+  cell.clock.advance(10_000);
+  cell.submit(job("bad"));
+  for (let crash = 0; crash < 2; crash++) {
+    cell.settle();
+    restartWorkers(cell, ["w0"]);
+    settleJudgement(cell);
+  }
+  expect(cell.book.stateOf("bad")).to.equal("failed");
+});
--- a/packages/scheduler/src/crash_blame.ts
+++ b/packages/scheduler/src/crash_blame.ts
@@ -254,12 +254,16 @@
       const failure = assessFailure(worker, runs, now());
       if (runs.length === 0) {
         recentFailures.push(failure);
+        const { vm, hasAnswered } = worker;
+        // A worker that was never asked may have had runs of an earlier lead.
+        if (vm !== undefined && hasAnswered) vmCrashes.recordIdle(vm);
         return;
       }
       const key = crashKeyOf(worker, runs[0]);
       const { starting, suspects } = failure;
       const jobs = jobsOf(hadLapsed ? [] : likelyRunsOf(failure));
-      const isVmToBlame = vmCrashes.isUnstable(worker.vm, jobs);
+      const isVmFaulty = vmCrashes.hasCrashedIdle(worker.vm);
+      const isVmToBlame = isVmFaulty || vmCrashes.isUnstable(worker.vm, jobs);
       if (worker.vm !== undefined && !hadLapsed) {
         vmCrashes.record(worker.vm, key, jobs);
       }
@@ -267,10 +271,8 @@
       const unknown = runs.filter(({ isRestored, confirmedAt }) =>
         isRestored && confirmedAt === undefined
       );
-      const met = [
-        ...(failure.isPrompt ? suspects : failure.recent),
-        ...unknown,
-      ];
+      const observed = failure.isPrompt ? suspects : failure.recent;
+      const met = [...(isVmFaulty ? [] : observed), ...unknown];
       for (const run of met) {
         addBounded(crashesOf(run).met, key);
         // The progress of a job that has ended meanwhile is deleted.
@@ -286,7 +288,7 @@
         // Of what is unknown, only the upper bound is taken.
         exhausted: [
           ...suspects.filter((run) =>
-            crashesOf(run).met.size >= MAXIMUM_CRASHES
+            !isVmFaulty && crashesOf(run).met.size >= MAXIMUM_CRASHES
           ),
           ...met.filter((run) =>
             crashesOf(run).met.size >= ABSOLUTE_MAXIMUM_CRASHES
--- a/packages/scheduler/src/vm_crashes.ts
+++ b/packages/scheduler/src/vm_crashes.ts
@@ -5,6 +5,10 @@
 export interface VmCrashes {
   /** Records the crash of a VM and the jobs that may have caused it. */
   record(vm: string, key: string, jobs: ReadonlySet<ActiveJob>): void;
+  /** Records the crash of a VM without runs, which no task has caused. */
+  recordIdle(vm: string): void;
+  /** @returns whether the VM crashed without runs a short time before */
+  hasCrashedIdle(vm: string | undefined): boolean;
   /** Removes a crash that a task has been blamed for. */
   explain(key: string): void;
   /** @returns whether the VM crashed a short time before */
@@ -20,6 +24,8 @@
 
 // Time for which the crash of a VM counts.
 const UNSTABLE_VM_MS: Milliseconds = 30_000;
+// Time after a crash without runs for which the VM is to blame for all others.
+const FAULTY_VM_MS: Milliseconds = 10_000;
 
 /**
  * Creates the record, without crashes.
@@ -39,14 +45,23 @@
       : undefined;
   };
 
+  /** Time of the last crash of each VM without runs. */
+  const idleCrashes = new Map<string, Milliseconds>();
+  const hasCrashedIdle = (vm: string | undefined): boolean => {
+    const at = vm === undefined ? undefined : idleCrashes.get(vm);
+    return at !== undefined && now() - at < FAULTY_VM_MS;
+  };
+
   return {
+    recordIdle: (vm) => idleCrashes.set(vm, now()),
+    hasCrashedIdle,
     record: (vm, key, jobs) => crashes.set(vm, { key, at: now(), jobs }),
     explain: (key) => {
       for (const [vm, crash] of crashes) {
         if (crash.key === key) crashes.delete(vm);
       }
     },
-    hasCrashed: (vm) => lastCrashOf(vm) !== undefined,
+    hasCrashed: (vm) => lastCrashOf(vm) !== undefined || hasCrashedIdle(vm),
     isUnstable: (vm, jobs) => {
       const earlier = lastCrashOf(vm);
       return earlier !== undefined &&
@@ -56,6 +71,9 @@
       for (const vm of crashes.keys()) {
         if (lastCrashOf(vm) === undefined) crashes.delete(vm);
       }
+      for (const vm of idleCrashes.keys()) {
+        if (!hasCrashedIdle(vm)) idleCrashes.delete(vm);
+      }
     },
   };
 }
