fix(cell): conclude nothing from removals near a disturbance of the store

Entries may be removed sooner while the store is away, so a draining worker that was cut off then could be taken for one that left, and its task would run twice.

The lead now takes the order of records as evidence only if its process has met no failed or late read of the store for six heartbeats, the length of the history that it reads. Otherwise the leases decide, or a refused connection.

"worker list: no removal shows that a worker left if the store was away" fails without the check (expected false, got true) by construction of the test, which passes with it.

--- a/packages/cell/__tests__/lead_start.test.ts
+++ b/packages/cell/__tests__/lead_start.test.ts
@@ -21,6 +21,7 @@
     log: silentLogger,
     decode: () => ENTRY,
     heartbeatMs: 1_500,
+    storeSteadyMs: () => Infinity,
     onChange: () => {},
   });
   let isSlow = true;
--- a/packages/cell/__tests__/topic_follower.test.ts
+++ b/packages/cell/__tests__/topic_follower.test.ts
@@ -39,10 +39,12 @@
     },
   });
   await pause(100);
+  expect(follower.steadyMs()).to.equal(Infinity);
   isStoreDown = true;
   await pause(300);
   isStoreDown = false;
   await pause(300);
+  expect(follower.steadyMs()).to.be.within(1, 600);
   follower.close();
   expect(waits[0]).to.equal(WAIT_MS);
   const firstImmediateRead = waits.findIndex((wait) => wait === 0);
--- a/packages/cell/__tests__/worker_list.test.ts
+++ b/packages/cell/__tests__/worker_list.test.ts
@@ -21,6 +21,7 @@
 const SETTLED_MS: Milliseconds = 4_000;
 const WORKER = "w";
 const INVALID_ENTRY = "invalid";
+const DRAINING_ENTRY = "draining";
 
 /** Follows a list whose reads can be held up, with clocks set by the test. */
 function followList() {
@@ -37,6 +38,7 @@
   let isLogBroken = false;
   let remainingMs: Milliseconds = 0;
   let listing: WorkerListing | undefined;
+  let storeSteadyMs: Milliseconds = Infinity;
   const list = createWorkerList({
     clock,
     log: {
@@ -46,9 +48,14 @@
       },
     },
     heartbeatMs: HEARTBEAT_MS,
+    storeSteadyMs: () => storeSteadyMs,
     decode: (id, text) => {
       if (text === INVALID_ENTRY) throw new Error("not an entry");
-      return { id } as WorkerEntry;
+      return {
+        id,
+        isDraining: text === DRAINING_ENTRY,
+        remainingMs: 0,
+      } as WorkerEntry;
     },
     onChange: (changed) => listing = changed,
     store: {
@@ -113,6 +120,7 @@
       return release;
     },
     deleteHistory: () => hasExpired = true,
+    setStoreSteadyMs: (durationMs: Milliseconds) => storeSteadyMs = durationMs,
     /** Makes each line of the log throw. */
     breakLog: () => isLogBroken = true,
     hasLeft: () => listing!.left.has(WORKER),
@@ -327,3 +335,20 @@
   expect(inPart.entries).to.deep.equal([]);
   list.stop();
 });
+
+// Its task ran twice if it was only cut off, and its entry removed meanwhile.
+it("worker list: no removal shows that a worker left if the store was away", async () => {
+  const { list, write, start, setStoreSteadyMs } = followList();
+  for (const key of ["a", "b", "c"]) await write("entry", key);
+  await write(DRAINING_ENTRY);
+  await write(undefined);
+  for (const key of ["a", "b", "c"]) await write("entry", key);
+  await start();
+  await pause(READ_PAUSE_MS);
+  const hasLeft = async () =>
+    (await list.readRemoved(new Set([WORKER]))).left.has(WORKER);
+  expect(await hasLeft()).to.equal(true);
+  setStoreSteadyMs(6 * HEARTBEAT_MS - 1);
+  expect(await hasLeft()).to.equal(false);
+  list.stop();
+});
--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -225,6 +225,7 @@
     log,
     decode: options.decodeWorker,
     heartbeatMs: limits.heartbeatMs,
+    storeSteadyMs: journalFollower.steadyMs,
     onChange: (listing) => lead?.updateWorkers(listing),
   });
   const lease = createLeadLease({
--- a/packages/cell/src/topic_follower.ts
+++ b/packages/cell/src/topic_follower.ts
@@ -26,6 +26,11 @@
   ageMs(): Milliseconds;
   /** @returns whether the newest record of each key has been applied */
   isLoaded(): boolean;
+  /**
+   * @returns time since a read last failed or was answered late; Infinity if
+   * none has been so far
+   */
+  steadyMs(): Milliseconds;
   /** @returns offset before which all records have been applied */
   position(): number;
   /**
@@ -125,6 +130,8 @@
   /** When the last answer to a read of the loop arrived. */
   let lastAnswerAt: Instant | undefined;
   let steadySince = readInstant(clock);
+  /** When a read last failed or was answered late. */
+  let lastDisturbedAt: Instant | undefined;
   let failures = 0;
   let currentCatchUp: Promise<void> = Promise.resolve();
   let queuedCatchUp: Promise<void> | undefined;
@@ -180,7 +187,9 @@
       lastAnswerAt !== undefined &&
       elapsedSince(clock, lastAnswerAt) <= limitMs;
     lastAnswerAt = readInstant(clock);
-    if (!isSteady) steadySince = lastAnswerAt;
+    if (isSteady) return;
+    steadySince = lastAnswerAt;
+    if (!isSnapshot) lastDisturbedAt = lastAnswerAt;
   };
 
   /** @returns whether all records of the topic have been applied */
@@ -241,6 +250,7 @@
         resolveWaiters();
       } catch (error) {
         failures += 1;
+        lastDisturbedAt = readInstant(clock);
         if (failures === 1) {
           log.warn({ topic, error: describeError(error) }, "store read failed");
         }
@@ -259,6 +269,10 @@
         ? Infinity
         : elapsedSince(clock, lastCurrentAt),
     isLoaded: () => isLoaded,
+    steadyMs: () =>
+      lastDisturbedAt === undefined
+        ? Infinity
+        : elapsedSince(clock, lastDisturbedAt),
     position: () => position,
     waitForOffset,
     catchUp: () => {
--- a/packages/cell/src/worker_history.ts
+++ b/packages/cell/src/worker_history.ts
@@ -26,7 +26,7 @@
  * list. The entry of a silent worker is removed after some time without a
  * renewal. If entries that were last renewed earlier are not removed, but renewed
  * again later, then a worker that was draining has withdrawn its entry: it left.
- * This holds also if the store was away meanwhile. Nothing is concluded when a
+ * Nothing is concluded when a
  * worker that was not draining was removed since.
  *
  * @param history records of the list, in the order of their offsets
--- a/packages/cell/src/worker_list.ts
+++ b/packages/cell/src/worker_list.ts
@@ -59,6 +59,8 @@
   onChange(listing: WorkerListing): void;
   /** Interval at which workers renew their entries in the list. */
   heartbeatMs: Milliseconds;
+  /** @returns time since this process last met a disturbance of the store */
+  storeSteadyMs(): Milliseconds;
 }
 
 // A read may be held across an outage of the store that is shorter than its
@@ -120,11 +122,11 @@
       const end = follower?.position() ?? 0;
       const length = HISTORY_HEARTBEATS * (listedCount + ids.size);
       const history = await readHistory(Math.max(0, end - length), end);
-      return judgeRemovals(history, {
-        ids,
-        decode,
-        heartbeatMs: options.heartbeatMs,
-      });
+      const { heartbeatMs, storeSteadyMs } = options;
+      const removed = judgeRemovals(history, { ids, decode, heartbeatMs });
+      // Entries may have been removed while the store was away.
+      const isSteady = storeSteadyMs() >= HISTORY_HEARTBEATS * heartbeatMs;
+      return isSteady ? removed : { ...removed, left: new Set() };
     },
     follow: () =>
       new Promise((resolve) => {
