--- a/packages/cell/src/entry.ts
+++ b/packages/cell/src/entry.ts
@@ -3,6 +3,7 @@
   describeError,
   type Logger,
   type Milliseconds,
+  pause,
 } from "@rattanhill/shared";
 import {
   createJobBook,
@@ -153,6 +154,9 @@
 // Jobs are no longer reported as unknown when the job book is older than the
 // visibility limit minus this margin.
 const VISIBILITY_MARGIN_MS: Milliseconds = 500;
+// Part of a usual deadline of 3 s for which a call waits for the journal.
+const MAXIMUM_JOURNAL_WAIT_MS: Milliseconds = 1_000;
+const JOURNAL_LOOK_MS: Milliseconds = 20;
 // Age of the configuration or job book from which the entry is not ready. It
 // covers a read that waits 1 s, and one that fails.
 const MAXIMUM_READY_AGE_MS: Milliseconds = 2_600;
@@ -335,15 +339,28 @@
     }
   }
 
+  /**
+   * Waits for a while until the journal was read for the first time. A call is
+   * refused only after that, since its caller would come back later.
+   */
+  const waitForJournal = async (): Promise<void> => {
+    const until = clock.now() + MAXIMUM_JOURNAL_WAIT_MS;
+    while (!journalFollower.isLoaded() && !hasReadJournal) {
+      if (clock.now() >= until) return;
+      await pause(JOURNAL_LOOK_MS);
+    }
+  };
+
   const isReady = (): boolean =>
     !isDraining && config() !== undefined && journalFollower.isLoaded() &&
     configFollower.ageMs() < MAXIMUM_READY_AGE_MS &&
     journalFollower.ageMs() < MAXIMUM_READY_AGE_MS;
 
   return {
-    handle: (call) => {
+    handle: async (call) => {
       lastCallAt = clock.now();
-      return service.handle(call);
+      await waitForJournal();
+      return await service.handle(call);
     },
     mayAccept: ({ host, path, key }) => {
       const queue = config()?.findQueue(host, path);
